--- /dev/null
+++ b/src/burn.rs
@@ -0,0 +1,1 @@
+//! Service-level objectives, error budgets and burn rates.
--- /dev/null
+++ b/src/caller.rs
@@ -0,0 +1,1 @@
+//! HTTP/1.1 towards callers.
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,9 @@
+//! Time in milliseconds and detection of process pauses.
+
+mod clock_time;
+mod pause_guard;
+mod system_clock;
+
+pub use clock_time::ClockTime;
+pub use pause_guard::PauseGuard;
+pub use system_clock::SystemClock;
--- /dev/null
+++ b/src/distribution.rs
@@ -0,0 +1,1 @@
+//! Which version a node holds, who reads the configuration service and what is sent to whom.
--- /dev/null
+++ b/src/error/result_code.rs
@@ -0,0 +1,270 @@
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{CallOutcome, Error};
+
+/// Identifies a result by the number that appears in answers, logs and metrics.
+///
+/// The table with causes and operator actions is `docs/errors.md`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "u16", try_from = "u16")]
+#[repr(u16)]
+pub enum ResultCode {
+    /// Reports that the call or command succeeded.
+    Ok = 0,
+    /// Reports that a settings file cannot be read.
+    SettingsUnreadable = 101,
+    /// Reports that a settings file is not valid TOML.
+    SettingsSyntax = 102,
+    /// Reports that a settings file has an unknown key.
+    SettingsUnknownKey = 103,
+    /// Reports that a settings file lacks a required key.
+    SettingsMissingKey = 104,
+    /// Reports that a setting is outside its allowed range.
+    SettingsOutOfRange = 105,
+    /// Reports that a settings file names one address twice.
+    SettingsDuplicateAddress = 106,
+    /// Reports that a manifest is not valid JSON of the expected shape.
+    ManifestSyntax = 201,
+    /// Reports that a manifest exceeds the size limit.
+    ManifestTooLarge = 202,
+    /// Reports that a manifest has an unknown field.
+    ManifestUnknownField = 203,
+    /// Reports that a route names a service that the manifest does not have.
+    ManifestMissingService = 204,
+    /// Reports that a service has no protocol or no slots.
+    ManifestUnreachableService = 205,
+    /// Reports that services inherit from each other in a cycle.
+    ManifestInheritanceCycle = 206,
+    /// Reports that a name or route occurs twice.
+    ManifestDuplicateName = 207,
+    /// Reports that a number in a manifest is outside its allowed range.
+    ManifestOutOfRange = 208,
+    /// Reports that content does not match its digest.
+    ManifestDigestMismatch = 209,
+    /// Reports that two contents were published under one number.
+    ManifestConflict = 210,
+    /// Reports that the configuration service answered with an older version.
+    ManifestStale = 211,
+    /// Reports that a route names a kind that its service does not have.
+    ManifestMissingKind = 212,
+    /// Reports that no route matches the request.
+    NoRoute = 301,
+    /// Reports that the service has no live endpoint.
+    NoEndpoint = 302,
+    /// Reports that the endpoint has no slot or queue place for the call.
+    Overloaded = 303,
+    /// Reports that the remaining time does not suffice to run the call.
+    DeadlineTooShort = 304,
+    /// Reports that the request is malformed or ambiguous.
+    MalformedRequest = 305,
+    /// Reports that the request head or body exceeds its limit.
+    RequestTooLarge = 306,
+    /// Reports that the node does not yet hold a verified version.
+    NodeNotReady = 307,
+    /// Reports that the node or its backend server is leaving.
+    NodeLeaving = 308,
+    /// Reports that another attempt with the same key has precedence.
+    KeyFenced = 309,
+    /// Reports that the call exceeds the depth limit.
+    CallTooDeep = 310,
+    /// Reports that the endpoint that a placed key names is gone.
+    KeyOwnerGone = 311,
+    /// Reports that the request did not arrive within its time limit.
+    RequestTooSlow = 312,
+    /// Reports that the node beside the endpoint could not be reached.
+    PeerUnreachable = 313,
+    /// Reports that the backend server could not be reached.
+    BackendUnreachable = 314,
+    /// Reports that the answer exceeds its size limit.
+    AnswerTooLarge = 401,
+    /// Reports that the answer is malformed or incomplete.
+    AnswerMalformed = 402,
+    /// Reports that the connection was lost after the request was written.
+    ConnectionLost = 501,
+    /// Reports that the deadline passed after the request was written.
+    DeadlinePassed = 502,
+    /// Reports that an earlier attempt with the same key is still running.
+    KeyRunning = 503,
+    /// Reports that an endpoint that may have run the key cannot tell.
+    KeyMemoryGone = 504,
+    /// Reports that the platform did not answer.
+    PlatformUnreachable = 601,
+    /// Reports that the platform sent an invalid answer.
+    PlatformInvalid = 602,
+    /// Reports that a peer violated the protocol.
+    PeerProtocol = 603,
+    /// Reports that a peer refused the handshake.
+    HandshakeRefused = 604,
+    /// Reports that the read budget is spent.
+    ReadBudgetSpent = 605,
+    /// Reports that the wait ended before the version was in force.
+    WaitTimeout = 606,
+    /// Reports that a node refused the version.
+    VersionRefused = 607,
+    /// Reports that the version is not in force everywhere.
+    NotInForce = 608,
+}
+
+impl ResultCode {
+    /// Every code in ascending order.
+    pub const ALL: &'static [Self] = &[
+        Self::Ok,
+        Self::SettingsUnreadable,
+        Self::SettingsSyntax,
+        Self::SettingsUnknownKey,
+        Self::SettingsMissingKey,
+        Self::SettingsOutOfRange,
+        Self::SettingsDuplicateAddress,
+        Self::ManifestSyntax,
+        Self::ManifestTooLarge,
+        Self::ManifestUnknownField,
+        Self::ManifestMissingService,
+        Self::ManifestUnreachableService,
+        Self::ManifestInheritanceCycle,
+        Self::ManifestDuplicateName,
+        Self::ManifestOutOfRange,
+        Self::ManifestDigestMismatch,
+        Self::ManifestConflict,
+        Self::ManifestStale,
+        Self::ManifestMissingKind,
+        Self::NoRoute,
+        Self::NoEndpoint,
+        Self::Overloaded,
+        Self::DeadlineTooShort,
+        Self::MalformedRequest,
+        Self::RequestTooLarge,
+        Self::NodeNotReady,
+        Self::NodeLeaving,
+        Self::KeyFenced,
+        Self::CallTooDeep,
+        Self::KeyOwnerGone,
+        Self::RequestTooSlow,
+        Self::PeerUnreachable,
+        Self::BackendUnreachable,
+        Self::AnswerTooLarge,
+        Self::AnswerMalformed,
+        Self::ConnectionLost,
+        Self::DeadlinePassed,
+        Self::KeyRunning,
+        Self::KeyMemoryGone,
+        Self::PlatformUnreachable,
+        Self::PlatformInvalid,
+        Self::PeerProtocol,
+        Self::HandshakeRefused,
+        Self::ReadBudgetSpent,
+        Self::WaitTimeout,
+        Self::VersionRefused,
+        Self::NotInForce,
+    ];
+
+    /// Returns the number of this code.
+    #[must_use]
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Returns the meaning of this code as a short clause.
+    #[must_use]
+    pub fn meaning(self) -> &'static str {
+        match self {
+            Self::Ok => "the call or command succeeded",
+            Self::SettingsUnreadable => "a settings file cannot be read",
+            Self::SettingsSyntax => "a settings file is not valid TOML",
+            Self::SettingsUnknownKey => "a settings file has an unknown key",
+            Self::SettingsMissingKey => "a settings file lacks a required key",
+            Self::SettingsOutOfRange => "a setting is outside its allowed range",
+            Self::SettingsDuplicateAddress => "a settings file names one address twice",
+            Self::ManifestSyntax => "a manifest is not valid JSON of the expected shape",
+            Self::ManifestTooLarge => "a manifest exceeds the size limit",
+            Self::ManifestUnknownField => "a manifest has an unknown field",
+            Self::ManifestMissingService => {
+                "a route names a service that the manifest does not have"
+            }
+            Self::ManifestUnreachableService => "a service has no protocol or no slots",
+            Self::ManifestInheritanceCycle => "services inherit from each other in a cycle",
+            Self::ManifestDuplicateName => "a name or route occurs twice",
+            Self::ManifestOutOfRange => "a number in a manifest is outside its allowed range",
+            Self::ManifestDigestMismatch => "content does not match its digest",
+            Self::ManifestConflict => "two contents were published under one number",
+            Self::ManifestStale => "the configuration service answered with an older version",
+            Self::ManifestMissingKind => "a route names a kind that its service does not have",
+            Self::NoRoute => "no route matches the request",
+            Self::NoEndpoint => "the service has no live endpoint",
+            Self::Overloaded => "the endpoint has no slot or queue place for the call",
+            Self::DeadlineTooShort => "the remaining time does not suffice to run the call",
+            Self::MalformedRequest => "the request is malformed or ambiguous",
+            Self::RequestTooLarge => "the request head or body exceeds its limit",
+            Self::NodeNotReady => "the node does not yet hold a verified version",
+            Self::NodeLeaving => "the node or its backend server is leaving",
+            Self::KeyFenced => "another attempt with the same key has precedence",
+            Self::CallTooDeep => "the call exceeds the depth limit",
+            Self::KeyOwnerGone => "the endpoint that a placed key names is gone",
+            Self::RequestTooSlow => "the request did not arrive within its time limit",
+            Self::PeerUnreachable => "the node beside the endpoint could not be reached",
+            Self::BackendUnreachable => "the backend server could not be reached",
+            Self::AnswerTooLarge => "the answer exceeds its size limit",
+            Self::AnswerMalformed => "the answer is malformed or incomplete",
+            Self::ConnectionLost => "the connection was lost after the request was written",
+            Self::DeadlinePassed => "the deadline passed after the request was written",
+            Self::KeyRunning => "an earlier attempt with the same key is still running",
+            Self::KeyMemoryGone => "an endpoint that may have run the key cannot tell",
+            Self::PlatformUnreachable => "the platform did not answer",
+            Self::PlatformInvalid => "the platform sent an invalid answer",
+            Self::PeerProtocol => "a peer violated the protocol",
+            Self::HandshakeRefused => "a peer refused the handshake",
+            Self::ReadBudgetSpent => "the read budget is spent",
+            Self::WaitTimeout => "the wait ended before the version was in force",
+            Self::VersionRefused => "a node refused the version",
+            Self::NotInForce => "the version is not in force everywhere",
+        }
+    }
+
+    /// Returns what this code says about whether the work of a call ran.
+    #[must_use]
+    pub fn outcome(self) -> CallOutcome {
+        match self.number() / 100 {
+            0 => CallOutcome::Ran,
+            4 => CallOutcome::Failed,
+            5 => CallOutcome::Unknown,
+            _ => CallOutcome::NotRun,
+        }
+    }
+}
+
+impl fmt::Display for ResultCode {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.number())
+    }
+}
+
+impl FromStr for ResultCode {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number: u16 = text.parse().map_err(|_| {
+            Error::new(Self::PeerProtocol, format!("`{text}` is not a result code"))
+        })?;
+        Self::try_from(number)
+    }
+}
+
+impl From<ResultCode> for u16 {
+    fn from(code: ResultCode) -> Self {
+        code.number()
+    }
+}
+
+impl TryFrom<u16> for ResultCode {
+    type Error = Error;
+
+    fn try_from(number: u16) -> Result<Self, Self::Error> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|code| code.number() == number)
+            .ok_or_else(|| Error::new(Self::PeerProtocol, format!("unknown result code {number}")))
+    }
+}
--- /dev/null
+++ b/src/id/zone_name.rs
@@ -0,0 +1,6 @@
+use crate::id::text_id;
+
+text_id::text_id! {
+    /// Names an availability zone.
+    ZoneName
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Metric instruments and their text exposition.
--- /dev/null
+++ b/src/once.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution: idempotency keys, recorded answers and fences.
--- /dev/null
+++ b/src/peer/peer_caller.rs
@@ -0,0 +1,42 @@
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+
+use crate::clock::ClockTime;
+use crate::error::Result;
+use crate::id::NodeAddress;
+use crate::peer::{CallHeader, CallReply, ControlLink, FenceReply, FenceRequest};
+
+/// Sends calls, fences and control links to other nodes.
+pub trait PeerCaller {
+    /// Sends one call and reads its whole answer; dropping the future resets the stream.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` if no byte of the call was written, `ConnectionLost` or `DeadlinePassed` if
+    /// it may have run.
+    fn call(
+        &self,
+        to: NodeAddress,
+        header: CallHeader,
+        body: Bytes,
+    ) -> LocalBoxFuture<'_, Result<(CallReply, Bytes)>>;
+
+    /// Sends one fence request.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` or `DeadlinePassed`.
+    fn fence(
+        &self,
+        to: NodeAddress,
+        request: FenceRequest,
+        timeout: ClockTime,
+    ) -> LocalBoxFuture<'_, Result<FenceReply>>;
+
+    /// Opens a control link on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` or `HandshakeRefused`.
+    fn open_control(&self, to: NodeAddress) -> LocalBoxFuture<'_, Result<ControlLink>>;
+}
--- /dev/null
+++ b/src/peer/peer_handler.rs
@@ -0,0 +1,18 @@
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+
+use crate::peer::{CallHeader, CallReply, ControlLink, FenceReply, FenceRequest};
+
+/// Serves what other nodes send to this one.
+///
+/// Dropping the future of a call cancels it; the peer server does so when the stream is reset.
+pub trait PeerHandler {
+    /// Runs a call on the backend server beside this node.
+    fn call(&self, header: CallHeader, body: Bytes) -> LocalBoxFuture<'_, (CallReply, Bytes)>;
+
+    /// Answers a fence request.
+    fn fence(&self, request: FenceRequest) -> LocalBoxFuture<'_, FenceReply>;
+
+    /// Serves a control link that another node opened, until it ends.
+    fn control(&self, link: ControlLink) -> LocalBoxFuture<'_, ()>;
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,9 @@
+//! The boundary to the platform: configuration service and list of instances.
+
+mod config_source;
+mod instance_list;
+mod instance_source;
+
+pub use config_source::{ConfigRead, ConfigSource};
+pub use instance_list::{InstanceEntry, InstanceList, InstanceState};
+pub use instance_source::InstanceSource;
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budget and hedging policy.
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,1 @@
+//! The choice of an endpoint for a call.
