Read and check node settings

Each mistake gives one line that names file, key and allowed values; a table of 13 mistakes and their codes guards the messages.

--- a/src/settings/node_settings.rs
+++ b/src/settings/node_settings.rs
@@ -1,8 +1,15 @@
+use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 
-use crate::clock::ClockTime;
-use crate::id::{NodeAddress, RegionName, ServiceName, ZoneName};
-use crate::size::ByteSize;
+use log::LevelFilter;
+
+use crate::error::{Error, Result, ResultCode};
+use crate::id::NodeAddress;
+use crate::settings::{
+    BackendSettings, BurnSettings, CallSettings, ListenSettings, PlacementSettings,
+    PlatformSettings, SettingTable,
+};
 
 /// Holds every setting of a node.
 #[derive(Debug, Clone)]
@@ -19,83 +26,89 @@
     pub seeds: Vec<NodeAddress>,
     /// Limits on calls.
     pub call: CallSettings,
-    /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
-    pub log_level: String,
+    /// Windows of the burn report.
+    pub burn: BurnSettings,
+    /// Log level.
+    pub log_level: LevelFilter,
     /// Seed of the random generator; drawn from the system if absent.
     pub random_seed: Option<u64>,
 }
 
-/// States where a node stands.
-#[derive(Debug, Clone)]
-pub struct PlacementSettings {
-    /// Service of the backend server beside the node.
-    pub service: ServiceName,
-    /// Availability zone.
-    pub zone: ZoneName,
-    /// Region.
-    pub region: RegionName,
-}
-
-/// Holds the listen addresses of a node.
-#[derive(Debug, Clone)]
-pub struct ListenSettings {
-    /// HTTP/1.1 for callers.
-    pub caller: SocketAddr,
-    /// h2 for other nodes; also the identity of the node.
-    pub peer: SocketAddr,
-    /// HTTP/1.1 for operators.
-    pub admin: SocketAddr,
-}
+impl NodeSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// A settings code (101 to 106) with a message that names the file, the key and what is allowed.
+    pub fn load(path: &Path) -> Result<Self> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|error| {
+            Error::new(
+                ResultCode::SettingsUnreadable,
+                format!("{file}: cannot be read: {error}"),
+            )
+        })?;
+        Self::parse(&file, &text)
+    }
 
-/// Holds the address and the time limits of the backend server.
-#[derive(Debug, Clone)]
-pub struct BackendSettings {
-    /// Address.
-    pub address: SocketAddr,
-    /// Time to open a connection.
-    pub connect_timeout: ClockTime,
-    /// Time between two health checks.
-    pub health_interval: ClockTime,
-}
+    /// Checks the text of a settings file; `file` is its name in messages.
+    ///
+    /// # Errors
+    ///
+    /// A settings code (102 to 106).
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let mut root = SettingTable::parse(file, text)?;
+        let settings = Self {
+            placement: PlacementSettings::read(root.table("placement")?)?,
+            listen: ListenSettings::read(root.table("listen")?)?,
+            backend: BackendSettings::read(root.table("backend")?)?,
+            platform: PlatformSettings::read(root.table("platform")?)?,
+            seeds: root.list("seeds", "numeric addresses and ports")?,
+            call: CallSettings::read(root.table("call")?)?,
+            burn: BurnSettings::read(root.table("burn")?)?,
+            log_level: root
+                .optional("log_level", "off, error, warn, info, debug or trace")?
+                .unwrap_or(LevelFilter::Info),
+            random_seed: root.integer("random_seed", 0..=i64::MAX as u64)?,
+        };
+        root.finish()?;
+        settings.check_addresses(file)?;
+        Ok(settings)
+    }
 
-/// Holds the addresses and the call budget of the platform.
-#[derive(Debug, Clone)]
-pub struct PlatformSettings {
-    /// Address of the configuration service.
-    pub config: SocketAddr,
-    /// Address of the instance list.
-    pub instances: SocketAddr,
-    /// Region of the configuration service.
-    pub region: RegionName,
-    /// Calls per second that the configuration service serves over all readers.
-    pub call_budget: u32,
-    /// Longest wait of one watch.
-    pub watch_wait: ClockTime,
-    /// Whether every node watches, instead of few readers; for comparison only.
-    pub every_node_watches: bool,
+    fn check_addresses(&self, file: &str) -> Result<()> {
+        let addresses: [(&str, SocketAddr); 4] = [
+            ("listen.caller", self.listen.caller),
+            ("listen.peer", self.listen.peer),
+            ("listen.admin", self.listen.admin),
+            ("backend.address", self.backend.address),
+        ];
+        for (index, (key, address)) in addresses.iter().enumerate() {
+            let earlier = addresses[..index]
+                .iter()
+                .find(|(_, other)| other == address);
+            if let Some((other_key, _)) = earlier {
+                return Err(duplicate(file, key, other_key, *address));
+            }
+        }
+        let own = NodeAddress(self.listen.peer);
+        for (index, seed) in self.seeds.iter().enumerate() {
+            if *seed == own {
+                return Err(duplicate(file, "seeds", "listen.peer", own.0));
+            }
+            if self.seeds[..index].contains(seed) {
+                return Err(duplicate(file, "seeds", "seeds", seed.0));
+            }
+        }
+        Ok(())
+    }
 }
 
-/// Holds limits on calls.
-#[derive(Debug, Clone)]
-pub struct CallSettings {
-    /// Largest request head.
-    pub head_limit: ByteSize,
-    /// Largest request or answer body.
-    pub body_limit: ByteSize,
-    /// Time to receive a request head.
-    pub head_timeout: ClockTime,
-    /// Time to receive a request body.
-    pub body_timeout: ClockTime,
-    /// Largest call depth.
-    pub depth_limit: u8,
-    /// Calls that may wait for a slot at the endpoint.
-    pub queue_limit: usize,
-    /// Time that a leaving node waits for the calls it holds.
-    pub drain_timeout: ClockTime,
-    /// Lifetime of an idempotency key.
-    pub key_lifetime: ClockTime,
-    /// Time after its start from which an endpoint accepts keys made by callers.
-    pub key_settle: ClockTime,
-    /// Whether the plain policy is used: round robin, first in first out, no hedging.
-    pub plain_policy: bool,
+fn duplicate(file: &str, key: &str, other_key: &str, address: SocketAddr) -> Error {
+    Error::new(
+        ResultCode::SettingsDuplicateAddress,
+        format!(
+            "{file}: key `{key}` repeats the address {address} of key `{other_key}`; each must be different"
+        ),
+    )
 }
--- /dev/null
+++ b/tests/settings_rules.rs
@@ -0,0 +1,122 @@
+//! Guards against a node that starts with settings it does not understand.
+
+use endivelanding::settings::NodeSettings;
+
+const VALID: &str = r#"
+seeds = ["127.0.0.1:7102"]
+log_level = "warn"
+[placement]
+service = "ratecard"
+zone = "bangna"
+region = "central"
+[listen]
+caller = "127.0.0.1:7000"
+peer = "127.0.0.1:7100"
+admin = "127.0.0.1:7200"
+[backend]
+address = "127.0.0.1:7300"
+[platform]
+config = "127.0.0.1:7400"
+instances = "127.0.0.1:7401"
+region = "central"
+"#;
+
+#[test]
+fn valid_settings_take_defaults() {
+    let settings = NodeSettings::parse("node.toml", VALID).unwrap();
+    assert_eq!(settings.call.queue_limit, 64);
+    assert_eq!(settings.platform.call_budget, 2_000);
+}
+
+#[test]
+fn each_mistake_names_file_key_and_allowed_values() {
+    let cases: &[(&str, &str, u16, &str)] = &[
+        (
+            "zone = \"bangna\"",
+            "zone = \"bangna\"\nzoom = 1",
+            103,
+            "unknown key `placement.zoom`",
+        ),
+        (
+            "log_level",
+            "extra = 1\nlog_level",
+            103,
+            "unknown key `extra`",
+        ),
+        (
+            "zone = \"bangna\"",
+            "",
+            104,
+            "key `placement.zone` is missing; it must be 1 to 64 characters",
+        ),
+        (
+            "zone = \"bangna\"",
+            "zone = \"Bang Na\"",
+            105,
+            "key `placement.zone` must be 1 to 64 characters",
+        ),
+        (
+            "\"warn\"",
+            "\"loud\"",
+            105,
+            "key `log_level` must be off, error, warn, info, debug or trace",
+        ),
+        (
+            "[backend]",
+            "[call]\nqueue_limit = 0\n[backend]",
+            105,
+            "key `call.queue_limit` must be an integer from 1 to 10000",
+        ),
+        (
+            "[backend]",
+            "[call]\ndepth_limit = \"8\"\n[backend]",
+            105,
+            "key `call.depth_limit` must be an integer from 1 to 64",
+        ),
+        (
+            "[backend]",
+            "[burn]\nlong_window_ms = 60000\n[backend]",
+            105,
+            "key `burn.short_window_ms` must be less than",
+        ),
+        (
+            "127.0.0.1:7100",
+            "0.0.0.0:7100",
+            105,
+            "key `listen.peer` must be a numeric address",
+        ),
+        (
+            "127.0.0.1:7100",
+            "node-1:7100",
+            105,
+            "key `listen.peer` must be a numeric address",
+        ),
+        (
+            "127.0.0.1:7200",
+            "127.0.0.1:7100",
+            106,
+            "key `listen.admin` repeats the address 127.0.0.1:7100 of key `listen.peer`",
+        ),
+        (
+            "127.0.0.1:7102",
+            "127.0.0.1:7100",
+            106,
+            "key `seeds` repeats the address 127.0.0.1:7100",
+        ),
+        ("[listen]", "[listen", 102, "not valid TOML"),
+    ];
+    for (from, to, code, message) in cases {
+        let text = VALID.replace(from, to);
+        let error = NodeSettings::parse("node.toml", &text).unwrap_err();
+        assert_eq!(error.code().number(), *code, "{error}");
+        assert!(error.to_string().starts_with("node.toml: "), "{error}");
+        assert!(error.to_string().contains(message), "{error}");
+        assert!(!error.to_string().contains('\n'), "{error}");
+    }
+}
+
+#[test]
+fn unreadable_file_is_reported() {
+    let error = NodeSettings::load("/nonexistent/node.toml".as_ref()).unwrap_err();
+    assert_eq!(error.code().number(), 101);
+}
