--- /dev/null
+++ b/src/burn/call_window.rs
@@ -0,0 +1,95 @@
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::clock::ClockTime;
+use crate::error::ResultCode;
+
+/// Buckets that a window is divided into; a total is exact to one bucket.
+const BUCKETS: u64 = 60;
+
+/// Counts good and bad calls over a sliding window.
+#[derive(Debug, Clone)]
+pub struct CallWindow {
+    bucket_span: u64,
+    buckets: VecDeque<(u64, WindowTotal)>,
+}
+
+/// Holds the calls counted in a window.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WindowTotal {
+    /// All calls.
+    pub calls: u64,
+    /// Bad calls by result code; `Ok` stands for answers with a status of 500 or above.
+    pub bad: BTreeMap<ResultCode, u64>,
+}
+
+impl WindowTotal {
+    /// Returns the number of bad calls.
+    #[must_use]
+    pub fn bad_calls(&self) -> u64 {
+        self.bad.values().sum()
+    }
+
+    /// Returns the share of bad calls, 0 without calls.
+    #[must_use]
+    pub fn bad_share(&self) -> f64 {
+        if self.calls == 0 {
+            return 0.0;
+        }
+        self.bad_calls() as f64 / self.calls as f64
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.calls += other.calls;
+        for (code, count) in &other.bad {
+            *self.bad.entry(*code).or_default() += count;
+        }
+    }
+}
+
+impl CallWindow {
+    /// Creates an empty window.
+    #[must_use]
+    pub fn new(span: ClockTime) -> Self {
+        Self {
+            bucket_span: (span.0 / BUCKETS).max(1),
+            buckets: VecDeque::new(),
+        }
+    }
+
+    /// Counts one call; `bad` gives the code of a bad one.
+    pub fn record(&mut self, now: ClockTime, bad: Option<ResultCode>) {
+        let index = now.0 / self.bucket_span;
+        if self.buckets.back().is_none_or(|(last, _)| *last < index) {
+            self.buckets.push_back((index, WindowTotal::default()));
+            while self
+                .buckets
+                .front()
+                .is_some_and(|(first, _)| first + BUCKETS <= index)
+            {
+                self.buckets.pop_front();
+            }
+        }
+        if let Some((_, total)) = self.buckets.back_mut() {
+            total.calls += 1;
+            if let Some(code) = bad {
+                *total.bad.entry(code).or_default() += 1;
+            }
+        }
+    }
+
+    /// Returns the calls within the window that ends now.
+    #[must_use]
+    pub fn total(&self, now: ClockTime) -> WindowTotal {
+        let index = now.0 / self.bucket_span;
+        let mut sum = WindowTotal::default();
+        for (_, total) in self
+            .buckets
+            .iter()
+            .filter(|(first, _)| first + BUCKETS > index)
+        {
+            sum.add(total);
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/src/metrics/node_metrics.rs
@@ -0,0 +1,212 @@
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::error::{Error, Result, ResultCode};
+use crate::id::{KindName, ServiceName};
+
+/// Upper bounds of the latency histogram in seconds, dense around the stated 1.7 ms.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.0005, 0.001, 0.0017, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0,
+];
+
+/// States how far a control link reaches, for the bytes counted on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkScope {
+    /// Within the availability zone.
+    Zone,
+    /// To another zone of the region.
+    Region,
+    /// Over the paid link between regions.
+    Paid,
+}
+
+impl LinkScope {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Zone => "zone",
+            Self::Region => "region",
+            Self::Paid => "paid",
+        }
+    }
+}
+
+/// Holds all instruments of a node.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    calls: Counter<u64>,
+    call_duration: Histogram<f64>,
+    resends: Counter<u64>,
+    control_bytes: Counter<u64>,
+    platform_reads: Counter<u64>,
+    version_events: Counter<u64>,
+    pauses: Counter<u64>,
+    version_number: Gauge<u64>,
+    ready: Gauge<u64>,
+    members: Gauge<u64>,
+    links: Gauge<u64>,
+    slots_running: Gauge<u64>,
+    queue_length: Gauge<u64>,
+}
+
+impl NodeMetrics {
+    /// Creates all instruments on a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformInvalid` if the exporter cannot be registered.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .map_err(exposition_error)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("endivelanding");
+        Ok(Self {
+            calls: counter(&meter, "endive_calls", "Calls from callers by result code"),
+            call_duration: meter
+                .f64_histogram("endive_call_duration")
+                .with_description("Time from the request to the whole answer")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            resends: counter(&meter, "endive_resends", "Retries and hedges"),
+            control_bytes: meter
+                .u64_counter("endive_control")
+                .with_description("Bytes on control links by direction and scope")
+                .with_unit("By")
+                .build(),
+            platform_reads: counter(&meter, "endive_platform_reads", "Calls of the platform"),
+            version_events: counter(
+                &meter,
+                "endive_version_events",
+                "Versions installed, refused, conflicting or stale",
+            ),
+            pauses: counter(&meter, "endive_pauses", "Pauses of the process detected"),
+            version_number: gauge(
+                &meter,
+                "endive_version_number",
+                "Number of the version in force",
+            ),
+            ready: gauge(&meter, "endive_ready", "1 if the node serves calls"),
+            members: gauge(&meter, "endive_members", "Live members known"),
+            links: gauge(&meter, "endive_links", "Control links open"),
+            slots_running: gauge(
+                &meter,
+                "endive_slots_running",
+                "Calls on the backend server",
+            ),
+            queue_length: gauge(&meter, "endive_queue_length", "Calls that wait for a slot"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a call from a caller and its duration in ms.
+    pub fn record_call(
+        &self,
+        service: &ServiceName,
+        kind: &KindName,
+        code: ResultCode,
+        duration_ms: f64,
+    ) {
+        let service = KeyValue::new("service", service.to_string());
+        let kind = KeyValue::new("kind", kind.to_string());
+        let code = KeyValue::new("code", i64::from(code.number()));
+        self.calls.add(1, &[service.clone(), kind.clone(), code]);
+        self.call_duration
+            .record(duration_ms / 1_000.0, &[service, kind]);
+    }
+
+    /// Counts a retry or a hedge.
+    pub fn record_resend(&self, reason: &'static str) {
+        self.resends.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts bytes on control links.
+    pub fn record_control_bytes(&self, scope: LinkScope, sent: u64, received: u64) {
+        for (direction, bytes) in [("sent", sent), ("received", received)] {
+            let labels = [
+                KeyValue::new("direction", direction),
+                KeyValue::new("scope", scope.label()),
+            ];
+            self.control_bytes.add(bytes, &labels);
+        }
+    }
+
+    /// Counts a call of the platform; `target` is `manifest` or `instances`.
+    pub fn record_platform_read(&self, target: &'static str, result: &'static str) {
+        let labels = [
+            KeyValue::new("target", target),
+            KeyValue::new("result", result),
+        ];
+        self.platform_reads.add(1, &labels);
+    }
+
+    /// Counts an event of the version in force: `installed`, `refused`, `conflict` or `stale`.
+    pub fn record_version_event(&self, event: &'static str) {
+        self.version_events.add(1, &[KeyValue::new("event", event)]);
+    }
+
+    /// Counts a detected pause of the process.
+    pub fn record_pause(&self) {
+        self.pauses.add(1, &[]);
+    }
+
+    /// Sets the number of the version in force.
+    pub fn set_version(&self, number: u64) {
+        self.version_number.record(number, &[]);
+    }
+
+    /// Sets whether the node serves calls.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.record(u64::from(ready), &[]);
+    }
+
+    /// Sets the counts of live members and open control links.
+    pub fn set_fleet(&self, members: usize, links: usize) {
+        self.members.record(members as u64, &[]);
+        self.links.record(links as u64, &[]);
+    }
+
+    /// Sets the counts of running and queued calls at the backend server.
+    pub fn set_slots(&self, running: usize, queued: usize) {
+        self.slots_running.record(running as u64, &[]);
+        self.queue_length.record(queued as u64, &[]);
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformInvalid` if the registry cannot be encoded.
+    pub fn exposition(&self) -> Result<String> {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .map_err(exposition_error)
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
+fn exposition_error<Cause>(cause: Cause) -> Error
+where
+    Cause: std::fmt::Display,
+{
+    Error::new(ResultCode::PlatformInvalid, format!("metrics: {cause}"))
+}
