--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod distribution;
 pub mod error;
 pub mod id;
+pub mod logging;
 pub mod manifest;
 pub mod membership;
 pub mod metrics;
@@ -35,6 +36,7 @@
 pub mod routing;
 pub mod settings;
 pub mod size;
+pub mod status;
 pub mod version;
 
 pub use crate::error::{Error, Result, ResultCode};
--- /dev/null
+++ b/src/status.rs
@@ -0,0 +1,11 @@
+//! What a node reports about itself to operators.
+
+mod call_explanation;
+mod node_status;
+mod refused_version;
+mod version_conflict;
+
+pub use call_explanation::{CallExplanation, EndpointView};
+pub use node_status::NodeStatus;
+pub use refused_version::RefusedVersion;
+pub use version_conflict::VersionConflict;
