--- a/tests/settings_rules.rs
+++ b/tests/settings_rules.rs
@@ -120,3 +120,29 @@
     let error = NodeSettings::load("/nonexistent/node.toml".as_ref()).unwrap_err();
     assert_eq!(error.code().number(), 101);
 }
+
+#[test]
+fn documented_keys_with_their_defaults_are_accepted() {
+    let table = include_str!("../docs/settings.md");
+    let mut text = String::from(VALID);
+    let rows = table.lines().filter_map(|line| {
+        let mut cells = line.strip_prefix("| `")?.split('|').map(str::trim);
+        let key = cells.next()?.trim_end_matches('`');
+        Some((key, cells.next()?))
+    });
+    let mut keys = 0;
+    for (key, default) in rows {
+        keys += 1;
+        let (table, name) = key.rsplit_once('.').unwrap_or(("", key));
+        if default == "-" || default == "drawn" || VALID.contains(&format!("{name} =")) {
+            continue;
+        }
+        let header = format!("[{table}]\n");
+        if !text.contains(&header) {
+            text.push_str(&header);
+        }
+        text = text.replace(&header, &format!("{header}{name} = {default}\n"));
+    }
+    assert_eq!(keys, 30);
+    NodeSettings::parse("node.toml", &text).unwrap();
+}
