Add HTTP/1.1 adapters for callers, backend server, platform and operators

Cause: the traits CallHandler, BackendServer, ConfigSource and InstanceSource had no implementation. Change: one server core (bounded heads and bodies, strict framing, ordered answers) serves callers and operators; one client serves the backend server, the platform and the admin client. Heads are parsed by monoio-http's codec; chunked bodies are decoded here because the codec buffers a chunk of any size.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,1 +1,11 @@
 //! HTTP/1.1 towards operators: health, readiness, metrics, status, explain and burn report.
+
+mod admin_client;
+mod admin_handler;
+mod admin_page;
+mod admin_server;
+
+pub use admin_client::AdminClient;
+pub use admin_handler::AdminHandler;
+pub use admin_page::AdminPage;
+pub use admin_server::AdminServer;
--- /dev/null
+++ b/src/admin/admin_page.rs
@@ -0,0 +1,38 @@
+use bytes::Bytes;
+
+/// Holds one page for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdminPage {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the `content-type` header.
+    pub content_type: String,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl AdminPage {
+    /// Creates a page of plain text.
+    pub fn text<Body>(status: u16, body: Body) -> Self
+    where
+        Body: Into<String>,
+    {
+        Self {
+            status,
+            content_type: "text/plain".to_owned(),
+            body: Bytes::from(body.into()),
+        }
+    }
+
+    /// Creates a page of JSON text.
+    pub fn json<Body>(status: u16, body: Body) -> Self
+    where
+        Body: Into<String>,
+    {
+        Self {
+            status,
+            content_type: "application/json".to_owned(),
+            body: Bytes::from(body.into()),
+        }
+    }
+}
--- /dev/null
+++ b/src/backend/http_backend.rs
@@ -0,0 +1,263 @@
+use std::cell::Cell;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use futures_util::future::{FutureExt, LocalBoxFuture};
+use monoio::time;
+
+use crate::backend::cancel_task::CancelTask;
+use crate::backend::client_connection::ClientConnection;
+use crate::backend::client_request::ClientRequest;
+use crate::backend::connection_pool::ConnectionPool;
+use crate::backend::{BackendHealth, BackendServer, HttpClient};
+use crate::call::{CallAnswer, CallRequest};
+use crate::caller::{WireError, is_hop_header};
+use crate::clock::{ClockTime, SystemClock};
+use crate::error::{Error, Result, ResultCode};
+use crate::size::ByteSize;
+
+/// Time for a health check.
+const HEALTH_TIMEOUT: ClockTime = ClockTime(1_000);
+/// Headers that the adapter sets itself.
+const OWN_HEADERS: [&str; 7] = [
+    "x-deadline-ms",
+    "x-request-id",
+    "idempotency-key",
+    "x-first-attempt-age-ms",
+    "x-call-depth",
+    "x-request-attempt",
+    "x-config-version",
+];
+
+/// Runs requests on the backend server over a bounded pool of HTTP/1.1 connections.
+pub struct HttpBackend {
+    client: HttpClient,
+    clock: SystemClock,
+    pool: ConnectionPool,
+    cancels: CancelTask,
+    id_prefix: u64,
+    id_count: Cell<u64>,
+}
+
+impl HttpBackend {
+    /// Creates the adapter and starts its task; needs a running monoio runtime.
+    #[must_use]
+    pub fn new(
+        address: SocketAddr,
+        connect_timeout: ClockTime,
+        connection_limit: usize,
+        answer_limit: ByteSize,
+    ) -> Self {
+        let client = HttpClient {
+            address,
+            connect_timeout,
+            body_limit: answer_limit.0 as usize,
+        };
+        Self {
+            cancels: CancelTask::start(client.clone()),
+            client,
+            clock: SystemClock::new(),
+            pool: ConnectionPool::new(connection_limit),
+            // Ids of an earlier process must not match, or a cancellation could hit other work.
+            id_prefix: rand::random(),
+            id_count: Cell::new(0),
+        }
+    }
+
+    /// Closes idle connections, sends waiting cancellations and joins the task.
+    pub async fn close(&self) {
+        self.pool.clear();
+        self.cancels.close().await;
+    }
+
+    fn next_id(&self) -> String {
+        let count = self.id_count.get();
+        self.id_count.set(count + 1);
+        format!("{:016x}-{count}", self.id_prefix)
+    }
+
+    async fn run_request(&self, request: &CallRequest, deadline: ClockTime) -> Result<CallAnswer> {
+        let permit = self.pool.acquire();
+        let _permit = time::timeout(self.left(deadline)?.to_duration(), permit)
+            .await
+            .map_err(|_| too_short())?;
+        let mut connection = self.connection(deadline).await?;
+        let id = self.next_id();
+        let left = match self.left(deadline) {
+            Ok(left) => left,
+            Err(error) => {
+                self.pool.put_idle(connection);
+                return Err(error);
+            }
+        };
+        let message = encode(request, self.client.address, &id, left)?;
+        let guard = self.cancels.guard(id);
+        let exchange = connection.exchange(message, self.client.body_limit);
+        match time::timeout(left.to_duration(), exchange).await {
+            Err(_) => Err(Error::new(
+                ResultCode::DeadlinePassed,
+                "backend server did not answer within the deadline",
+            )),
+            Ok(Ok((response, reusable))) => {
+                guard.disarm();
+                if reusable {
+                    self.pool.put_idle(connection);
+                }
+                Ok(to_answer(response))
+            }
+            Ok(Err(error)) => {
+                if matches!(error, WireError::NotWritten(_)) {
+                    guard.disarm();
+                }
+                Err(to_error(&error))
+            }
+        }
+    }
+
+    async fn connection(&self, deadline: ClockTime) -> Result<ClientConnection> {
+        if let Some(connection) = self.pool.take_idle() {
+            let mut next = Some(connection);
+            // One turn of the event loop makes a close that has already arrived visible.
+            yield_once().await;
+            while let Some(mut connection) = next {
+                if connection.is_quiet() {
+                    return Ok(connection);
+                }
+                next = self.pool.take_idle();
+            }
+        }
+        let left = self.left(deadline)?;
+        let limit = ClockTime(left.0.min(self.client.connect_timeout.0));
+        ClientConnection::connect(self.client.address, limit)
+            .await
+            .map_err(|error| to_error(&error))
+    }
+
+    fn left(&self, deadline: ClockTime) -> Result<ClockTime> {
+        let left = deadline - self.clock.now();
+        if left == ClockTime(0) {
+            return Err(too_short());
+        }
+        Ok(left)
+    }
+}
+
+impl BackendServer for HttpBackend {
+    fn run(
+        &self,
+        request: CallRequest,
+        remaining: ClockTime,
+    ) -> LocalBoxFuture<'_, Result<CallAnswer>> {
+        let deadline = self.clock.now() + remaining;
+        async move { self.run_request(&request, deadline).await }.boxed_local()
+    }
+
+    fn health(&self) -> LocalBoxFuture<'_, Result<BackendHealth>> {
+        async move {
+            let unreachable = |text: String| {
+                Error::new(ResultCode::BackendUnreachable, format!("health: {text}"))
+            };
+            let response = self
+                .client
+                .send("GET", "/health", HEALTH_TIMEOUT)
+                .await?
+                .map_err(|error| unreachable(error.to_string()))?;
+            let status = response.status();
+            let body = response.body().trim_ascii();
+            match body {
+                b"ready" if status == http::StatusCode::OK => Ok(BackendHealth::Ready),
+                b"starting" if status == http::StatusCode::OK => Ok(BackendHealth::Starting),
+                b"draining" if status == http::StatusCode::OK => Ok(BackendHealth::Draining),
+                _ => Err(unreachable(format!(
+                    "status {status} or body not understood"
+                ))),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+async fn yield_once() {
+    let mut yielded = false;
+    std::future::poll_fn(|context| {
+        if yielded {
+            return std::task::Poll::Ready(());
+        }
+        yielded = true;
+        context.waker().wake_by_ref();
+        std::task::Poll::Pending
+    })
+    .await;
+}
+
+fn encode(
+    request: &CallRequest,
+    address: SocketAddr,
+    id: &str,
+    left: ClockTime,
+) -> Result<ClientRequest> {
+    let mut message = ClientRequest::new(&request.method, &request.path)?;
+    let none = http::HeaderMap::new();
+    let mut has_host = false;
+    for (name, value) in &request.headers {
+        let name = name.to_ascii_lowercase();
+        if is_hop_header(&name, &none) || OWN_HEADERS.contains(&name.as_str()) {
+            continue;
+        }
+        has_host |= name == "host";
+        message.header(&name, value)?;
+    }
+    if !has_host {
+        message.header("host", address)?;
+    }
+    message.header("x-deadline-ms", left.0)?;
+    message.header("x-request-id", id)?;
+    message.header("x-call-depth", request.depth)?;
+    message.header("x-request-attempt", request.attempt)?;
+    if let Some(key) = &request.key {
+        message.header("idempotency-key", key)?;
+    }
+    if let Some(stamp) = &request.stamp {
+        message.header("x-config-version", stamp)?;
+    }
+    message.body(&request.body);
+    Ok(message)
+}
+
+fn to_answer(response: http::Response<Bytes>) -> CallAnswer {
+    let (parts, body) = response.into_parts();
+    let headers = parts
+        .headers
+        .iter()
+        .filter(|(name, _)| !is_hop_header(name.as_str(), &parts.headers))
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect();
+    CallAnswer {
+        code: ResultCode::Ok,
+        status: parts.status.as_u16(),
+        headers,
+        body,
+        retry_after: None,
+    }
+}
+
+fn to_error(error: &WireError) -> Error {
+    let code = match error {
+        WireError::NotWritten(_) => ResultCode::BackendUnreachable,
+        WireError::TooLarge => ResultCode::AnswerTooLarge,
+        WireError::Malformed(_) => ResultCode::AnswerMalformed,
+        WireError::TimedOut => ResultCode::DeadlinePassed,
+        WireError::Closed | WireError::Truncated | WireError::Lost(_) => ResultCode::ConnectionLost,
+    };
+    Error::new(code, format!("backend server: {error}"))
+}
+
+fn too_short() -> Error {
+    Error::new(
+        ResultCode::DeadlineTooShort,
+        "deadline passed before the request was written",
+    )
+}
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -1,1 +1,23 @@
-//! HTTP/1.1 towards callers.
+//! HTTP/1.1 towards callers, and the parts of HTTP/1.1 that servers and clients share.
+
+mod call_service;
+mod caller_server;
+mod chunk_decoder;
+mod http_server;
+mod message_head;
+mod request_service;
+mod server_connection;
+mod server_limits;
+mod stop_signal;
+mod wire_error;
+mod wire_stream;
+
+pub use caller_server::CallerServer;
+pub use server_limits::ServerLimits;
+pub use stop_signal::StopSignal;
+
+pub(crate) use http_server::HttpServer;
+pub(crate) use message_head::{BodyLength, body_length, has_token, is_hop_header, parse_response};
+pub(crate) use request_service::RequestService;
+pub(crate) use wire_error::WireError;
+pub(crate) use wire_stream::WireStream;
--- /dev/null
+++ b/src/caller/request_service.rs
@@ -0,0 +1,10 @@
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+
+/// Answers the requests of an HTTP/1.1 server.
+///
+/// Dropping the future cancels the request.
+pub(crate) trait RequestService {
+    /// Answers one request.
+    fn serve(&self, request: http::Request<Bytes>) -> LocalBoxFuture<'_, http::Response<Bytes>>;
+}
