--- /dev/null
+++ b/tests/backend_http.rs
@@ -0,0 +1,310 @@
+//! Contract of `BackendServer`, met by `HttpBackend` against scripted servers on loopback.
+
+#[path = "support/scripted_server.rs"]
+mod scripted_server;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use endivelanding::backend::{BackendHealth, BackendServer, HttpBackend};
+use endivelanding::call::CallRequest;
+use endivelanding::clock::ClockTime;
+use endivelanding::error::{CallOutcome, ResultCode};
+use endivelanding::size::ByteSize;
+use futures_util::future;
+use monoio::{LegacyDriver, RuntimeBuilder, time};
+use scripted_server::{ScriptStep, ScriptedServer};
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn block_on<Task>(task: Task) -> Task::Output
+where
+    Task: Future,
+{
+    RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .unwrap()
+        .block_on(task)
+}
+
+fn backend(address: SocketAddr, connections: usize) -> HttpBackend {
+    HttpBackend::new(address, ClockTime(500), connections, ByteSize(1_000))
+}
+
+fn request(path: &str, body: &'static str) -> CallRequest {
+    CallRequest {
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        headers: vec![("x-shop".to_owned(), "7".to_owned())],
+        body: Bytes::from(body),
+        remaining: None,
+        key: Some("key-1".parse().unwrap()),
+        first_attempt_age: None,
+        depth: 3,
+        attempt: 1,
+        stamp: Some("7-00000000000000000000000000000001".parse().unwrap()),
+    }
+}
+
+async fn run(backend: &dyn BackendServer, path: &str) -> Result<String, ResultCode> {
+    match backend.run(request(path, "body"), ClockTime(2_000)).await {
+        Ok(answer) => Ok(String::from_utf8(answer.body.to_vec()).unwrap()),
+        Err(error) => Err(error.code()),
+    }
+}
+
+/// Guards against an answer that was cut, is ambiguous or too large being taken for a success.
+#[test]
+fn answers_map_to_results() {
+    let cut = Err(ResultCode::ConnectionLost);
+    let malformed = Err(ResultCode::AnswerMalformed);
+    let cases: Vec<(&[u8], Result<&str, ResultCode>)> = vec![
+        (OK, Ok("ok")),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+            Ok("abc"),
+        ),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 No\r\ncontent-length: 1\r\n\r\nx",
+            Ok("x"),
+        ),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", Ok("")),
+        (b"", cut),
+        (b"HTTP/1.1 200 OK\r\ncontent-le", cut),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nab", cut),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n",
+            cut,
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nno length", malformed),
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nabc",
+            malformed,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\nab",
+            malformed,
+        ),
+        (b"SSH-2.0-OpenSSH\r\n\r\n", malformed),
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 1001\r\n\r\n",
+            Err(ResultCode::AnswerTooLarge),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffff\r\n",
+            Err(ResultCode::AnswerTooLarge),
+        ),
+    ];
+    for (answer, expected) in cases {
+        let server = ScriptedServer::start(move |_, _| {
+            vec![ScriptStep::Send(answer.to_vec()), ScriptStep::Close]
+        });
+        let result = block_on(async {
+            let backend = backend(server.address, 4);
+            let result = run(&backend, "/work").await;
+            backend.close().await;
+            result
+        });
+        let answer = String::from_utf8_lossy(answer);
+        assert_eq!(result, expected.map(str::to_owned), "{answer}");
+    }
+}
+
+/// Guards against headers that the backend server needs getting lost.
+#[test]
+fn request_carries_call_headers() {
+    let server = ScriptedServer::start(|_, _| vec![ScriptStep::Send(OK.to_vec())]);
+    block_on(async {
+        let backend = backend(server.address, 4);
+        assert_eq!(run(&backend, "/work?a=1").await, Ok("ok".to_owned()));
+        backend.close().await;
+    });
+    let request = server.requests().remove(0);
+    for part in [
+        "POST /work?a=1 HTTP/1.1\r\n",
+        "x-shop: 7\r\n",
+        "x-deadline-ms: ",
+        "x-request-id: ",
+        "idempotency-key: key-1\r\n",
+        "x-call-depth: 3\r\n",
+        "x-request-attempt: 1\r\n",
+        "x-config-version: 7-00000000000000000000000000000001\r\n",
+        "content-length: 4\r\n\r\nbody",
+    ] {
+        assert!(request.contains(part), "{part} in {request}");
+    }
+}
+
+/// Guards against a late answer being given to the next request, and checks that the timed-out
+/// request is cancelled.
+#[test]
+fn late_answer_is_not_given_to_the_next_request() {
+    let server = ScriptedServer::start(|_, request| {
+        let body = if request.contains("/late") {
+            "late"
+        } else {
+            "next"
+        };
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n{body}");
+        let span = if body == "late" { 200 } else { 0 };
+        vec![
+            ScriptStep::Wait(span),
+            ScriptStep::Send(answer.into_bytes()),
+        ]
+    });
+    block_on(async {
+        let backend = backend(server.address, 1);
+        assert_eq!(run(&backend, "/first").await, Ok("next".to_owned()));
+        let late = backend.run(request("/late", ""), ClockTime(50)).await;
+        assert_eq!(late.unwrap_err().code(), ResultCode::DeadlinePassed);
+        time::sleep(Duration::from_millis(250)).await;
+        assert_eq!(run(&backend, "/next").await, Ok("next".to_owned()));
+        backend.close().await;
+    });
+    assert_cancelled(&server, "/late");
+}
+
+/// Guards against work that runs on after its caller is gone.
+#[test]
+fn dropped_call_is_cancelled() {
+    let server = ScriptedServer::start(|_, request| {
+        let span = if request.contains("/slow") { 300 } else { 0 };
+        vec![ScriptStep::Wait(span), ScriptStep::Send(OK.to_vec())]
+    });
+    block_on(async {
+        let backend = backend(server.address, 4);
+        let slow = time::timeout(Duration::from_millis(50), run(&backend, "/slow"));
+        assert!(slow.await.is_err());
+        backend.close().await;
+    });
+    assert_cancelled(&server, "/slow");
+}
+
+fn assert_cancelled(server: &ScriptedServer, path: &str) {
+    let requests = server.requests();
+    let request = requests.iter().find(|text| text.contains(path)).unwrap();
+    let id = request
+        .lines()
+        .find_map(|line| line.strip_prefix("x-request-id: "))
+        .unwrap();
+    let cancel = format!("POST /cancel/{id} HTTP/1.1\r\n");
+    assert!(
+        requests.iter().any(|text| text.starts_with(&cancel)),
+        "{cancel} in {requests:?}"
+    );
+}
+
+/// Guards against "not run" for work that ran, and against failures from connections that the
+/// server closed while they were idle.
+#[test]
+fn idle_connections_are_reused_and_dead_ones_are_not() {
+    let server = ScriptedServer::start(|number, _| match number {
+        // The first answer is kept alive, and the connection closed later.
+        0 => vec![
+            ScriptStep::Send(OK.to_vec()),
+            ScriptStep::Wait(20),
+            ScriptStep::Close,
+        ],
+        // The third request arrives on a reused connection that closes without an answer.
+        2 => vec![ScriptStep::Close],
+        _ => vec![ScriptStep::Send(OK.to_vec())],
+    });
+    block_on(async {
+        let backend = backend(server.address, 1);
+        assert_eq!(run(&backend, "/0").await, Ok("ok".to_owned()));
+        time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(run(&backend, "/1").await, Ok("ok".to_owned()));
+        assert_eq!(run(&backend, "/2").await, Err(ResultCode::ConnectionLost));
+        assert_eq!(run(&backend, "/3").await, Ok("ok".to_owned()));
+        backend.close().await;
+    });
+}
+
+/// Guards against answers crossing between calls that share a small pool.
+#[test]
+fn interleaved_calls_get_their_own_answers() {
+    let server = ScriptedServer::start(|number, request| {
+        let path = request.split(' ').nth(1).unwrap();
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}",
+            path.len()
+        );
+        vec![
+            ScriptStep::Wait(number as u64 % 5),
+            ScriptStep::Send(answer.into_bytes()),
+        ]
+    });
+    block_on(async {
+        let backend = backend(server.address, 3);
+        let paths: Vec<String> = (0..60).map(|number| format!("/call/{number}")).collect();
+        let calls = paths.iter().map(|path| run(&backend, path));
+        let results = future::join_all(calls).await;
+        for (path, result) in paths.into_iter().zip(results) {
+            assert_eq!(result, Ok(path));
+        }
+        backend.close().await;
+    });
+}
+
+/// Guards against "unknown" for work that cannot have run, and the other way round.
+#[test]
+fn unwritten_requests_are_not_run() {
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = unused.local_addr().unwrap();
+    drop(unused);
+    let server =
+        ScriptedServer::start(|_, _| vec![ScriptStep::Wait(200), ScriptStep::Send(OK.to_vec())]);
+    block_on(async {
+        let absent = backend(address, 1);
+        let result = run(&absent, "/work").await;
+        assert_eq!(result, Err(ResultCode::BackendUnreachable));
+        absent.close().await;
+
+        let backend = backend(server.address, 1);
+        let result = backend.run(request("/zero", ""), ClockTime(0)).await;
+        assert_eq!(result.unwrap_err().code(), ResultCode::DeadlineTooShort);
+        // The second call waits for the only connection until its deadline.
+        let first = run(&backend, "/first");
+        let second = backend.run(request("/second", ""), ClockTime(50));
+        let (first, second) = future::join(first, second).await;
+        assert_eq!(first, Ok("ok".to_owned()));
+        let error = second.unwrap_err();
+        assert_eq!(error.code(), ResultCode::DeadlineTooShort);
+        assert_eq!(error.outcome(), CallOutcome::NotRun);
+        backend.close().await;
+    });
+    let requests = server.requests();
+    assert!(!requests.iter().any(|text| text.contains("/zero")));
+    assert!(!requests.iter().any(|text| text.contains("/second")));
+}
+
+/// Guards against a starting or draining backend server being taken for a ready one.
+#[test]
+fn health_maps_reports() {
+    let unreachable = Err(ResultCode::BackendUnreachable);
+    for (status, body, expected) in [
+        (200, "ready", Ok(BackendHealth::Ready)),
+        (200, "starting", Ok(BackendHealth::Starting)),
+        (200, "draining\n", Ok(BackendHealth::Draining)),
+        (200, "fine", unreachable),
+        (503, "ready", unreachable),
+    ] {
+        let answer = format!(
+            "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let server =
+            ScriptedServer::start(move |_, _| vec![ScriptStep::Send(answer.clone().into_bytes())]);
+        let health = block_on(async {
+            let backend = backend(server.address, 1);
+            let health = backend.health().await.map_err(|error| error.code());
+            backend.close().await;
+            health
+        });
+        assert_eq!(health, expected, "{status} {body}");
+        assert!(server.requests()[0].starts_with("GET /health HTTP/1.1\r\n"));
+    }
+}
--- /dev/null
+++ b/tests/support/scripted_server.rs
@@ -0,0 +1,124 @@
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// One step of a scripted answer.
+#[derive(Debug, Clone)]
+pub enum ScriptStep {
+    Send(Vec<u8>),
+    Wait(u64),
+    Close,
+}
+
+/// Answers each request with the steps that a function of its number and text returns.
+pub struct ScriptedServer {
+    pub address: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+    stopped: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ScriptedServer {
+    pub fn start<Script>(script: Script) -> Self
+    where
+        Script: Fn(usize, &str) -> Vec<ScriptStep> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let stopped = Arc::new(AtomicBool::new(false));
+        let script = Arc::new(script);
+        let thread = {
+            let (requests, stopped) = (Arc::clone(&requests), Arc::clone(&stopped));
+            thread::spawn(move || {
+                let mut workers = Vec::new();
+                while let Ok((stream, _)) = listener.accept() {
+                    if stopped.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    let (script, requests) = (Arc::clone(&script), Arc::clone(&requests));
+                    workers.push(thread::spawn(move || {
+                        answer_all(stream, script.as_ref(), &requests);
+                    }));
+                }
+                for worker in workers {
+                    worker.join().unwrap();
+                }
+            })
+        };
+        Self {
+            address,
+            requests,
+            stopped,
+            thread: Some(thread),
+        }
+    }
+
+    /// Returns all requests so far, in order of arrival.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+}
+
+impl Drop for ScriptedServer {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        if let Some(thread) = self.thread.take() {
+            thread.join().unwrap();
+        }
+    }
+}
+
+fn answer_all<Script>(mut stream: TcpStream, script: &Script, requests: &Mutex<Vec<String>>)
+where
+    Script: Fn(usize, &str) -> Vec<ScriptStep>,
+{
+    // Bounds a connection that the adapter under test forgets.
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    while let Some(request) = read_request(&mut stream) {
+        let number = {
+            let mut requests = requests.lock().unwrap();
+            requests.push(request.clone());
+            requests.len() - 1
+        };
+        for step in script(number, &request) {
+            match step {
+                ScriptStep::Send(bytes) => {
+                    if stream.write_all(&bytes).is_err() {
+                        return;
+                    }
+                }
+                ScriptStep::Wait(span) => thread::sleep(Duration::from_millis(span)),
+                ScriptStep::Close => {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).unwrap();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |text| text.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(head + &String::from_utf8(body).unwrap())
+}
