--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,17 +1,36 @@
 //! The protocol between nodes: h2 streams with bincode frames.
 
+mod call_exchange;
 mod call_header;
 mod call_reply;
 mod control_link;
 mod control_message;
+mod control_receiver;
+mod control_sender;
+mod counted_stream;
 mod fence_message;
+mod frame_codec;
+mod handshake_limit;
+mod link_counter;
+mod link_probe;
 mod peer_caller;
+mod peer_connection;
 mod peer_handler;
+mod peer_pool;
+mod peer_server;
+mod server_connection;
+mod server_stream;
 
 pub use call_header::CallHeader;
 pub use call_reply::CallReply;
 pub use control_link::ControlLink;
 pub use control_message::{ControlMessage, NodeHello, PieceBlob, VersionDelta};
+pub use control_receiver::ControlReceiver;
+pub use control_sender::ControlSender;
 pub use fence_message::{FenceReply, FenceRequest};
+pub use frame_codec::{CallCodec, ControlCodec, FrameCodec};
+pub use link_counter::LinkCounter;
 pub use peer_caller::PeerCaller;
 pub use peer_handler::PeerHandler;
+pub use peer_pool::PeerPool;
+pub use peer_server::PeerServer;
--- a/src/peer/control_link.rs
+++ b/src/peer/control_link.rs
@@ -1,26 +1,61 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use h2::{RecvStream, SendStream};
+
 use crate::error::Result;
-use crate::peer::ControlMessage;
+use crate::peer::{ControlMessage, ControlReceiver, ControlSender, LinkCounter};
 
 /// Is one long-lived control stream between two nodes, with frames both ways.
+///
+/// The connection is closed when both halves are dropped.
 #[derive(Debug)]
-pub struct ControlLink {}
+pub struct ControlLink {
+    sender: ControlSender,
+    receiver: ControlReceiver,
+}
 
 impl ControlLink {
-    /// Sends one message.
+    pub(crate) fn new(
+        sender: SendStream<Bytes>,
+        receiver: RecvStream,
+        counter: &Rc<LinkCounter>,
+        closer: Option<Rc<oneshot::Sender<()>>>,
+    ) -> Self {
+        Self {
+            sender: ControlSender::new(sender, Rc::clone(counter), closer.clone()),
+            receiver: ControlReceiver::new(receiver, Rc::clone(counter), closer),
+        }
+    }
+
+    /// Sends one message; waits until the other side has capacity for it.
     ///
     /// # Errors
     ///
-    /// `PeerUnreachable` if the link is closed.
-    pub async fn send(&mut self, _message: &ControlMessage) -> Result<()> {
-        Ok(())
+    /// `PeerUnreachable` if the link is closed, `PeerProtocol` if the message exceeds the limit.
+    pub async fn send(&mut self, message: &ControlMessage) -> Result<()> {
+        self.sender.send(message).await
     }
 
-    /// Receives the next message, or `None` when the other side closed the link.
+    /// Receives the next message, or `None` when the link was closed or lost between two frames.
     ///
     /// # Errors
     ///
-    /// `PeerProtocol` for a frame that cannot be decoded or exceeds the limit.
+    /// `PeerProtocol` for a frame that cannot be decoded, is truncated or exceeds the limit.
     pub async fn receive(&mut self) -> Result<Option<ControlMessage>> {
-        Ok(None)
+        self.receiver.receive().await
+    }
+
+    /// Splits the link into halves for a task each.
+    #[must_use]
+    pub fn split(self) -> (ControlSender, ControlReceiver) {
+        (self.sender, self.receiver)
+    }
+
+    /// Returns the byte counter of the link's connection.
+    #[must_use]
+    pub fn counter(&self) -> Rc<LinkCounter> {
+        self.sender.counter()
     }
 }
--- /dev/null
+++ b/src/peer/control_sender.rs
@@ -0,0 +1,66 @@
+use std::fmt;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use h2::SendStream;
+
+use crate::error::{Error, Result, ResultCode};
+use crate::peer::call_exchange;
+use crate::peer::{ControlCodec, ControlMessage, LinkCounter};
+
+/// Sends control messages on one link.
+pub struct ControlSender {
+    stream: SendStream<Bytes>,
+    counter: Rc<LinkCounter>,
+    _closer: Option<Rc<oneshot::Sender<()>>>,
+}
+
+impl ControlSender {
+    pub(crate) fn new(
+        stream: SendStream<Bytes>,
+        counter: Rc<LinkCounter>,
+        closer: Option<Rc<oneshot::Sender<()>>>,
+    ) -> Self {
+        Self {
+            stream,
+            counter,
+            _closer: closer,
+        }
+    }
+
+    /// Sends one message; waits until the other side has capacity for it.
+    ///
+    /// A future that is dropped part-way leaves part of a frame behind, so the link must then be
+    /// dropped too.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` if the link is closed, `PeerProtocol` if the message exceeds the limit.
+    pub async fn send(&mut self, message: &ControlMessage) -> Result<()> {
+        let frame = ControlCodec::encode(message)?;
+        call_exchange::send_all(&mut self.stream, frame, false)
+            .await
+            .map_err(|error| {
+                Error::new(
+                    ResultCode::PeerUnreachable,
+                    format!("the control link is closed: {error}"),
+                )
+            })
+    }
+
+    /// Returns the byte counter of the link's connection.
+    #[must_use]
+    pub fn counter(&self) -> Rc<LinkCounter> {
+        Rc::clone(&self.counter)
+    }
+}
+
+impl fmt::Debug for ControlSender {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ControlSender")
+            .field("counter", &self.counter)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/peer/peer_pool.rs
@@ -0,0 +1,360 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use h2::client::{ResponseFuture, SendRequest};
+use http::{Method, Request, StatusCode};
+use monoio::task::JoinHandle;
+use monoio::time;
+
+use crate::clock::{ClockTime, SystemClock};
+use crate::error::{Error, Result, ResultCode};
+use crate::id::NodeAddress;
+use crate::peer::call_exchange;
+use crate::peer::peer_connection::{self, PeerConnection};
+use crate::peer::{
+    CallCodec, CallHeader, CallReply, ControlLink, FenceReply, FenceRequest, PeerCaller,
+};
+
+/// Most call connections of a node.
+const MAX_CONNECTIONS: usize = 512;
+/// Longest wait for the answer to the opening of a control stream.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Sends calls to peers over one multiplexed connection each, opened on demand.
+pub struct PeerPool {
+    clock: SystemClock,
+    answer_limit: usize,
+    connections: Rc<RefCell<HashMap<NodeAddress, Rc<PeerConnection>>>>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+    closed: Cell<bool>,
+}
+
+/// Marks a connection as used by a call until it is dropped.
+struct CallLease {
+    connection: Rc<PeerConnection>,
+    clock: SystemClock,
+}
+
+impl Drop for CallLease {
+    fn drop(&mut self) {
+        let connection = &self.connection;
+        connection.outstanding.set(connection.outstanding.get() - 1);
+        connection.last_used.set(self.clock.now());
+    }
+}
+
+impl PeerPool {
+    /// Creates an empty pool; answers with bodies above `answer_limit` bytes are refused.
+    #[must_use]
+    pub fn new(clock: SystemClock, answer_limit: usize) -> Self {
+        Self {
+            clock,
+            answer_limit,
+            connections: Rc::default(),
+            tasks: RefCell::default(),
+            closed: Cell::new(false),
+        }
+    }
+
+    /// Returns the number of call connections that are open or being opened.
+    #[must_use]
+    pub fn connection_count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Closes every connection and joins its task; later calls are refused.
+    pub async fn close(&self) {
+        self.closed.set(true);
+        let open: Vec<_> = self.connections.borrow_mut().drain().collect();
+        for (_, connection) in open {
+            connection.close();
+        }
+        let tasks = self.tasks.take();
+        for task in tasks {
+            task.await;
+        }
+    }
+
+    fn spawn<Driver>(&self, driver: Driver)
+    where
+        Driver: Future<Output = ()> + 'static,
+    {
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(monoio::spawn(driver));
+    }
+
+    fn lease(&self, to: NodeAddress) -> Result<CallLease> {
+        if self.closed.get() {
+            return Err(peer_connection::unreachable(to, "the pool is closed"));
+        }
+        let held = self.connections.borrow().get(&to).cloned();
+        let connection = match held {
+            Some(connection) => connection,
+            None => self.open(to)?,
+        };
+        connection.outstanding.set(connection.outstanding.get() + 1);
+        Ok(CallLease {
+            connection,
+            clock: self.clock,
+        })
+    }
+
+    fn open(&self, to: NodeAddress) -> Result<Rc<PeerConnection>> {
+        let mut connections = self.connections.borrow_mut();
+        if connections.len() >= MAX_CONNECTIONS {
+            let idle = connections
+                .iter()
+                .filter(|(_, connection)| connection.outstanding.get() == 0)
+                .min_by_key(|(_, connection)| connection.last_used.get())
+                .map(|(address, _)| *address)
+                .ok_or_else(|| peer_connection::unreachable(to, "all connections are in use"))?;
+            if let Some(connection) = connections.remove(&idle) {
+                connection.close();
+            }
+        }
+        let (connection, driver) = PeerConnection::new(to, self.clock.now());
+        connections.insert(to, Rc::clone(&connection));
+        drop(connections);
+        let table = Rc::clone(&self.connections);
+        let own = Rc::clone(&connection);
+        self.spawn(async move {
+            driver.await;
+            forget(&table, to, &own);
+        });
+        Ok(connection)
+    }
+
+    /// Waits for a connection on which a stream can be opened; nothing is written.
+    async fn ready(&self, to: NodeAddress) -> Result<(CallLease, SendRequest<Bytes>)> {
+        let mut last = None;
+        // A held connection may have ended since its last use; a second attempt opens a new one.
+        for _ in 0..2 {
+            let lease = self.lease(to)?;
+            let fresh = lease.connection.opened.peek().is_none();
+            let opened = lease.connection.opened.clone().await;
+            let error = match opened {
+                Ok(Ok(sender)) => match sender.ready().await {
+                    Ok(sender) => return Ok((lease, sender)),
+                    Err(error) => peer_connection::unreachable(to, error),
+                },
+                Ok(Err(error)) => error,
+                Err(_) => peer_connection::unreachable(to, "the connection was closed"),
+            };
+            forget(&self.connections, to, &lease.connection);
+            last = Some(error);
+            if fresh {
+                break;
+            }
+        }
+        Err(last.unwrap_or_else(|| peer_connection::unreachable(to, "no connection")))
+    }
+
+    async fn exchange(
+        &self,
+        to: NodeAddress,
+        mut header: CallHeader,
+        body: Bytes,
+    ) -> Result<(CallReply, Bytes)> {
+        let start = self.clock.now();
+        let allowed = header.remaining;
+        header.body_length = body.len() as u64;
+        let ready = time::timeout(allowed.to_duration(), self.ready(to)).await;
+        let elapsed = self.clock.now() - start;
+        // The clock is read again because a paused process may resume after the timer was set.
+        if elapsed >= allowed {
+            return Err(too_short());
+        }
+        let (_lease, mut sender) = ready.map_err(|_| too_short())??;
+        header.remaining = allowed - elapsed;
+        let head = CallCodec::encode(&header)
+            .map_err(|error| Error::new(ResultCode::RequestTooLarge, error.message()))?;
+        let (response, mut stream) = sender
+            .send_request(request("/call/1"), false)
+            .map_err(|error| peer_connection::unreachable(to, error))?;
+        let answer = async {
+            let sent = match call_exchange::send_all(&mut stream, head, body.is_empty()).await {
+                Ok(()) if !body.is_empty() => {
+                    call_exchange::send_all(&mut stream, body, true).await
+                }
+                result => result,
+            };
+            // A peer may answer before it has read the whole body.
+            if let Err(error) = sent {
+                log::debug!("the request to {to} was not taken in full: {error}");
+            }
+            self.read_answer(response).await
+        };
+        let left = header.remaining.to_duration();
+        let result = time::timeout(left, answer).await;
+        result.unwrap_or_else(|_| {
+            Err(Error::new(
+                ResultCode::DeadlinePassed,
+                format!("no answer from {to} within {allowed}"),
+            ))
+        })
+    }
+
+    async fn read_answer(&self, response: ResponseFuture) -> Result<(CallReply, Bytes)> {
+        let response = response.await.map_err(call_exchange::refused_or_lost)?;
+        check_status(response.status())?;
+        let mut stream = response.into_body();
+        let mut buffer = BytesMut::new();
+        let reply: CallReply = call_exchange::read_head(&mut stream, &mut buffer)
+            .await
+            .map_err(|error| Error::new(ResultCode::ConnectionLost, error.message()))?;
+        if reply.body_length > self.answer_limit as u64 {
+            return Err(Error::new(
+                ResultCode::AnswerTooLarge,
+                format!("the answer has {} bytes", reply.body_length),
+            ));
+        }
+        let length = reply.body_length as usize;
+        let body = call_exchange::read_body(&mut stream, buffer, length).await?;
+        Ok((reply, body))
+    }
+
+    async fn ask(&self, to: NodeAddress, question: FenceRequest) -> Result<FenceReply> {
+        let head = CallCodec::encode(&question)?;
+        let (_lease, mut sender) = self.ready(to).await?;
+        let (response, mut stream) = sender
+            .send_request(request("/fence/1"), false)
+            .map_err(|error| peer_connection::unreachable(to, error))?;
+        let lost = |error: h2::Error| peer_connection::unreachable(to, error);
+        call_exchange::send_all(&mut stream, head, true)
+            .await
+            .map_err(lost)?;
+        let response = response.await.map_err(lost)?;
+        let mut stream = response.into_body();
+        call_exchange::read_head(&mut stream, &mut BytesMut::new())
+            .await
+            .map_err(|error| peer_connection::unreachable(to, error))
+    }
+
+    async fn open_link(&self, to: NodeAddress) -> Result<ControlLink> {
+        if self.closed.get() {
+            return Err(peer_connection::unreachable(to, "the pool is closed"));
+        }
+        let (connection, driver) = PeerConnection::new(to, self.clock.now());
+        self.spawn(driver);
+        // Dropping this handle, with the link or on an error, ends the driver.
+        let closer = connection.take_closer().map(Rc::new);
+        let opened = connection.opened.clone().await;
+        let sender =
+            opened.map_err(|_| peer_connection::unreachable(to, "the connection was closed"))??;
+        let refused = |error: h2::Error| {
+            Error::new(
+                ResultCode::HandshakeRefused,
+                format!("peer {to} refused the control link: {error}"),
+            )
+        };
+        let mut sender = sender.ready().await.map_err(refused)?;
+        let (response, stream) = sender
+            .send_request(request("/control/1"), false)
+            .map_err(refused)?;
+        let response = time::timeout(CONTROL_TIMEOUT, response)
+            .await
+            .map_err(|_| peer_connection::unreachable(to, "no answer within 3 s"))?
+            .map_err(refused)?;
+        let receiver = response.into_body();
+        Ok(ControlLink::new(
+            stream,
+            receiver,
+            &connection.counter,
+            closer,
+        ))
+    }
+}
+
+impl PeerCaller for PeerPool {
+    fn call(
+        &self,
+        to: NodeAddress,
+        header: CallHeader,
+        body: Bytes,
+    ) -> LocalBoxFuture<'_, Result<(CallReply, Bytes)>> {
+        self.exchange(to, header, body).boxed_local()
+    }
+
+    fn fence(
+        &self,
+        to: NodeAddress,
+        request: FenceRequest,
+        timeout: ClockTime,
+    ) -> LocalBoxFuture<'_, Result<FenceReply>> {
+        async move {
+            let result = time::timeout(timeout.to_duration(), self.ask(to, request)).await;
+            result.unwrap_or_else(|_| {
+                Err(Error::new(
+                    ResultCode::DeadlinePassed,
+                    format!("no answer from {to} to a fence within {timeout}"),
+                ))
+            })
+        }
+        .boxed_local()
+    }
+
+    fn open_control(&self, to: NodeAddress) -> LocalBoxFuture<'_, Result<ControlLink>> {
+        self.open_link(to).boxed_local()
+    }
+}
+
+impl fmt::Debug for PeerPool {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("PeerPool")
+            .field("connections", &self.connection_count())
+            .finish_non_exhaustive()
+    }
+}
+
+/// Removes a connection from the table unless another one has replaced it.
+fn forget(
+    table: &RefCell<HashMap<NodeAddress, Rc<PeerConnection>>>,
+    to: NodeAddress,
+    connection: &Rc<PeerConnection>,
+) {
+    let mut connections = table.borrow_mut();
+    if connections
+        .get(&to)
+        .is_some_and(|held| Rc::ptr_eq(held, connection))
+    {
+        connections.remove(&to);
+    }
+}
+
+fn request(path: &'static str) -> Request<()> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::POST;
+    // The authority is required by h2 and carries no meaning between nodes.
+    *request.uri_mut() = http::Uri::builder()
+        .scheme("http")
+        .authority("node")
+        .path_and_query(path)
+        .build()
+        .unwrap_or_default();
+    request
+}
+
+fn check_status(status: StatusCode) -> Result<()> {
+    if status == StatusCode::OK {
+        return Ok(());
+    }
+    Err(Error::new(
+        ResultCode::ConnectionLost,
+        format!("the peer answered with status {status}"),
+    ))
+}
+
+fn too_short() -> Error {
+    Error::new(
+        ResultCode::DeadlineTooShort,
+        "the remaining time elapsed before the call was written",
+    )
+}
--- /dev/null
+++ b/src/peer/server_stream.rs
@@ -0,0 +1,161 @@
+use std::future;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{Either, LocalBoxFuture, Shared};
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream};
+use http::{Method, Request, Response};
+use monoio::time;
+use serde::Serialize;
+
+use crate::error::{Error, Result, ResultCode};
+use crate::peer::call_exchange;
+use crate::peer::{
+    CallCodec, CallHeader, CallReply, ControlLink, FenceRequest, LinkCounter, PeerHandler,
+};
+use crate::version::VersionStamp;
+
+/// Longest time for a request to arrive in full.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Completes when the server shuts down.
+pub(crate) type ShutdownSignal = Shared<LocalBoxFuture<'static, ()>>;
+
+/// Serves one stream of a peer.
+pub(crate) struct ServerStream {
+    pub(crate) handler: Rc<dyn PeerHandler>,
+    pub(crate) body_limit: usize,
+    pub(crate) counter: Rc<LinkCounter>,
+    pub(crate) shutdown: ShutdownSignal,
+    pub(crate) respond: SendResponse<Bytes>,
+}
+
+impl ServerStream {
+    pub(crate) async fn serve(mut self, request: Request<RecvStream>) {
+        let path = request.uri().path().to_owned();
+        let post = request.method() == Method::POST;
+        let stream = request.into_body();
+        let result = match path.as_str() {
+            "/call/1" if post => self.call(stream).await,
+            "/fence/1" if post => self.fence(stream).await,
+            "/control/1" if post => self.control(stream).await,
+            _ => Err(Error::new(
+                ResultCode::PeerProtocol,
+                format!("unknown path {path}"),
+            )),
+        };
+        if let Err(error) = result {
+            log::debug!("a peer's stream was reset: {error}");
+            self.respond.send_reset(Reason::PROTOCOL_ERROR);
+        }
+    }
+
+    async fn call(&mut self, mut stream: RecvStream) -> Result<()> {
+        let limit = self.body_limit as u64;
+        let reading = async {
+            let mut buffer = BytesMut::new();
+            let header: CallHeader = call_exchange::read_head(&mut stream, &mut buffer).await?;
+            if header.body_length > limit {
+                return Ok((header, None));
+            }
+            let length = header.body_length as usize;
+            let body = call_exchange::read_body(&mut stream, buffer, length).await?;
+            Ok((header, Some(body)))
+        };
+        let (header, body) = time::timeout(REQUEST_TIMEOUT, reading)
+            .await
+            .map_err(|_| Error::new(ResultCode::RequestTooSlow, "a request took over 10 s"))??;
+        let (mut reply, body) = match body {
+            Some(body) => {
+                let handler = Rc::clone(&self.handler);
+                let Some(answer) = self.unless_reset(handler.call(header, body)).await else {
+                    return Ok(());
+                };
+                answer
+            }
+            None => (too_large(), Bytes::new()),
+        };
+        reply.body_length = body.len() as u64;
+        self.answer(&reply, body).await
+    }
+
+    async fn fence(&mut self, mut stream: RecvStream) -> Result<()> {
+        let mut buffer = BytesMut::new();
+        let reading = call_exchange::read_head::<FenceRequest>(&mut stream, &mut buffer);
+        let request = time::timeout(REQUEST_TIMEOUT, reading)
+            .await
+            .map_err(|_| Error::new(ResultCode::RequestTooSlow, "a request took over 10 s"))??;
+        let handler = Rc::clone(&self.handler);
+        match self.unless_reset(handler.fence(request)).await {
+            Some(reply) => self.answer(&reply, Bytes::new()).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Runs the handler of a control link until it or the server ends.
+    async fn control(&mut self, stream: RecvStream) -> Result<()> {
+        let sender = self
+            .respond
+            .send_response(Response::new(()), false)
+            .map_err(call_exchange::lost)?;
+        let link = ControlLink::new(sender, stream, &self.counter, None);
+        let handler = Rc::clone(&self.handler);
+        futures_util::future::select(handler.control(link), self.shutdown.clone()).await;
+        Ok(())
+    }
+
+    /// Runs a handler; drops it and returns `None` when the peer resets the stream.
+    async fn unless_reset<Answer>(
+        &mut self,
+        mut running: LocalBoxFuture<'_, Answer>,
+    ) -> Option<Answer> {
+        let either = future::poll_fn(|context| {
+            if let Poll::Ready(answer) = running.as_mut().poll(context) {
+                return Poll::Ready(Either::Left(answer));
+            }
+            self.respond.poll_reset(context).map(|_| Either::Right(()))
+        })
+        .await;
+        match either {
+            Either::Left(answer) => Some(answer),
+            Either::Right(()) => None,
+        }
+    }
+
+    async fn answer<Reply>(&mut self, reply: &Reply, body: Bytes) -> Result<()>
+    where
+        Reply: Serialize,
+    {
+        let head = CallCodec::encode(reply)?;
+        let mut stream = self
+            .respond
+            .send_response(Response::new(()), false)
+            .map_err(call_exchange::lost)?;
+        let last = body.is_empty();
+        call_exchange::send_all(&mut stream, head, last)
+            .await
+            .map_err(call_exchange::lost)?;
+        if last {
+            return Ok(());
+        }
+        call_exchange::send_all(&mut stream, body, true)
+            .await
+            .map_err(call_exchange::lost)
+    }
+}
+
+/// Makes the answer to a call whose body exceeds the limit; it has not run.
+fn too_large() -> CallReply {
+    CallReply {
+        code: ResultCode::RequestTooLarge,
+        status: 413,
+        headers: Vec::new(),
+        retry_after: None,
+        load: 0,
+        stamp: VersionStamp::default(),
+        body_length: 0,
+    }
+}
