--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,6 +2,7 @@
 
 mod call_exchange;
 mod call_header;
+mod call_lease;
 mod call_reply;
 mod control_link;
 mod control_message;
@@ -17,6 +18,7 @@
 mod peer_connection;
 mod peer_handler;
 mod peer_pool;
+mod peer_request;
 mod peer_server;
 mod server_connection;
 mod server_stream;
--- a/src/peer/call_exchange.rs
+++ b/src/peer/call_exchange.rs
@@ -68,7 +68,10 @@
         if let Some(message) = CallCodec::decode(buffer)? {
             return Ok(message);
         }
-        if !read_more(stream, buffer).await.map_err(lost)? {
+        if !read_more(stream, buffer)
+            .await
+            .map_err(|error| lost(&error))?
+        {
             CallCodec::finish(buffer)?;
             return Err(Error::new(
                 ResultCode::PeerProtocol,
@@ -89,7 +92,10 @@
     length: usize,
 ) -> Result<Bytes> {
     while buffer.len() <= length {
-        if !read_more(stream, &mut buffer).await.map_err(lost)? {
+        if !read_more(stream, &mut buffer)
+            .await
+            .map_err(|error| lost(&error))?
+        {
             break;
         }
     }
@@ -106,7 +112,7 @@
 }
 
 /// Maps an error after the request was written.
-pub(crate) fn lost(error: h2::Error) -> Error {
+pub(crate) fn lost(error: &h2::Error) -> Error {
     Error::new(
         ResultCode::ConnectionLost,
         format!("the connection was lost: {error}"),
@@ -117,7 +123,7 @@
 ///
 /// A peer that refuses a stream, or names a lower last stream in GOAWAY, has not processed it
 /// (RFC 9113, section 8.7); h2 reports a remote GOAWAY only to streams above the last one.
-pub(crate) fn refused_or_lost(error: h2::Error) -> Error {
+pub(crate) fn refused_or_lost(error: &h2::Error) -> Error {
     let refused = error.is_reset() && error.reason() == Some(Reason::REFUSED_STREAM);
     if error.is_remote() && (refused || error.is_go_away()) {
         return Error::new(
--- /dev/null
+++ b/src/peer/call_lease.rs
@@ -0,0 +1,32 @@
+use std::rc::Rc;
+
+use crate::clock::SystemClock;
+use crate::peer::peer_connection::PeerConnection;
+
+/// Marks a connection as used by a call until it is dropped.
+pub(crate) struct CallLease {
+    connection: Rc<PeerConnection>,
+    clock: SystemClock,
+}
+
+impl CallLease {
+    pub(crate) fn new(connection: Rc<PeerConnection>, clock: SystemClock) -> Self {
+        connection.outstanding.set(connection.outstanding.get() + 1);
+        Self { connection, clock }
+    }
+
+    pub(crate) fn connection(&self) -> &Rc<PeerConnection> {
+        &self.connection
+    }
+}
+
+impl Drop for CallLease {
+    fn drop(&mut self) {
+        let connection = &self.connection;
+        connection.outstanding.set(connection.outstanding.get() - 1);
+        connection.last_used.set(self.clock.now());
+        if connection.is_retired() {
+            connection.retire();
+        }
+    }
+}
--- a/src/peer/peer_connection.rs
+++ b/src/peer/peer_connection.rs
@@ -39,6 +39,7 @@
     pub(crate) counter: Rc<LinkCounter>,
     pub(crate) outstanding: Cell<usize>,
     pub(crate) last_used: Cell<ClockTime>,
+    retired: Cell<bool>,
     closer: RefCell<Option<oneshot::Sender<()>>>,
 }
 
@@ -55,6 +56,7 @@
             counter: Rc::new(LinkCounter::default()),
             outstanding: Cell::new(0),
             last_used: Cell::new(now),
+            retired: Cell::new(false),
             closer: RefCell::new(Some(closer)),
         });
         let driver = drive(to, Rc::clone(&connection), reporter, closed);
@@ -66,6 +68,19 @@
         self.closer.borrow_mut().take();
     }
 
+    /// Lets the driver close the connection when its last call has ended.
+    pub(crate) fn retire(&self) {
+        self.retired.set(true);
+        if self.outstanding.get() == 0 {
+            self.close();
+        }
+    }
+
+    /// Returns whether no further call may use the connection.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.get()
+    }
+
     /// Takes the handle whose drop closes the connection.
     pub(crate) fn take_closer(&self) -> Option<oneshot::Sender<()>> {
         self.closer.borrow_mut().take()
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -7,8 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use h2::client::{ResponseFuture, SendRequest};
-use http::{Method, Request, StatusCode};
+use h2::client::SendRequest;
 use monoio::task::JoinHandle;
 use monoio::time;
 
@@ -16,7 +15,9 @@
 use crate::error::{Error, Result, ResultCode};
 use crate::id::NodeAddress;
 use crate::peer::call_exchange;
+use crate::peer::call_lease::CallLease;
 use crate::peer::peer_connection::{self, PeerConnection};
+use crate::peer::peer_request;
 use crate::peer::{
     CallCodec, CallHeader, CallReply, ControlLink, FenceReply, FenceRequest, PeerCaller,
 };
@@ -35,20 +36,6 @@
     closed: Cell<bool>,
 }
 
-/// Marks a connection as used by a call until it is dropped.
-struct CallLease {
-    connection: Rc<PeerConnection>,
-    clock: SystemClock,
-}
-
-impl Drop for CallLease {
-    fn drop(&mut self) {
-        let connection = &self.connection;
-        connection.outstanding.set(connection.outstanding.get() - 1);
-        connection.last_used.set(self.clock.now());
-    }
-}
-
 impl PeerPool {
     /// Creates an empty pool; answers with bodies above `answer_limit` bytes are refused.
     #[must_use]
@@ -69,6 +56,9 @@
     }
 
     /// Closes every connection and joins its task; later calls are refused.
+    ///
+    /// Running calls end as `ConnectionLost`. Control links must be dropped before, or this waits
+    /// for their connections to end.
     pub async fn close(&self) {
         self.closed.set(true);
         let open: Vec<_> = self.connections.borrow_mut().drain().collect();
@@ -99,11 +89,7 @@
             Some(connection) => connection,
             None => self.open(to)?,
         };
-        connection.outstanding.set(connection.outstanding.get() + 1);
-        Ok(CallLease {
-            connection,
-            clock: self.clock,
-        })
+        Ok(CallLease::new(connection, self.clock))
     }
 
     fn open(&self, to: NodeAddress) -> Result<Rc<PeerConnection>> {
@@ -137,8 +123,8 @@
         // A held connection may have ended since its last use; a second attempt opens a new one.
         for _ in 0..2 {
             let lease = self.lease(to)?;
-            let fresh = lease.connection.opened.peek().is_none();
-            let opened = lease.connection.opened.clone().await;
+            let fresh = lease.connection().opened.peek().is_none();
+            let opened = lease.connection().opened.clone().await;
             let error = match opened {
                 Ok(Ok(sender)) => match sender.ready().await {
                     Ok(sender) => return Ok((lease, sender)),
@@ -147,7 +133,8 @@
                 Ok(Err(error)) => error,
                 Err(_) => peer_connection::unreachable(to, "the connection was closed"),
             };
-            forget(&self.connections, to, &lease.connection);
+            forget(&self.connections, to, lease.connection());
+            lease.connection().retire();
             last = Some(error);
             if fresh {
                 break;
@@ -169,14 +156,14 @@
         let elapsed = self.clock.now() - start;
         // The clock is read again because a paused process may resume after the timer was set.
         if elapsed >= allowed {
-            return Err(too_short());
+            return Err(peer_request::too_short());
         }
-        let (_lease, mut sender) = ready.map_err(|_| too_short())??;
+        let (_lease, mut sender) = ready.map_err(|_| peer_request::too_short())??;
         header.remaining = allowed - elapsed;
         let head = CallCodec::encode(&header)
             .map_err(|error| Error::new(ResultCode::RequestTooLarge, error.message()))?;
         let (response, mut stream) = sender
-            .send_request(request("/call/1"), false)
+            .send_request(peer_request::post("/call/1"), false)
             .map_err(|error| peer_connection::unreachable(to, error))?;
         let answer = async {
             let sent = match call_exchange::send_all(&mut stream, head, body.is_empty()).await {
@@ -189,7 +176,7 @@
             if let Err(error) = sent {
                 log::debug!("the request to {to} was not taken in full: {error}");
             }
-            self.read_answer(response).await
+            peer_request::read_answer(response, self.answer_limit).await
         };
         let left = header.remaining.to_duration();
         let result = time::timeout(left, answer).await;
@@ -201,30 +188,11 @@
         })
     }
 
-    async fn read_answer(&self, response: ResponseFuture) -> Result<(CallReply, Bytes)> {
-        let response = response.await.map_err(call_exchange::refused_or_lost)?;
-        check_status(response.status())?;
-        let mut stream = response.into_body();
-        let mut buffer = BytesMut::new();
-        let reply: CallReply = call_exchange::read_head(&mut stream, &mut buffer)
-            .await
-            .map_err(|error| Error::new(ResultCode::ConnectionLost, error.message()))?;
-        if reply.body_length > self.answer_limit as u64 {
-            return Err(Error::new(
-                ResultCode::AnswerTooLarge,
-                format!("the answer has {} bytes", reply.body_length),
-            ));
-        }
-        let length = reply.body_length as usize;
-        let body = call_exchange::read_body(&mut stream, buffer, length).await?;
-        Ok((reply, body))
-    }
-
     async fn ask(&self, to: NodeAddress, question: FenceRequest) -> Result<FenceReply> {
         let head = CallCodec::encode(&question)?;
         let (_lease, mut sender) = self.ready(to).await?;
         let (response, mut stream) = sender
-            .send_request(request("/fence/1"), false)
+            .send_request(peer_request::post("/fence/1"), false)
             .map_err(|error| peer_connection::unreachable(to, error))?;
         let lost = |error: h2::Error| peer_connection::unreachable(to, error);
         call_exchange::send_all(&mut stream, head, true)
@@ -256,7 +224,7 @@
         };
         let mut sender = sender.ready().await.map_err(refused)?;
         let (response, stream) = sender
-            .send_request(request("/control/1"), false)
+            .send_request(peer_request::post("/control/1"), false)
             .map_err(refused)?;
         let response = time::timeout(CONTROL_TIMEOUT, response)
             .await
@@ -305,6 +273,15 @@
     }
 }
 
+impl Drop for PeerPool {
+    fn drop(&mut self) {
+        // A pool that was not closed must not leave drivers running without an end.
+        for connection in self.connections.borrow().values() {
+            connection.close();
+        }
+    }
+}
+
 impl fmt::Debug for PeerPool {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
@@ -328,33 +305,3 @@
         connections.remove(&to);
     }
 }
-
-fn request(path: &'static str) -> Request<()> {
-    let mut request = Request::new(());
-    *request.method_mut() = Method::POST;
-    // The authority is required by h2 and carries no meaning between nodes.
-    *request.uri_mut() = http::Uri::builder()
-        .scheme("http")
-        .authority("node")
-        .path_and_query(path)
-        .build()
-        .unwrap_or_default();
-    request
-}
-
-fn check_status(status: StatusCode) -> Result<()> {
-    if status == StatusCode::OK {
-        return Ok(());
-    }
-    Err(Error::new(
-        ResultCode::ConnectionLost,
-        format!("the peer answered with status {status}"),
-    ))
-}
-
-fn too_short() -> Error {
-    Error::new(
-        ResultCode::DeadlineTooShort,
-        "the remaining time elapsed before the call was written",
-    )
-}
--- /dev/null
+++ b/src/peer/peer_request.rs
@@ -0,0 +1,71 @@
+//! Makes requests to peers and reads their answers.
+
+use bytes::{Bytes, BytesMut};
+use h2::client::ResponseFuture;
+use http::{Method, Request, StatusCode};
+
+use crate::error::{Error, Result, ResultCode};
+use crate::peer::CallReply;
+use crate::peer::call_exchange;
+
+/// Reads a whole answer, whose body may have at most `limit` bytes.
+///
+/// # Errors
+///
+/// `PeerUnreachable` if the peer did not process the stream, `AnswerTooLarge` above the limit,
+/// `ConnectionLost` for everything else that is not a complete answer.
+pub(crate) async fn read_answer(
+    response: ResponseFuture,
+    limit: usize,
+) -> Result<(CallReply, Bytes)> {
+    let response = response
+        .await
+        .map_err(|error| call_exchange::refused_or_lost(&error))?;
+    check_status(response.status())?;
+    let mut stream = response.into_body();
+    let mut buffer = BytesMut::new();
+    let reply: CallReply = call_exchange::read_head(&mut stream, &mut buffer)
+        .await
+        .map_err(|error| Error::new(ResultCode::ConnectionLost, error.message()))?;
+    if reply.body_length > limit as u64 {
+        return Err(Error::new(
+            ResultCode::AnswerTooLarge,
+            format!("the answer has {} bytes", reply.body_length),
+        ));
+    }
+    let length = reply.body_length as usize;
+    let body = call_exchange::read_body(&mut stream, buffer, length).await?;
+    Ok((reply, body))
+}
+
+/// Makes the head of a request.
+pub(crate) fn post(path: &'static str) -> Request<()> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::POST;
+    // The authority is required by h2 and carries no meaning between nodes.
+    *request.uri_mut() = http::Uri::builder()
+        .scheme("http")
+        .authority("node")
+        .path_and_query(path)
+        .build()
+        .unwrap_or_default();
+    request
+}
+
+fn check_status(status: StatusCode) -> Result<()> {
+    if status == StatusCode::OK {
+        return Ok(());
+    }
+    Err(Error::new(
+        ResultCode::ConnectionLost,
+        format!("the peer answered with status {status}"),
+    ))
+}
+
+/// Makes the error of a call whose time elapsed before it was written.
+pub(crate) fn too_short() -> Error {
+    Error::new(
+        ResultCode::DeadlineTooShort,
+        "the remaining time elapsed before the call was written",
+    )
+}
--- a/src/peer/server_stream.rs
+++ b/src/peer/server_stream.rs
@@ -100,7 +100,7 @@
         let sender = self
             .respond
             .send_response(Response::new(()), false)
-            .map_err(call_exchange::lost)?;
+            .map_err(|error| call_exchange::lost(&error))?;
         let link = ControlLink::new(sender, stream, &self.counter, None);
         let handler = Rc::clone(&self.handler);
         futures_util::future::select(handler.control(link), self.shutdown.clone()).await;
@@ -133,17 +133,17 @@
         let mut stream = self
             .respond
             .send_response(Response::new(()), false)
-            .map_err(call_exchange::lost)?;
+            .map_err(|error| call_exchange::lost(&error))?;
         let last = body.is_empty();
         call_exchange::send_all(&mut stream, head, last)
             .await
-            .map_err(call_exchange::lost)?;
+            .map_err(|error| call_exchange::lost(&error))?;
         if last {
             return Ok(());
         }
         call_exchange::send_all(&mut stream, body, true)
             .await
-            .map_err(call_exchange::lost)
+            .map_err(|error| call_exchange::lost(&error))
     }
 }
 
