--- /dev/null
+++ b/src/routing/round_robin.rs
@@ -0,0 +1,62 @@
+use rand::RngCore;
+
+use crate::clock::ClockTime;
+use crate::id::{KindName, NodeAddress, RequestKey};
+use crate::membership::MemberState;
+use crate::routing::rendezvous_hash;
+use crate::routing::{CallFinish, EndpointChoice, EndpointEntry, EndpointPolicy, EndpointTier};
+
+/// Chooses live endpoints in turn, without load, latency or distance; for comparison only.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    addresses: Vec<NodeAddress>,
+    turn: usize,
+}
+
+impl EndpointPolicy for RoundRobin {
+    fn update(&mut self, _now: ClockTime, entries: &[EndpointEntry]) {
+        let entries = entries.iter();
+        let live = entries.filter(|entry| entry.state == MemberState::Live);
+        self.addresses = live.map(|entry| entry.address).collect();
+    }
+
+    fn choose(
+        &mut self,
+        _now: ClockTime,
+        _rng: &mut dyn RngCore,
+        exclude: &[NodeAddress],
+    ) -> Option<EndpointChoice> {
+        for _ in 0..self.addresses.len() {
+            self.turn = (self.turn + 1) % self.addresses.len();
+            let address = self.addresses[self.turn];
+            if !exclude.contains(&address) {
+                return Some(choice_of(address));
+            }
+        }
+        None
+    }
+
+    fn choose_by_hash(
+        &self,
+        _now: ClockTime,
+        key: &RequestKey,
+        exclude: &[NodeAddress],
+    ) -> Option<EndpointChoice> {
+        let addresses = self.addresses.iter().copied();
+        addresses
+            .filter(|address| !exclude.contains(address))
+            .max_by_key(|address| rendezvous_hash::weigh(key, *address))
+            .map(choice_of)
+    }
+
+    fn started(&mut self, _now: ClockTime, _address: NodeAddress, _kind: &KindName) {}
+
+    fn finished(&mut self, _now: ClockTime, _finish: &CallFinish) {}
+}
+
+fn choice_of(address: NodeAddress) -> EndpointChoice {
+    EndpointChoice {
+        address,
+        tier: EndpointTier::Zone,
+    }
+}
--- /dev/null
+++ b/tests/routing_rules.rs
@@ -0,0 +1,200 @@
+//! Rules of the choice of an endpoint.
+
+use endivelanding::clock::ClockTime;
+use endivelanding::id::{KindName, NodeAddress, NodeIncarnation, RequestKey};
+use endivelanding::membership::MemberState;
+use endivelanding::routing::{
+    CallFinish, CallVerdict, EndpointEntry, EndpointPolicy, EndpointTable, EndpointTier,
+    OutlierGate,
+};
+use endivelanding::size::SlotCount;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn address(number: u16) -> NodeAddress {
+    NodeAddress(([127, 0, 0, 1], number).into())
+}
+
+fn kind() -> KindName {
+    "lookup".parse().unwrap()
+}
+
+fn entry(number: u16, zone: &str, region: &str) -> EndpointEntry {
+    EndpointEntry {
+        address: address(number),
+        incarnation: NodeIncarnation(1),
+        zone: zone.parse().unwrap(),
+        region: region.parse().unwrap(),
+        state: MemberState::Live,
+        suspected: false,
+        slots: SlotCount(6),
+    }
+}
+
+fn table(entries: &[EndpointEntry]) -> EndpointTable {
+    let mut table = EndpointTable::new("z1".parse().unwrap(), "r1".parse().unwrap());
+    table.update(ClockTime(0), entries);
+    table
+}
+
+fn finish(table: &mut EndpointTable, now: u64, number: u16, verdict: CallVerdict, ms: f64) {
+    let now = ClockTime(now);
+    table.started(now, address(number), &kind());
+    let finish = CallFinish {
+        address: address(number),
+        kind: kind(),
+        started: now,
+        verdict,
+        latency_ms: ms,
+        load: None,
+    };
+    table.finished(now, &finish);
+}
+
+fn shares(table: &mut EndpointTable, now: u64) -> [u32; 4] {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut counts = [0; 4];
+    for _ in 0..400 {
+        let choice = table.choose(ClockTime(now), &mut rng, &[]).unwrap();
+        counts[usize::from(choice.address.0.port()) - 1] += 1;
+    }
+    counts
+}
+
+/// Guards against work on far endpoints while near ones have room, and against queues at near ones
+/// while far ones are free.
+#[test]
+fn nearest_tier_with_room_is_chosen() {
+    let entries = [
+        entry(1, "z1", "r1"),
+        entry(2, "z2", "r1"),
+        entry(3, "z3", "r2"),
+    ];
+    for (zone, region, link, expected) in [
+        (0, 0, 0, [EndpointTier::Zone; 2]),
+        (4, 0, 0, [EndpointTier::Zone; 2]),
+        (5, 0, 0, [EndpointTier::Region; 2]),
+        (5, 5, 0, [EndpointTier::Zone, EndpointTier::Region]),
+        (6, 6, 0, [EndpointTier::PaidLink; 2]),
+        (6, 6, 6, [EndpointTier::Zone, EndpointTier::Region]),
+    ] {
+        let mut table = table(&entries);
+        for (number, calls) in [(1, zone), (2, region), (3, link)] {
+            for _ in 0..calls {
+                table.started(ClockTime(0), address(number), &kind());
+            }
+        }
+        let mut rng = SmallRng::seed_from_u64(1);
+        let choice = table.choose(ClockTime(0), &mut rng, &[]).unwrap();
+        let case = (zone, region, link, choice.tier);
+        assert!(expected.contains(&choice.tier), "{case:?}");
+    }
+}
+
+/// Guards against an endpoint that stops answering keeping its share of work until calls time out.
+#[test]
+fn silent_endpoint_loses_work_within_half_a_second() {
+    let entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
+    let mut table = table(&entries);
+    for round in 0..20 {
+        for number in 1..=4 {
+            finish(&mut table, round, number, CallVerdict::Answered, 2.0);
+        }
+    }
+    let before = shares(&mut table, 20);
+    assert!(before[0] > 50, "{before:?}");
+    table.started(ClockTime(20), address(1), &kind());
+    assert_eq!(shares(&mut table, 200)[0], 0, "silent endpoint is chosen");
+}
+
+/// Guards against endless ejection, ejection by one bad call and a herd at the end of an ejection.
+#[test]
+fn gate_ejects_after_three_failures_and_probes_once() {
+    let mut gate = OutlierGate::default();
+    let mut now = ClockTime(0);
+    for _ in 0..3 {
+        assert!(gate.admits(now));
+        gate.fail(now, now);
+    }
+    for span in [1_000, 2_000, 4_000, 8_000, 16_000, 30_000, 30_000] {
+        assert!(!gate.admits(now + ClockTime(span - 1)), "{span}");
+        let begun = now;
+        now = now + ClockTime(span);
+        assert!(gate.admits(now), "{span}");
+        gate.start(now);
+        assert!(!gate.admits(now), "second probe at {now}");
+        gate.fail(now, begun);
+        assert!(!gate.is_ejected(now), "an old failure counts as probe");
+        gate.fail(now, now);
+    }
+    now = now + ClockTime(30_000);
+    gate.start(now);
+    assert!(gate.succeed(now) && gate.admits(now));
+}
+
+/// Guards against slow endpoints keeping work, and against ejection over a few ms of noise.
+#[test]
+fn latency_outlier_is_ejected_above_the_floor() {
+    for (normal, slow, expected) in [(2.0, 9.0, false), (1.0, 8.0, false), (4.0, 60.0, true)] {
+        let entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
+        let mut table = table(&entries);
+        for round in 0..10 {
+            for number in 1..=4 {
+                let ms = if number == 4 { slow } else { normal };
+                finish(&mut table, round, number, CallVerdict::Answered, ms);
+            }
+        }
+        let ejected = table.is_ejected(ClockTime(10), address(4));
+        assert_eq!(ejected, expected, "{normal} ms against {slow} ms");
+    }
+}
+
+/// Guards against the last endpoints drowning when a common fault ejects most of them.
+#[test]
+fn gate_opens_when_more_than_half_are_ejected() {
+    let entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
+    let mut table = table(&entries);
+    for number in 1..=3 {
+        for _ in 0..3 {
+            finish(&mut table, 0, number, CallVerdict::Failed, 1.0);
+        }
+        let counts = shares(&mut table, 1);
+        let open = number == 3;
+        assert_eq!(counts[0] > 0, open, "{number} ejected: {counts:?}");
+    }
+}
+
+/// Guards against new work on leaving or suspected endpoints, also for keys and resends.
+#[test]
+fn leaving_and_suspected_are_passed_over() {
+    let mut entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
+    entries[0].state = MemberState::Leaving;
+    entries[1].suspected = true;
+    let mut table = table(&entries);
+    let counts = shares(&mut table, 0);
+    assert_eq!(counts[..2], [0, 0], "{counts:?}");
+    let mut rng = SmallRng::seed_from_u64(2);
+    let all_live = [address(2), address(3), address(4)];
+    assert_eq!(table.choose(ClockTime(0), &mut rng, &all_live), None);
+    for number in 0..50 {
+        let key: RequestKey = format!("key-{number}").parse().unwrap();
+        let choice = table.choose_by_hash(ClockTime(0), &key, &[]).unwrap();
+        assert!(choice.address.0.port() > 2, "{choice:?}");
+        let again = table.choose_by_hash(ClockTime(9_000), &key, &[]).unwrap();
+        assert_eq!(choice, again);
+    }
+}
+
+/// Guards against a cold endpoint receiving its full share at once, and against it staying cold.
+#[test]
+fn new_endpoint_warms_up() {
+    let mut entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
+    let mut table = table(&entries[..3]);
+    table.update(ClockTime(10_000), &entries);
+    assert_eq!(shares(&mut table, 10_001)[3], 0);
+    let counts = shares(&mut table, 15_000);
+    assert!(counts[3] > 50, "{counts:?}");
+    entries[3].incarnation = NodeIncarnation(2);
+    table.update(ClockTime(20_000), &entries);
+    assert_eq!(shares(&mut table, 20_001)[3], 0, "restarted endpoint");
+}
