Add admission by weight per slot time

First come, first served lets long jobs hold all slots and runs work that cannot finish in time. AdmissionQueue orders by weight per learned slot time, caps long kinds and refuses what cannot meet its deadline; FifoQueue is the baseline.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,1 +1,19 @@
 //! Admission control at the node beside the backend server: slots, queue and refusals.
+//!
+//! All types are state machines without clocks or sockets; each caller of a policy runs the
+//! tickets that it is told to run and reports their end.
+
+mod admission_policy;
+mod admission_queue;
+mod call_ticket;
+mod fifo_queue;
+mod queued_call;
+mod refused_ticket;
+mod slot_estimate;
+
+pub use admission_policy::{Admission, AdmissionPolicy, CancelEffect};
+pub use admission_queue::AdmissionQueue;
+pub use call_ticket::CallTicket;
+pub use fifo_queue::FifoQueue;
+pub use refused_ticket::RefusedTicket;
+pub use slot_estimate::SlotEstimate;
--- /dev/null
+++ b/src/admission/fifo_queue.rs
@@ -0,0 +1,123 @@
+use std::collections::{HashSet, VecDeque};
+
+use crate::admission::{Admission, AdmissionPolicy, CallTicket, CancelEffect, RefusedTicket};
+use crate::clock::ClockTime;
+use crate::error::ResultCode;
+use crate::size::SlotCount;
+
+/// Admits calls in the order of arrival; for comparison only.
+#[derive(Debug)]
+pub struct FifoQueue {
+    slots: usize,
+    limit: usize,
+    running: HashSet<u64>,
+    queue: VecDeque<CallTicket>,
+    draining: bool,
+}
+
+impl FifoQueue {
+    /// Creates an empty queue for `slots` running and at most `limit` waiting calls.
+    #[must_use]
+    pub fn new(slots: SlotCount, limit: usize) -> Self {
+        Self {
+            slots: slots.0.max(1) as usize,
+            limit,
+            running: HashSet::new(),
+            queue: VecDeque::new(),
+            draining: false,
+        }
+    }
+
+    fn fill(&mut self, now: ClockTime) -> Vec<u64> {
+        let mut ids = Vec::new();
+        while self.running.len() < self.slots {
+            let live = self.queue.iter().position(|ticket| now < ticket.deadline);
+            let Some(ticket) = live.and_then(|place| self.queue.remove(place)) else {
+                break;
+            };
+            self.running.insert(ticket.id);
+            ids.push(ticket.id);
+        }
+        ids
+    }
+}
+
+impl AdmissionPolicy for FifoQueue {
+    fn offer(&mut self, now: ClockTime, ticket: CallTicket) -> Admission {
+        let refuse = |code| Admission::Refused {
+            code,
+            retry_after: ClockTime(100),
+        };
+        if self.draining {
+            refuse(ResultCode::NodeLeaving)
+        } else if now >= ticket.deadline {
+            refuse(ResultCode::DeadlineTooShort)
+        } else if self.running.len() < self.slots {
+            self.running.insert(ticket.id);
+            Admission::Run
+        } else if self.queue.len() < self.limit {
+            self.queue.push_back(ticket);
+            Admission::Queued { dropped: None }
+        } else {
+            refuse(ResultCode::Overloaded)
+        }
+    }
+
+    fn finish(&mut self, now: ClockTime, id: u64, _slot_ms: Option<f64>) -> Vec<u64> {
+        self.running.remove(&id);
+        self.fill(now)
+    }
+
+    fn expire(&mut self, now: ClockTime) -> Vec<RefusedTicket> {
+        let mut refused = Vec::new();
+        self.queue.retain(|ticket| {
+            let live = now < ticket.deadline;
+            if !live {
+                refused.push(RefusedTicket {
+                    id: ticket.id,
+                    code: ResultCode::DeadlineTooShort,
+                    retry_after: ClockTime(100),
+                });
+            }
+            live
+        });
+        refused
+    }
+
+    fn cancel(&mut self, id: u64) -> CancelEffect {
+        if self.running.contains(&id) {
+            return CancelEffect::Running;
+        }
+        let length = self.queue.len();
+        self.queue.retain(|ticket| ticket.id != id);
+        if self.queue.len() < length {
+            CancelEffect::Dropped
+        } else {
+            CancelEffect::NotFound
+        }
+    }
+
+    fn next_expiry(&self, now: ClockTime) -> Option<ClockTime> {
+        let deadlines = self.queue.iter().map(|ticket| ticket.deadline);
+        deadlines
+            .min()
+            .map(|deadline| deadline.max(now + ClockTime(1)))
+    }
+
+    fn load(&self) -> u32 {
+        ((self.running.len() + self.queue.len()) * 1_000 / self.slots) as u32
+    }
+
+    fn resize(&mut self, now: ClockTime, slots: SlotCount) -> Vec<u64> {
+        self.slots = slots.0.max(1) as usize;
+        self.fill(now)
+    }
+
+    fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty()
+    }
+}
--- /dev/null
+++ b/tests/admission_rules.rs
@@ -0,0 +1,217 @@
+//! Rules of admission control.
+
+use std::collections::HashMap;
+
+use endivelanding::ResultCode;
+use endivelanding::admission::{
+    Admission, AdmissionPolicy, AdmissionQueue, CallTicket, FifoQueue, SlotEstimate,
+};
+use endivelanding::clock::ClockTime;
+use endivelanding::error::CallOutcome;
+use endivelanding::size::SlotCount;
+use proptest::prelude::{any, prop};
+use proptest::proptest;
+
+fn ticket(id: u64, kind: &str, weight: u32, deadline: u64) -> CallTicket {
+    CallTicket {
+        id,
+        kind: kind.parse().unwrap(),
+        weight,
+        long: kind == "print",
+        deadline: ClockTime(deadline),
+    }
+}
+
+fn queue(slots: u32, limit: usize) -> AdmissionQueue {
+    AdmissionQueue::new(SlotCount(slots), limit, 1)
+}
+
+/// Fills all slots with calls of the kind `busy` and ids from 1000 up.
+fn fill(queue: &mut AdmissionQueue, slots: u64) {
+    for id in 1_000..1_000 + slots {
+        let admission = queue.offer(ClockTime(0), ticket(id, "busy", 1, 60_000));
+        assert_eq!(admission, Admission::Run);
+    }
+}
+
+/// Guards against long jobs in every slot, which makes lookups wait for seconds.
+#[test]
+fn long_kinds_leave_slots_for_short_work() {
+    for (slots, cap) in [(1, 1), (2, 1), (3, 1), (6, 4)] {
+        let mut queue = queue(slots, 10);
+        for id in 0..u64::from(slots) {
+            let admission = queue.offer(ClockTime(0), ticket(id, "print", 1, 60_000));
+            assert_eq!(
+                admission == Admission::Run,
+                id < cap,
+                "slots {slots}, id {id}"
+            );
+        }
+        if u64::from(slots) > cap {
+            let admission = queue.offer(ClockTime(0), ticket(99, "lookup", 1, 300));
+            assert_eq!(admission, Admission::Run, "slots {slots}");
+        }
+    }
+}
+
+/// Guards against a kind that is long but not flagged passing the cap.
+#[test]
+fn long_kinds_are_learned() {
+    let mut estimate = SlotEstimate::default();
+    for (kind, slot_ms) in [("a", 5.0), ("b", 6.0), ("c", 47.0), ("d", 49.0)] {
+        estimate.record(ClockTime(0), &kind.parse().unwrap(), slot_ms);
+    }
+    for (kind, long) in [("a", false), ("b", false), ("c", false), ("d", true)] {
+        assert_eq!(
+            estimate.is_long(&kind.parse().unwrap(), false),
+            long,
+            "{kind}"
+        );
+    }
+}
+
+/// Guards against low-value work ahead of valuable work, and against its starvation.
+#[test]
+fn order_follows_value_and_urgency() {
+    let mut queue = queue(1, 10);
+    fill(&mut queue, 1);
+    for (id, weight, deadline) in [(1, 1, 400), (2, 5, 10_000), (3, 5, 10_000), (4, 1, 10_000)] {
+        let admission = queue.offer(ClockTime(0), ticket(id, "lookup", weight, deadline));
+        assert_eq!(admission, Admission::Queued { dropped: None }, "{id}");
+    }
+    assert_eq!(queue.finish(ClockTime(10), 1_000, None), [2], "ties by age");
+    assert_eq!(
+        queue.finish(ClockTime(360), 2, None),
+        [1],
+        "near its deadline"
+    );
+    assert_eq!(queue.finish(ClockTime(370), 1, None), [3]);
+}
+
+/// Guards against work run after its deadline when the process was paused.
+#[test]
+fn paused_queue_never_runs_late_work() {
+    let mut queue = queue(1, 10);
+    fill(&mut queue, 1);
+    queue.offer(ClockTime(0), ticket(1, "lookup", 5, 300));
+    queue.offer(ClockTime(0), ticket(2, "lookup", 1, 9_000));
+    assert_eq!(queue.next_expiry(ClockTime(0)), Some(ClockTime(300)));
+    assert_eq!(queue.finish(ClockTime(5_000), 1_000, None), [2]);
+    let refused = queue.expire(ClockTime(5_000));
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].id, 1);
+    assert_eq!(refused[0].code.outcome(), CallOutcome::NotRun);
+    assert_eq!(queue.next_expiry(ClockTime(5_000)), None);
+}
+
+/// Guards against an unbounded queue and against valuable work refused for worthless work.
+#[test]
+fn full_queue_drops_the_least_valuable() {
+    let mut queue = queue(1, 2);
+    fill(&mut queue, 1);
+    queue.offer(ClockTime(0), ticket(1, "lookup", 1, 9_000));
+    queue.offer(ClockTime(0), ticket(2, "lookup", 3, 9_000));
+    let admission = queue.offer(ClockTime(0), ticket(3, "lookup", 1, 9_000));
+    assert!(matches!(
+        admission,
+        Admission::Refused {
+            code: ResultCode::Overloaded,
+            ..
+        }
+    ));
+    let admission = queue.offer(ClockTime(0), ticket(4, "lookup", 5, 9_000));
+    let Admission::Queued {
+        dropped: Some(dropped),
+    } = admission
+    else {
+        panic!("{admission:?}");
+    };
+    assert_eq!((dropped.id, dropped.code), (1, ResultCode::Overloaded));
+    assert_eq!(queue.load(), 3_000);
+}
+
+/// Guards against calls that wait in vain, and against a kind refused forever after a slow phase.
+#[test]
+fn hopeless_calls_are_refused_at_arrival() {
+    let mut queue = queue(1, 100);
+    fill(&mut queue, 1);
+    queue.finish(ClockTime(0), 1_000, Some(100.0));
+    for (id, deadline, queued) in [
+        (1, 300, true),
+        (2, 300, true),
+        (3, 299, false),
+        (4, 900, true),
+    ] {
+        let admission = queue.offer(ClockTime(0), ticket(id, "busy", 1, deadline));
+        assert_eq!(
+            !matches!(admission, Admission::Refused { .. }),
+            queued,
+            "{id}"
+        );
+    }
+    let late = queue.offer(ClockTime(0), ticket(5, "busy", 1, 90));
+    assert!(matches!(
+        late,
+        Admission::Refused {
+            code: ResultCode::DeadlineTooShort,
+            ..
+        }
+    ));
+    queue.finish(ClockTime(0), 1, None);
+    queue.cancel(2);
+    queue.cancel(4);
+    queue.finish(ClockTime(0), 2, None);
+    queue.finish(ClockTime(0), 4, None);
+    let later = queue.offer(ClockTime(20_000), ticket(6, "busy", 1, 20_090));
+    assert_eq!(later, Admission::Run, "estimate is never relearned");
+}
+
+proptest! {
+    /// Guards against more running calls than slots, a ticket that runs twice or after its
+    /// deadline, and a ticket that is lost, for both policies.
+    #[test]
+    fn slots_are_never_exceeded(
+        steps in prop::collection::vec((0_u8..5, any::<u8>(), 0_u64..400), 1..300),
+        fifo in any::<bool>(),
+    ) {
+        let mut policy: Box<dyn AdmissionPolicy> = if fifo {
+            Box::new(FifoQueue::new(SlotCount(3), 8))
+        } else {
+            Box::new(queue(3, 8))
+        };
+        let (mut now, mut running, mut waiting) = (0, Vec::new(), HashMap::new());
+        for (id, (step, pick, gap)) in (0_u64..).zip(steps) {
+            let mut started = Vec::new();
+            match step {
+                0..=2 => {
+                    let kind = ["lookup", "order", "print"][usize::from(pick % 3)];
+                    let deadline = now + gap * 4;
+                    waiting.insert(id, deadline);
+                    match policy.offer(ClockTime(now), ticket(id, kind, u32::from(pick), deadline)) {
+                        Admission::Run => started.push(id),
+                        Admission::Queued { dropped } => {
+                            dropped.map(|ticket| waiting.remove(&ticket.id).unwrap());
+                        }
+                        Admission::Refused { .. } => drop(waiting.remove(&id)),
+                    }
+                }
+                3 if !running.is_empty() => {
+                    let done = running.swap_remove(usize::from(pick) % running.len());
+                    now += gap;
+                    started = policy.finish(ClockTime(now), done, Some(gap as f64));
+                }
+                _ => {
+                    for ticket in policy.expire(ClockTime(now)) {
+                        waiting.remove(&ticket.id).unwrap();
+                    }
+                }
+            }
+            for id in started {
+                assert!(waiting.remove(&id).unwrap() > now, "late or repeated start");
+                running.push(id);
+            }
+            assert!(running.len() <= 3);
+            assert_eq!(policy.load(), ((running.len() + waiting.len()) * 1_000 / 3) as u32);
+        }
+    }
+}
