--- /dev/null
+++ b/testkit/src/backend.rs
@@ -0,0 +1,13 @@
+//! Backend servers.
+
+mod backend_fault;
+mod backend_server;
+mod backend_settings;
+mod backend_state;
+mod work_rule;
+
+pub use backend_fault::{BackendFault, BackendMode};
+pub use backend_server::BackendServer;
+pub use backend_settings::BackendSettings;
+pub use backend_state::BackendState;
+pub use work_rule::{NestRule, WorkRule};
--- /dev/null
+++ b/testkit/src/bin/standin-backend.rs
@@ -0,0 +1,136 @@
+//! Stands in for a backend server.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use testkit::backend::{BackendServer, BackendSettings, NestRule, WorkRule};
+use testkit::signal;
+use testkit::wire::{WireAnswer, WireHandler, WireReply, WireRequest, WireServer};
+
+struct ControlHandler {
+    backend: Arc<BackendServer>,
+    server: WireServer,
+}
+
+impl WireHandler for ControlHandler {
+    fn handle(&self, request: &WireRequest) -> WireReply {
+        WireReply::Answer(match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/runs") => WireAnswer::json(&self.backend.runs()),
+            ("GET", "/counts") => {
+                WireAnswer::json(&self.backend.report(self.server.connections_peak()))
+            }
+            ("POST", "/fault") => match serde_json::from_slice(&request.body) {
+                Ok(fault) => {
+                    self.backend.set_fault(fault);
+                    WireAnswer::new(200, "")
+                }
+                Err(error) => WireAnswer::new(400, error.to_string()),
+            },
+            _ => WireAnswer::new(404, "no such path"),
+        })
+    }
+}
+
+fn command() -> Command {
+    let value = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).default_value(default).help(help)
+    };
+    let address =
+        |name, help| value(name, "127.0.0.1:0", help).value_parser(value_parser!(SocketAddr));
+    let number = |name, default, help| value(name, default, help).value_parser(value_parser!(u64));
+    let factor = |name, default, help| value(name, default, help).value_parser(value_parser!(f64));
+    Command::new("standin-backend")
+        .about("Serves any path with work of a set time")
+        .arg(address("listen", "Address of the backend server"))
+        .arg(address("control", "Address of the control port for tests"))
+        .arg(value("name", "backend", "Instance name in answers"))
+        .arg(number("slots", "6", "Requests that run at the same time"))
+        .arg(
+            Arg::new("work")
+                .long("work")
+                .action(ArgAction::Append)
+                .value_parser(|text: &str| text.parse::<WorkRule>())
+                .help("Mean service time of a path prefix: /price=3ms"),
+        )
+        .arg(
+            Arg::new("nest")
+                .long("nest")
+                .action(ArgAction::Append)
+                .value_parser(|text: &str| text.parse::<NestRule>())
+                .help("Call that work makes first: [/prefix=]http://address/path"),
+        )
+        .arg(factor(
+            "spread",
+            "0.2",
+            "Largest deviation from the mean, as a fraction",
+        ))
+        .arg(number("seed", "1", "Seed of the deviations"))
+        .arg(number("load-lag-ms", "500", "Time by which /load lags"))
+        .arg(number(
+            "cold-ms",
+            "0",
+            "Time after the start with slower work",
+        ))
+        .arg(factor(
+            "cold-factor",
+            "3",
+            "Factor on service times while cold",
+        ))
+        .arg(number(
+            "starting-ms",
+            "0",
+            "Time after the start in which health says starting",
+        ))
+        .arg(number(
+            "answer-bytes",
+            "64",
+            "Bytes of padding in each answer",
+        ))
+}
+
+fn get<T>(matches: &ArgMatches, name: &str) -> T
+where
+    T: Clone + Send + Sync + 'static,
+{
+    matches.get_one::<T>(name).cloned().expect("has a default")
+}
+
+fn get_all<T>(matches: &ArgMatches, name: &str) -> Vec<T>
+where
+    T: Clone + Send + Sync + 'static,
+{
+    matches
+        .get_many::<T>(name)
+        .into_iter()
+        .flatten()
+        .cloned()
+        .collect()
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let matches = command().get_matches();
+    signal::exit_on_term()?;
+    let backend = Arc::new(BackendServer::new(BackendSettings {
+        name: get(&matches, "name"),
+        slots: usize::try_from(get::<u64>(&matches, "slots"))?,
+        work: get_all(&matches, "work"),
+        nests: get_all(&matches, "nest"),
+        spread: get::<f64>(&matches, "spread").clamp(0.0, 1.0),
+        seed: get(&matches, "seed"),
+        load_lag_ms: get(&matches, "load-lag-ms"),
+        cold_ms: get(&matches, "cold-ms"),
+        cold_factor: get(&matches, "cold-factor"),
+        starting_ms: get(&matches, "starting-ms"),
+        answer_bytes: usize::try_from(get::<u64>(&matches, "answer-bytes"))?,
+    }));
+    let server = WireServer::start(get(&matches, "listen"), backend.clone())?;
+    let listen = server.address();
+    let handler = Arc::new(ControlHandler { backend, server });
+    let control = WireServer::start(get(&matches, "control"), handler)?.address();
+    println!("ready listen={listen} control={control}");
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/testkit/src/bin/standin-config.rs
@@ -0,0 +1,86 @@
+//! Stands in for the platform's configuration service and instance list.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, Command, value_parser};
+use testkit::platform::{ConfigService, PlatformFault};
+use testkit::signal;
+use testkit::wire::{WireAnswer, WireHandler, WireReply, WireRequest, WireServer};
+
+/// Time between two looks at whether the servers should be reachable.
+const GATE_STEP: Duration = Duration::from_millis(10);
+
+struct ControlHandler {
+    service: Arc<ConfigService>,
+    servers: [WireServer; 2],
+}
+
+impl ControlHandler {
+    /// Opens and closes the servers as the faults say.
+    fn update_gates(&self) {
+        let (manifest, instances) = self.service.open_parts();
+        self.servers[0].set_open(manifest);
+        self.servers[1].set_open(instances);
+    }
+}
+
+impl WireHandler for ControlHandler {
+    fn handle(&self, request: &WireRequest) -> WireReply {
+        let published = match (request.method.as_str(), request.path.as_str()) {
+            ("PUT", "/manifest") => self.service.publish_manifest(request.body.clone()),
+            ("PUT", "/instances") => self.service.publish_instances(&request.body),
+            ("GET", "/counts") => {
+                return WireReply::Answer(WireAnswer::json(&self.service.report()));
+            }
+            ("POST", "/fault") => {
+                return match serde_json::from_slice::<PlatformFault>(&request.body) {
+                    Ok(fault) => {
+                        self.service.set_fault(&fault);
+                        self.update_gates();
+                        WireReply::Answer(WireAnswer::new(200, ""))
+                    }
+                    Err(error) => WireReply::Answer(WireAnswer::new(400, error.to_string())),
+                };
+            }
+            _ => Err(WireAnswer::new(404, "no such path")),
+        };
+        WireReply::Answer(match published {
+            Ok(revision) => WireAnswer::new(200, "").with("x-revision", revision.to_string()),
+            Err(answer) => answer,
+        })
+    }
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let address = |name: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value("127.0.0.1:0")
+            .value_parser(value_parser!(SocketAddr))
+    };
+    let matches = Command::new("standin-config")
+        .about("Serves a manifest and an instance list, with faults on demand")
+        .arg(address("config").help("Address of the configuration service"))
+        .arg(address("instances").help("Address of the instance list"))
+        .arg(address("control").help("Address of the control port for tests"))
+        .get_matches();
+    let bound = |name: &str| *matches.get_one::<SocketAddr>(name).expect("has a default");
+    signal::exit_on_term()?;
+    let service = Arc::new(ConfigService::default());
+    let config = WireServer::start(bound("config"), service.clone())?;
+    let instances = WireServer::start(bound("instances"), service.clone())?;
+    let handler = Arc::new(ControlHandler {
+        service,
+        servers: [config.clone(), instances.clone()],
+    });
+    let control = WireServer::start(bound("control"), handler.clone())?;
+    let [config, instances, control] = [&config, &instances, &control].map(WireServer::address);
+    println!("ready config={config} instances={instances} control={control}");
+    loop {
+        std::thread::sleep(GATE_STEP);
+        handler.update_gates();
+    }
+}
--- /dev/null
+++ b/testkit/src/fleet.rs
@@ -0,0 +1,17 @@
+//! Whole deployments on loopback.
+
+mod deployment_plan;
+mod endpoint_plan;
+mod fleet_plan;
+mod latency_plan;
+mod running_fleet;
+mod settings_text;
+
+pub use deployment_plan::{
+    DeploymentPlan, LatencyEntry, LinkEntry, ServiceEntry, WorkEntry, ZoneEntry,
+};
+pub use endpoint_plan::EndpointPlan;
+pub use fleet_plan::FleetPlan;
+pub use latency_plan::LatencyPlan;
+pub use running_fleet::RunningFleet;
+pub use settings_text::SettingsText;
--- /dev/null
+++ b/testkit/src/fleet/fleet_plan.rs
@@ -0,0 +1,175 @@
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value, json};
+
+use crate::fleet::{DeploymentPlan, EndpointPlan, LatencyPlan, SettingsText};
+use crate::port_range::PortRange;
+
+/// Seeds that a node gets from each zone; two keep one dead seed from cutting a zone off.
+const SEEDS_PER_ZONE: usize = 2;
+
+/// Plans the processes, addresses and settings of a deployment on loopback.
+#[derive(Debug)]
+pub struct FleetPlan {
+    /// The deployment.
+    pub deployment: DeploymentPlan,
+    /// Its endpoints, one service after the other.
+    pub endpoints: Vec<EndpointPlan>,
+    /// Settings that every node gets in addition.
+    pub common: SettingsText,
+    /// Further arguments of every backend server.
+    pub backend_arguments: Vec<String>,
+    /// Address of the configuration service.
+    pub config: SocketAddr,
+    /// Address of the instance list.
+    pub instances: SocketAddr,
+    /// Control port of both.
+    pub control: SocketAddr,
+    /// Mappings of the fault proxy, if latencies are applied.
+    pub latencies: Option<LatencyPlan>,
+    folder: PathBuf,
+    ports: PortRange,
+}
+
+impl FleetPlan {
+    /// Plans a deployment with direct connections; settings files go to the folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    pub fn new(deployment: DeploymentPlan, folder: &Path) -> io::Result<FleetPlan> {
+        let mut ports = PortRange::claim()?;
+        let [config, instances, control] = [ports.address()?, ports.address()?, ports.address()?];
+        let mut endpoints = Vec::new();
+        for (offset, service) in deployment.services.iter().enumerate() {
+            for number in 0..service.endpoints {
+                // The offset spreads the surplus endpoints of the services over different zones.
+                let zone = &deployment.zones[(offset + number) % deployment.zones.len()];
+                let caller = ports.address()?;
+                endpoints.push(EndpointPlan {
+                    name: format!("{}-{}", service.name, number + 1),
+                    service: service.name.clone(),
+                    zone: zone.name.clone(),
+                    region: zone.region.clone(),
+                    caller,
+                    peer: ports.address()?,
+                    admin: ports.address()?,
+                    backend: ports.address()?,
+                    control: ports.address()?,
+                    entry: caller,
+                    config,
+                    instances,
+                });
+            }
+        }
+        Ok(FleetPlan {
+            deployment,
+            endpoints,
+            common: SettingsText::default(),
+            backend_arguments: Vec::new(),
+            config,
+            instances,
+            control,
+            latencies: None,
+            folder: folder.to_path_buf(),
+            ports,
+        })
+    }
+
+    /// Applies the latencies of the deployment through the fault proxy.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    pub fn apply_latencies(&mut self) -> io::Result<()> {
+        let plan = LatencyPlan::build(&self.deployment, &mut self.endpoints, &mut self.ports)?;
+        self.latencies = Some(plan);
+        Ok(())
+    }
+
+    /// Returns the instance list with every endpoint live.
+    #[must_use]
+    pub fn instance_list(&self) -> Value {
+        let list = self.endpoints.iter().map(|entry| entry.instance("live"));
+        json!({ "instances": list.collect::<Vec<Value>>() })
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn endpoints_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EndpointPlan> {
+        self.endpoints
+            .iter()
+            .filter(move |entry| entry.service == service)
+    }
+
+    /// Returns the settings of the node with the given index.
+    #[must_use]
+    pub fn settings(&self, index: usize) -> SettingsText {
+        let endpoint = &self.endpoints[index];
+        let mut text = SettingsText::default();
+        text.set("", "seeds", format!("{:?}", self.seeds(endpoint)));
+        text.set("", "random_seed", (index + 1).to_string());
+        text.set_text("placement", "service", &endpoint.service);
+        text.set_text("placement", "zone", &endpoint.zone);
+        text.set_text("placement", "region", &endpoint.region);
+        text.set_text("listen", "caller", endpoint.caller);
+        text.set_text("listen", "peer", endpoint.peer);
+        text.set_text("listen", "admin", endpoint.admin);
+        text.set_text("backend", "address", endpoint.backend);
+        text.set_text("platform", "config", endpoint.config);
+        text.set_text("platform", "instances", endpoint.instances);
+        text.set_text("platform", "region", &self.deployment.platform_region);
+        text.merge(&self.common);
+        text
+    }
+
+    /// Writes the settings of the node with the given index and returns the path.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be written.
+    pub fn write_settings(&self, index: usize) -> io::Result<PathBuf> {
+        fs::create_dir_all(&self.folder)?;
+        let path = self
+            .folder
+            .join(format!("{}.toml", self.endpoints[index].name));
+        fs::write(&path, self.settings(index).to_string())?;
+        Ok(path)
+    }
+
+    /// Returns the arguments of the backend server with the given index.
+    #[must_use]
+    pub fn backend_command(&self, index: usize) -> Vec<String> {
+        let endpoint = &self.endpoints[index];
+        let mut arguments = vec![
+            format!("--listen={}", endpoint.backend),
+            format!("--control={}", endpoint.control),
+            format!("--name={}", endpoint.name),
+            format!("--seed={}", index + 1),
+        ];
+        let mut services = self.deployment.services.iter();
+        if let Some(service) = services.find(|entry| entry.name == endpoint.service) {
+            arguments.push(format!("--slots={}", service.slots));
+            let rules = service.work.iter();
+            arguments
+                .extend(rules.map(|work| format!("--work={}={}ms", work.prefix, work.time_ms)));
+        }
+        arguments.extend(self.backend_arguments.iter().cloned());
+        arguments
+    }
+
+    fn seeds(&self, own: &EndpointPlan) -> Vec<String> {
+        let mut seeds = Vec::new();
+        for zone in &self.deployment.zones {
+            let others = self.endpoints.iter().filter(|entry| entry.peer != own.peer);
+            let near = others.filter(|entry| entry.zone == zone.name);
+            seeds.extend(
+                near.take(SEEDS_PER_ZONE)
+                    .map(|entry| entry.peer.to_string()),
+            );
+        }
+        seeds
+    }
+}
--- /dev/null
+++ b/testkit/src/fleet/running_fleet.rs
@@ -0,0 +1,182 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::fleet::FleetPlan;
+use crate::process::ProcessGuard;
+use crate::wire::{HttpProbe, WireAnswer};
+
+/// Owns the processes of a fleet; kills them when dropped.
+#[derive(Debug)]
+pub struct RunningFleet {
+    /// The plan.
+    pub plan: FleetPlan,
+    /// Nodes, in the order of the endpoints; those not running are absent.
+    pub nodes: Vec<Option<ProcessGuard>>,
+    /// Backend servers, in the same order.
+    pub backends: Vec<Option<ProcessGuard>>,
+    /// Fault proxy, if latencies are applied.
+    pub proxy: Option<ProcessGuard>,
+    /// Configuration service and instance list.
+    pub platform: Option<ProcessGuard>,
+}
+
+impl RunningFleet {
+    /// Starts the platform with the instance list, the fault proxy and the backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start.
+    pub fn start_backends(plan: FleetPlan) -> io::Result<RunningFleet> {
+        let mut fleet = RunningFleet {
+            nodes: plan.endpoints.iter().map(|_| None).collect(),
+            backends: plan.endpoints.iter().map(|_| None).collect(),
+            proxy: None,
+            platform: None,
+            plan,
+        };
+        fleet.start_platform()?;
+        let list = fleet.plan.instance_list().to_string();
+        expect_ok(&fleet.control().put("/instances", list.as_bytes())?)?;
+        if let Some(latencies) = &fleet.plan.latencies {
+            let proxy = ProcessGuard::start("fault-proxy", ["--control=127.0.0.1:0"])?;
+            let probe = HttpProbe::new(proxy.address("control")?);
+            let request = latencies.request().to_string();
+            expect_ok(&probe.post("/mapping", request.as_bytes())?)?;
+            fleet.proxy = Some(proxy);
+        }
+        for index in 0..fleet.backends.len() {
+            fleet.start_backend(index)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts everything, publishes the manifest before the nodes start, and waits until all are
+    /// ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start or a node is not ready within the time in ms.
+    pub fn start(plan: FleetPlan, manifest: &[u8], limit_ms: u64) -> io::Result<RunningFleet> {
+        let mut fleet = RunningFleet::start_backends(plan)?;
+        fleet.publish(manifest)?;
+        for index in 0..fleet.nodes.len() {
+            fleet.start_node(index)?;
+        }
+        fleet.wait_ready(limit_ms)?;
+        Ok(fleet)
+    }
+
+    /// Starts the configuration service and the instance list, with nothing published.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub fn start_platform(&mut self) -> io::Result<()> {
+        let arguments = [
+            format!("--config={}", self.plan.config),
+            format!("--instances={}", self.plan.instances),
+            format!("--control={}", self.plan.control),
+        ];
+        self.platform = Some(ProcessGuard::start("standin-config", arguments)?);
+        Ok(())
+    }
+
+    /// Starts one backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub fn start_backend(&mut self, index: usize) -> io::Result<()> {
+        let arguments = self.plan.backend_command(index);
+        self.backends[index] = Some(ProcessGuard::start("standin-backend", arguments)?);
+        Ok(())
+    }
+
+    /// Writes the settings of one node and starts it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub fn start_node(&mut self, index: usize) -> io::Result<()> {
+        let path = self.plan.write_settings(index)?;
+        let arguments = ["run".into(), "--settings".into(), path.into_os_string()];
+        self.nodes[index] = Some(ProcessGuard::start("endive-node", arguments)?);
+        Ok(())
+    }
+
+    /// Publishes a manifest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the configuration service refuses it.
+    pub fn publish(&self, manifest: &[u8]) -> io::Result<()> {
+        expect_ok(&self.control().put("/manifest", manifest)?)
+    }
+
+    /// Returns a probe of the platform's control port.
+    #[must_use]
+    pub fn control(&self) -> HttpProbe {
+        HttpProbe::new(self.plan.control)
+    }
+
+    /// Returns the admin addresses of all nodes.
+    #[must_use]
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.plan
+            .endpoints
+            .iter()
+            .map(|entry| entry.admin)
+            .collect()
+    }
+
+    /// Waits until every running node says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one is not within the time in ms.
+    pub fn wait_ready(&self, limit_ms: u64) -> io::Result<()> {
+        let end = Instant::now() + Duration::from_millis(limit_ms);
+        for (endpoint, node) in self.plan.endpoints.iter().zip(&self.nodes) {
+            if node.is_some() {
+                let rest = end.saturating_duration_since(Instant::now());
+                let probe = HttpProbe::with_timeout(endpoint.admin, 1_000);
+                probe.wait_for("/readyz", 200, rest.as_millis() as u64)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Asks every process to stop, nodes first, and returns the exit codes of the nodes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process still runs after the time in ms.
+    pub fn stop(&mut self, limit_ms: u64) -> io::Result<Vec<Option<i32>>> {
+        let mut nodes: Vec<ProcessGuard> = self.nodes.iter_mut().filter_map(Option::take).collect();
+        let codes = stop_all(&mut nodes, limit_ms)?;
+        let rest = self.backends.iter_mut().filter_map(Option::take);
+        let mut rest: Vec<ProcessGuard> = rest.collect();
+        rest.extend(self.proxy.take());
+        rest.extend(self.platform.take());
+        stop_all(&mut rest, limit_ms)?;
+        Ok(codes)
+    }
+}
+
+fn stop_all(processes: &mut [ProcessGuard], limit_ms: u64) -> io::Result<Vec<Option<i32>>> {
+    for process in processes.iter_mut() {
+        // One that has ended by itself shows its exit code below.
+        let _ = process.terminate();
+    }
+    let codes = processes.iter_mut().map(|process| process.wait(limit_ms));
+    codes.map(|status| Ok(status?.code())).collect()
+}
+
+fn expect_ok(answer: &WireAnswer) -> io::Result<()> {
+    if answer.status == 200 {
+        return Ok(());
+    }
+    let text = format!("status {}: {}", answer.status, answer.text());
+    Err(io::Error::other(text))
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -1,1 +1,15 @@
-//! stub
+//! Development-only stand-ins and helpers: small HTTP/1.1 servers and clients on threads, processes
+//! under test, and plans of whole deployments on loopback.
+
+pub mod backend;
+pub mod fleet;
+pub mod platform;
+pub mod port_range;
+pub mod process;
+pub mod signal;
+pub mod wire;
+
+pub use crate::fleet::{DeploymentPlan, EndpointPlan, FleetPlan, RunningFleet};
+pub use crate::port_range::PortRange;
+pub use crate::process::ProcessGuard;
+pub use crate::wire::HttpProbe;
--- /dev/null
+++ b/testkit/src/process.rs
@@ -0,0 +1,187 @@
+//! Processes under test.
+
+use std::ffi::OsStr;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+
+/// Owns a started process; kills it and waits for it when dropped.
+#[derive(Debug)]
+pub struct ProcessGuard {
+    child: Child,
+    ready: String,
+}
+
+impl ProcessGuard {
+    /// Starts a program of the target directory and waits up to 10 s for its line that starts with
+    /// `ready`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program does not start, ends, or prints no ready line in time.
+    pub fn start<I, S>(program: &str, arguments: I) -> io::Result<ProcessGuard>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<OsStr>,
+    {
+        let mut command = Command::new(ProcessGuard::program_path(program)?);
+        command.args(arguments);
+        ProcessGuard::start_command(command)
+    }
+
+    /// Starts a prepared command and waits up to 10 s for its ready line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program does not start, ends, or prints no ready line in time.
+    pub fn start_command(mut command: Command) -> io::Result<ProcessGuard> {
+        command.stdin(Stdio::null()).stdout(Stdio::piped());
+        let mut child = command.spawn()?;
+        let output = child.stdout.take();
+        // From here on, an early return kills the process.
+        let mut guard = ProcessGuard {
+            child,
+            ready: String::new(),
+        };
+        let (sender, receiver) = mpsc::channel();
+        thread::spawn(move || {
+            let Some(output) = output else { return };
+            let mut lines = BufReader::new(output).lines().map_while(Result::ok);
+            let ready = lines.find(|line| line.starts_with("ready"));
+            let _ = sender.send(ready);
+            // Reading on keeps the process from blocking on a full pipe.
+            lines.for_each(drop);
+        });
+        match receiver.recv_timeout(Duration::from_secs(10)) {
+            Ok(Some(line)) => guard.ready = line,
+            Ok(None) => return Err(failed(&command, "ended without a ready line")),
+            Err(_) => return Err(failed(&command, "printed no ready line within 10 s")),
+        }
+        Ok(guard)
+    }
+
+    /// Returns the path of a program in the target directory of the running program.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the path of the running program is unknown.
+    pub fn program_path(program: &str) -> io::Result<PathBuf> {
+        let mut folder = std::env::current_exe()?;
+        folder.pop();
+        if folder.ends_with("deps") {
+            folder.pop();
+        }
+        Ok(folder.join(program))
+    }
+
+    /// Returns the ready line.
+    #[must_use]
+    pub fn ready_line(&self) -> &str {
+        &self.ready
+    }
+
+    /// Returns an address that the ready line names as `name=address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the line does not name it.
+    pub fn address(&self, name: &str) -> io::Result<SocketAddr> {
+        let mut pairs = self
+            .ready
+            .split(' ')
+            .filter_map(|word| word.split_once('='));
+        let found = pairs.find(|(key, _)| *key == name);
+        found
+            .and_then(|(_, value)| value.parse().ok())
+            .ok_or_else(|| io::Error::other(format!("no address {name} in: {}", self.ready)))
+    }
+
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Asks the process to stop (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn terminate(&mut self) -> io::Result<()> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Kills the process (SIGKILL) and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.signal(Signal::SIGKILL)?;
+        self.child.wait().map(drop)
+    }
+
+    /// Stops the process in place (SIGSTOP).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn pause(&mut self) -> io::Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets a paused process run on (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn resume(&mut self) -> io::Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Waits for the end of the process, at most for the given time in ms.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process still runs.
+    pub fn wait(&mut self, limit_ms: u64) -> io::Result<ExitStatus> {
+        let end = Instant::now() + Duration::from_millis(limit_ms);
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if Instant::now() >= end {
+                let text = format!("process {} still runs after {limit_ms} ms", self.id());
+                return Err(io::Error::new(io::ErrorKind::TimedOut, text));
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn signal(&mut self, signal: Signal) -> io::Result<()> {
+        // The id of a process that was waited for may belong to another process by now.
+        if self.child.try_wait()?.is_some() {
+            return Err(io::Error::other(format!("process {} has ended", self.id())));
+        }
+        let id = i32::try_from(self.id()).map_err(io::Error::other)?;
+        signal::kill(Pid::from_raw(id), signal).map_err(io::Error::from)
+    }
+}
+
+impl Drop for ProcessGuard {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn failed(command: &Command, text: &str) -> io::Error {
+    io::Error::other(format!("{}: {text}", command.get_program().display()))
+}
--- /dev/null
+++ b/testkit/src/wire/http_probe.rs
@@ -0,0 +1,95 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::wire::{WireAnswer, WireClient};
+
+/// Sends single requests to one address, each on its own connection.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpProbe {
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpProbe {
+    /// Makes a probe with a timeout of 5 s.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> HttpProbe {
+        HttpProbe::with_timeout(address, 5_000)
+    }
+
+    /// Makes a probe with a timeout in ms.
+    #[must_use]
+    pub fn with_timeout(address: SocketAddr, timeout_ms: u64) -> HttpProbe {
+        let timeout = Duration::from_millis(timeout_ms);
+        HttpProbe { address, timeout }
+    }
+
+    /// Sends a request with headers and a body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer arrives in time.
+    pub fn call(
+        &self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+    ) -> io::Result<WireAnswer> {
+        WireClient::connect(self.address, self.timeout)?.call(method, target, headers, body)
+    }
+
+    /// Sends a GET request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer arrives in time.
+    pub fn get(&self, target: &str) -> io::Result<WireAnswer> {
+        self.call("GET", target, &[], &[])
+    }
+
+    /// Sends a PUT request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer arrives in time.
+    pub fn put(&self, target: &str, body: &[u8]) -> io::Result<WireAnswer> {
+        self.call("PUT", target, &[], body)
+    }
+
+    /// Sends a POST request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer arrives in time.
+    pub fn post(&self, target: &str, body: &[u8]) -> io::Result<WireAnswer> {
+        self.call("POST", target, &[], body)
+    }
+
+    /// Repeats a GET request until it is answered with the status, or the time in ms has passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the status was not seen in time.
+    pub fn wait_for(&self, target: &str, status: u16, limit_ms: u64) -> io::Result<WireAnswer> {
+        let end = Instant::now() + Duration::from_millis(limit_ms);
+        loop {
+            let result = self.get(target);
+            if let Ok(answer) = &result
+                && answer.status == status
+            {
+                return result;
+            }
+            if Instant::now() >= end {
+                let seen = result.map(|answer| answer.status);
+                let text = format!(
+                    "{}{target}: no status {status}, last {seen:?}",
+                    self.address
+                );
+                return Err(io::Error::new(io::ErrorKind::TimedOut, text));
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/wire/wire_answer.rs
@@ -0,0 +1,112 @@
+use std::io::{self, BufRead};
+
+use crate::wire::{MessageHead, message_head};
+
+/// Holds an answer, sent by a stand-in or received by a client.
+#[derive(Debug, Clone)]
+pub struct WireAnswer {
+    /// Status.
+    pub status: u16,
+    /// Header names in lower case with their values.
+    pub headers: Vec<(String, String)>,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+impl WireAnswer {
+    /// Makes an answer without headers.
+    #[must_use]
+    pub fn new<B>(status: u16, body: B) -> WireAnswer
+    where
+        B: Into<Vec<u8>>,
+    {
+        WireAnswer {
+            status,
+            headers: Vec::new(),
+            body: body.into(),
+        }
+    }
+
+    /// Makes an answer with a JSON body and status 200.
+    #[must_use]
+    pub fn json(value: &serde_json::Value) -> WireAnswer {
+        WireAnswer::new(200, value.to_string()).with("content-type", "application/json")
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with<V>(mut self, name: &str, value: V) -> WireAnswer
+    where
+        V: Into<String>,
+    {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Returns the first header of the given name in lower case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the body as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the body as JSON, or null if it is none.
+    #[must_use]
+    pub fn value(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the bytes of the whole answer.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut text = format!("HTTP/1.1 {} -\r\n", self.status);
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if self.status != 304 {
+            text.push_str(&format!("content-length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
+    /// Reads an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection ends early or the answer is malformed.
+    pub fn read<R>(reader: &mut R) -> io::Result<WireAnswer>
+    where
+        R: BufRead,
+    {
+        loop {
+            let head = MessageHead::read(reader)?
+                .ok_or_else(|| io::Error::new(io::ErrorKind::UnexpectedEof, "no answer"))?;
+            let word = head.start.split(' ').nth(1).unwrap_or_default();
+            let status: u16 = word
+                .parse()
+                .map_err(|_| message_head::invalid("bad status line"))?;
+            if (100..200).contains(&status) {
+                continue;
+            }
+            let body = match status {
+                204 | 304 => Vec::new(),
+                _ => head.read_body(reader)?,
+            };
+            let headers = head.headers;
+            return Ok(WireAnswer {
+                status,
+                headers,
+                body,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/wire/wire_client.rs
@@ -0,0 +1,66 @@
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use crate::wire::WireAnswer;
+
+/// Sends requests one after the other on one kept connection.
+#[derive(Debug)]
+pub struct WireClient {
+    reader: BufReader<TcpStream>,
+    address: SocketAddr,
+}
+
+impl WireClient {
+    /// Opens a connection; the timeout holds for connecting and for every read and write.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection cannot be opened.
+    pub fn connect(address: SocketAddr, timeout: Duration) -> io::Result<WireClient> {
+        let stream = TcpStream::connect_timeout(&address, timeout)?;
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(timeout))?;
+        stream.set_read_timeout(Some(timeout))?;
+        Ok(WireClient {
+            reader: BufReader::new(stream),
+            address,
+        })
+    }
+
+    /// Sets the timeout of the following reads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the timeout is zero.
+    pub fn set_timeout(&self, timeout: Duration) -> io::Result<()> {
+        self.reader.get_ref().set_read_timeout(Some(timeout))
+    }
+
+    /// Sends a request and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection ends, times out or carries a malformed answer; the
+    /// connection cannot be used afterwards.
+    pub fn call(
+        &mut self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+    ) -> io::Result<WireAnswer> {
+        let mut text = format!("{method} {target} HTTP/1.1\r\nhost: {}\r\n", self.address);
+        for (name, value) in headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if method != "GET" || !body.is_empty() {
+            text.push_str(&format!("content-length: {}\r\n", body.len()));
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(body);
+        self.reader.get_mut().write_all(&bytes)?;
+        WireAnswer::read(&mut self.reader)
+    }
+}
--- /dev/null
+++ b/testkit/src/wire/wire_reply.rs
@@ -0,0 +1,14 @@
+use crate::wire::WireAnswer;
+
+/// States what a stand-in does with a request.
+#[derive(Debug, Clone)]
+pub enum WireReply {
+    /// Sends the answer.
+    Answer(WireAnswer),
+    /// Sends the given number of bytes of the body, then closes the connection.
+    Cut(WireAnswer, usize),
+    /// Keeps the connection open and never answers on it.
+    Silent,
+    /// Resets the connection.
+    Reset,
+}
--- /dev/null
+++ b/testkit/tests/standins.rs
@@ -0,0 +1,236 @@
+//! Each stand-in answers as its interface promises; a wrong stand-in would make every fault test of
+//! the nodes meaningless.
+
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use testkit::wire::{WireAnswer, WireClient};
+use testkit::{DeploymentPlan, FleetPlan, HttpProbe, PortRange, ProcessGuard};
+
+type TestResult = Result<(), Box<dyn std::error::Error>>;
+
+fn start(program: &str, arguments: &[&str]) -> io::Result<(ProcessGuard, HttpProbe)> {
+    let guard = ProcessGuard::start(program, arguments)?;
+    let control = HttpProbe::new(guard.address("control")?);
+    Ok((guard, control))
+}
+
+fn fault(control: HttpProbe, request: &Value) -> TestResult {
+    let answer = control.post("/fault", request.to_string().as_bytes())?;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    Ok(())
+}
+
+fn tagged(address: SocketAddr, target: &str, headers: &[(&str, String)]) -> io::Result<WireAnswer> {
+    HttpProbe::new(address).call("GET", target, headers, &[])
+}
+
+/// Guards against a watch that misses a change, or that answers before one.
+#[test]
+fn config_watch_answers_on_change() -> TestResult {
+    let (guard, control) = start("standin-config", &[])?;
+    let config = HttpProbe::new(guard.address("config")?);
+    assert_eq!(config.get("/v1/manifest")?.status, 404);
+    control.put("/manifest", b"one")?;
+    let first = config.get("/v1/manifest?after=0&wait_ms=1000")?;
+    assert_eq!((first.status, first.text()), (200, "one".to_owned()));
+    assert_eq!(first.header("x-revision"), Some("1"));
+    assert_eq!(config.get("/v1/manifest?after=1&wait_ms=30")?.status, 304);
+    let watch = thread::spawn(move || config.get("/v1/manifest?after=1&wait_ms=5000"));
+    while control.get("/counts")?.value()["watches_held"] != 1 {
+        thread::sleep(Duration::from_millis(2));
+    }
+    control.put("/manifest", b"two")?;
+    let second = watch.join().expect("watch thread")?;
+    assert_eq!((second.status, second.text()), (200, "two".to_owned()));
+    let counts = control.get("/counts")?.value();
+    assert_eq!(counts["calls"]["/v1/manifest"], 4);
+    assert_eq!(counts["watches_held"], 0);
+    Ok(())
+}
+
+/// Guards against a stand-in that is more generous than the platform.
+#[test]
+fn config_refuses_values_above_limit() -> TestResult {
+    let (_guard, control) = start("standin-config", &[])?;
+    assert_eq!(
+        control.put("/manifest", &vec![b'x'; 1_000_001])?.status,
+        413
+    );
+    assert_eq!(
+        control.put("/manifest", &vec![b'x'; 1_000_000])?.status,
+        200
+    );
+    Ok(())
+}
+
+/// Guards against faults that do not act, or do not end.
+#[test]
+fn config_faults_start_and_end() -> TestResult {
+    let (guard, control) = start("standin-config", &[])?;
+    let config = HttpProbe::with_timeout(guard.address("config")?, 300);
+    control.put("/manifest", b"one")?;
+    control.put("/manifest", b"two")?;
+    fault(control, &json!({ "mode": "stale", "for_ms": 200 }))?;
+    control.put("/manifest", b"three")?;
+    assert_eq!(config.get("/v1/manifest")?.text(), "one");
+    thread::sleep(Duration::from_millis(210));
+    assert_eq!(config.get("/v1/manifest")?.text(), "three");
+    fault(control, &json!({ "mode": "silent", "target": "manifest" }))?;
+    assert!(config.get("/v1/manifest").is_err());
+    let instances = HttpProbe::new(guard.address("instances")?);
+    assert_eq!(instances.get("/v1/instances")?.status, 404);
+    let mut kept = WireClient::connect(guard.address("instances")?, Duration::from_secs(2))?;
+    kept.call("GET", "/v1/instances", &[], &[])?;
+    fault(control, &json!({ "mode": "down" }))?;
+    assert!(kept.call("GET", "/v1/instances", &[], &[]).is_err());
+    let refused = config.get("/v1/manifest").expect_err("server is down");
+    assert_eq!(refused.kind(), io::ErrorKind::ConnectionRefused);
+    fault(control, &json!({ "mode": "none" }))?;
+    assert_eq!(config.wait_for("/v1/manifest", 200, 1_000)?.text(), "three");
+    Ok(())
+}
+
+/// Guards against an instance list without its lag.
+#[test]
+fn instance_list_lags() -> TestResult {
+    let (guard, control) = start("standin-config", &[])?;
+    let instances = HttpProbe::new(guard.address("instances")?);
+    fault(control, &json!({ "mode": "none", "instance_lag_ms": 300 }))?;
+    let start = Instant::now();
+    control.put(
+        "/instances",
+        br#"{"instances":[{"address":"127.0.0.1:1"}]}"#,
+    )?;
+    assert_eq!(instances.get("/v1/instances")?.status, 404);
+    let list = instances.get("/v1/instances?after=0&wait_ms=3000")?.value();
+    assert!(start.elapsed() >= Duration::from_millis(300));
+    assert_eq!(
+        list,
+        json!({ "revision": 1, "instances": [{ "address": "127.0.0.1:1" }] })
+    );
+    Ok(())
+}
+
+/// Guards against answers that cannot be told apart, and against runs that are not counted.
+#[test]
+fn backend_answers_and_counts_runs() -> TestResult {
+    let (guard, control) = start("standin-backend", &["--name=a-1", "--work=/price=1ms"])?;
+    let address = guard.address("listen")?;
+    let headers = [
+        ("x-request-tag", "t7".to_owned()),
+        ("idempotency-key", "k".to_owned()),
+    ];
+    let body = tagged(address, "/price/3?x=1", &headers)?.value();
+    assert_eq!(
+        (&body["instance"], &body["tag"]),
+        (&json!("a-1"), &json!("t7"))
+    );
+    assert_eq!(body["path"], "/price/3");
+    tagged(address, "/price/3", &headers)?;
+    assert_eq!(control.get("/runs")?.value(), json!({ "k": 2 }));
+    assert_eq!(
+        HttpProbe::new(address).get("/health")?.value()["state"],
+        "ready"
+    );
+    fault(control, &json!({ "mode": "drain" }))?;
+    assert_eq!(
+        HttpProbe::new(address).get("/health")?.value()["state"],
+        "draining"
+    );
+    tagged(address, "/price/3", &[])?;
+    assert_eq!(control.get("/counts")?.value()["requests_after_drain"], 1);
+    fault(control, &json!({ "mode": "cut", "after_bytes": 5 }))?;
+    assert!(tagged(address, "/price/3", &[]).is_err());
+    Ok(())
+}
+
+/// Guards against slots, deadlines and cancellations that are not observed.
+#[test]
+fn backend_observes_slots_deadline_and_cancel() -> TestResult {
+    let (guard, control) = start("standin-backend", &["--slots=1", "--work=/print=2000ms"])?;
+    let address = guard.address("listen")?;
+    let headers = [("x-request-id", "r1".to_owned())];
+    let long = thread::spawn(move || tagged(address, "/print", &headers));
+    while control.get("/counts")?.value()["running"] != 1 {
+        thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(tagged(address, "/print", &[])?.status, 503);
+    let cancelled = HttpProbe::new(address).post("/cancel/r1", &[])?;
+    assert_eq!(cancelled.value()["cancelled"], true);
+    assert_eq!(long.join().expect("request thread")?.status, 499);
+    let late = tagged(address, "/print", &[("x-deadline-ms", "20".to_owned())])?;
+    assert_eq!(late.status, 504);
+    let counts = control.get("/counts")?.value();
+    assert_eq!(
+        (&counts["slot_violations"], &counts["cancelled"]),
+        (&json!(1), &json!(1))
+    );
+    assert_eq!(
+        (&counts["expired"], &counts["running"]),
+        (&json!(1), &json!(0))
+    );
+    Ok(())
+}
+
+/// Guards against a nested call that loses its depth or its tag.
+#[test]
+fn backend_makes_nested_call() -> TestResult {
+    let (inner, _) = start("standin-backend", &["--name=inner"])?;
+    let nest = format!("--nest=/outer=http://{}/inner", inner.address("listen")?);
+    let (outer, _) = start("standin-backend", &["--name=outer", &nest])?;
+    let headers = [("x-request-tag", "t1".to_owned())];
+    let body = tagged(outer.address("listen")?, "/outer", &headers)?.value();
+    assert_eq!(body["nested"]["body"]["instance"], "inner");
+    assert_eq!(body["nested"]["body"]["tag"], "t1");
+    Ok(())
+}
+
+/// Guards against a guard that loses its process: a stopped process must still be killed.
+#[test]
+fn process_guard_signals() -> TestResult {
+    let (mut guard, control) = start("standin-config", &[])?;
+    guard.pause()?;
+    assert!(
+        HttpProbe::with_timeout(guard.address("control")?, 200)
+            .get("/counts")
+            .is_err()
+    );
+    guard.resume()?;
+    assert_eq!(control.get("/counts")?.status, 200);
+    guard.terminate()?;
+    assert_eq!(guard.wait(2_000)?.code(), Some(0));
+    assert!(guard.terminate().is_err());
+    let (mut guard, control) = start("standin-config", &[])?;
+    guard.pause()?;
+    drop(guard);
+    assert!(control.get("/counts").is_err());
+    Ok(())
+}
+
+/// Guards against settings that are no TOML, and against two processes on one port.
+#[test]
+fn fleet_plan_covers_examples() -> TestResult {
+    for name in ["siam-markwell", "timbre-listo"] {
+        let folder = std::env::temp_dir().join(format!("testkit-{}-{name}", std::process::id()));
+        let mut plan = FleetPlan::new(DeploymentPlan::example(name)?, &folder)?;
+        assert_eq!(plan.endpoints.len(), 17);
+        plan.apply_latencies()?;
+        plan.common.set("call", "queue_limit", "9");
+        let text = std::fs::read_to_string(plan.write_settings(3)?)?;
+        std::fs::remove_dir_all(&folder)?;
+        let settings: toml::Table = toml::from_str(&text)?;
+        assert_eq!(settings["call"]["queue_limit"], toml::Value::Integer(9));
+        assert_eq!(settings["seeds"].as_array().map(Vec::len), Some(8));
+        let manifest = std::fs::read(DeploymentPlan::example_path(name, "manifest.json"))?;
+        let manifest: Value = serde_json::from_slice(&manifest)?;
+        let services = manifest["services"].as_array().map(Vec::len);
+        assert_eq!(services, Some(plan.deployment.services.len()));
+    }
+    let (mut left, mut right) = (PortRange::claim()?, PortRange::claim()?);
+    assert_ne!(left.address()?, right.address()?);
+    Ok(())
+}
