Add load generator and demo

Goodput and tail latency need arrivals that do not wait for answers, and answers that are checked against their own request.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod backend;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod port_range;
 pub mod process;
--- /dev/null
+++ b/testkit/src/load.rs
@@ -0,0 +1,19 @@
+//! Open-loop load with checked answers.
+
+mod answer_check;
+mod attempt_result;
+mod kind_tally;
+mod load_caller;
+mod load_profile;
+mod load_run;
+mod load_target;
+mod work_queue;
+
+pub use answer_check::AnswerCheck;
+pub use attempt_result::AttemptResult;
+pub use kind_tally::KindTally;
+pub use load_caller::{LoadCaller, PlannedCall};
+pub use load_profile::{KeyChoice, KindLoad, LoadProfile, StepLoad};
+pub use load_run::LoadRun;
+pub use load_target::{LoadTarget, TargetAddress};
+pub use work_queue::WorkQueue;
--- /dev/null
+++ b/testkit/src/load/answer_check.rs
@@ -0,0 +1,46 @@
+use crate::load::AttemptResult;
+use crate::wire::WireAnswer;
+
+/// Holds what the right answer to a request must repeat.
+#[derive(Debug, Clone)]
+pub struct AnswerCheck {
+    /// Method of the request.
+    pub method: String,
+    /// Path of the request.
+    pub path: String,
+    /// Tag of the request.
+    pub tag: String,
+    /// Size of the request body in bytes.
+    pub body_bytes: usize,
+}
+
+impl AnswerCheck {
+    /// Judges an answer by its outcome header, or by its status if it has none.
+    #[must_use]
+    pub fn judge(&self, answer: &WireAnswer) -> AttemptResult {
+        let status = answer.status.to_string();
+        let code = answer.header("x-result-code").unwrap_or(&status).to_owned();
+        match answer.header("x-outcome") {
+            Some("not-run") => AttemptResult::Refused(code),
+            Some("failed") => AttemptResult::Failed(code),
+            Some("unknown") => AttemptResult::Unknown(code),
+            _ if answer.status == 200 => self.compare(answer),
+            None if answer.status == 503 => AttemptResult::Refused(code),
+            _ => AttemptResult::Failed(code),
+        }
+    }
+
+    fn compare(&self, answer: &WireAnswer) -> AttemptResult {
+        let value = answer.value();
+        let padding = value["padding"].as_str();
+        let right = value["method"] == self.method
+            && value["path"] == self.path
+            && value["tag"] == self.tag
+            && value["received_bytes"] == self.body_bytes
+            && padding.is_some_and(|text| text.bytes().all(|byte| byte == b'x'));
+        match value["instance"].as_str() {
+            Some(instance) if right => AttemptResult::Right(instance.to_owned()),
+            _ => AttemptResult::Wrong,
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/load/load_caller.rs
@@ -0,0 +1,157 @@
+use std::io;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+use uuid::Builder;
+
+use crate::load::{AnswerCheck, AttemptResult, KeyChoice, KindLoad, LoadTarget};
+use crate::wire::WireAnswer;
+
+/// Time that a caller waits for an answer after the deadline, so that late answers are told from
+/// missing ones.
+const LATE_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Describes one call before it is made.
+#[derive(Debug, Clone, Copy)]
+pub struct PlannedCall {
+    /// Index of the kind.
+    pub kind: usize,
+    /// Number within the run.
+    pub number: u64,
+    /// Intended start.
+    pub start: Instant,
+    /// Index of the first target; retries go to those after it.
+    pub target: usize,
+}
+
+/// Makes the attempts of one call.
+#[derive(Debug)]
+pub struct LoadCaller<'a> {
+    kind: &'a KindLoad,
+    targets: &'a [&'a LoadTarget],
+    call: PlannedCall,
+    check: AnswerCheck,
+    body: Vec<u8>,
+    key: Option<String>,
+    first: Option<Instant>,
+}
+
+impl<'a> LoadCaller<'a> {
+    /// Prepares a call; `run` is part of its tag and keeps the tags of several runs apart.
+    #[must_use]
+    pub fn new(
+        kind: &'a KindLoad,
+        targets: &'a [&'a LoadTarget],
+        call: PlannedCall,
+        run: u64,
+    ) -> LoadCaller<'a> {
+        let check = AnswerCheck {
+            method: kind.method.clone(),
+            path: format!("{}/{}", kind.path, call.number),
+            tag: format!("{run:016x}-{}", call.number),
+            body_bytes: kind.body_bytes,
+        };
+        LoadCaller {
+            kind,
+            targets,
+            call,
+            check,
+            body: vec![b'b'; kind.body_bytes],
+            key: (kind.key != KeyChoice::None).then(new_key),
+            first: None,
+        }
+    }
+
+    /// Returns the idempotency key.
+    #[must_use]
+    pub fn key(&self) -> Option<&str> {
+        self.key.as_deref()
+    }
+
+    /// Makes the call, with retries; returns the last result and the number of retries.
+    pub fn run(&mut self) -> (AttemptResult, u32) {
+        let mut retries = 0;
+        loop {
+            let (result, pause) = self.attempt(retries);
+            let again = retries < self.kind.retries
+                && result.allows_retry(self.key.is_some() || self.kind.method == "GET")
+                && self.remaining() > pause;
+            if !again {
+                return (result, retries);
+            }
+            thread::sleep(pause);
+            retries += 1;
+        }
+    }
+
+    fn attempt(&mut self, retries: u32) -> (AttemptResult, Duration) {
+        let remaining = self.remaining();
+        if remaining < Duration::from_millis(1) {
+            let code = "not-sent".to_owned();
+            return (AttemptResult::Refused(code), Duration::ZERO);
+        }
+        let index = (self.call.target + retries as usize) % self.targets.len();
+        let target = self.targets[index];
+        let Ok(mut client) = target.take(remaining) else {
+            let code = "connect".to_owned();
+            return (AttemptResult::Refused(code), Duration::ZERO);
+        };
+        let headers = self.headers();
+        let target_path = &self.check.path;
+        let answer = client
+            .set_timeout(self.remaining() + LATE_WAIT)
+            .and_then(|()| client.call(&self.kind.method, target_path, &headers, &self.body));
+        match answer {
+            Ok(answer) => {
+                if answer.header("connection") != Some("close") {
+                    target.put(client);
+                }
+                (self.check.judge(&answer), pause(&answer))
+            }
+            Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                (AttemptResult::Wrong, Duration::ZERO)
+            }
+            Err(error) => {
+                let timeout = matches!(
+                    error.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                );
+                let code = if timeout { "timeout" } else { "connection" };
+                (AttemptResult::Unknown(code.to_owned()), Duration::ZERO)
+            }
+        }
+    }
+
+    fn headers(&mut self) -> Vec<(&'static str, String)> {
+        let mut headers = vec![
+            ("x-request-tag", self.check.tag.clone()),
+            ("x-deadline-ms", self.remaining().as_millis().to_string()),
+        ];
+        if let Some(key) = &self.key {
+            headers.push(("idempotency-key", key.clone()));
+        }
+        if self.kind.key == KeyChoice::First {
+            let first = *self.first.get_or_insert_with(Instant::now);
+            let age = first.elapsed().as_millis();
+            headers.push(("x-first-attempt-age-ms", age.to_string()));
+        }
+        headers
+    }
+
+    fn remaining(&self) -> Duration {
+        let deadline = Duration::from_millis(self.kind.deadline_ms);
+        deadline.saturating_sub(self.call.start.elapsed())
+    }
+}
+
+fn pause(answer: &WireAnswer) -> Duration {
+    let value = answer.header("retry-after-ms");
+    Duration::from_millis(value.and_then(|text| text.parse().ok()).unwrap_or(0))
+}
+
+fn new_key() -> String {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let millis = now.unwrap_or_default().as_millis() as u64;
+    let builder = Builder::from_unix_timestamp_millis(millis, &rand::random());
+    builder.into_uuid().to_string()
+}
--- a/testkit/src/wire.rs
+++ b/testkit/src/wire.rs
@@ -15,3 +15,5 @@
 pub use wire_reply::WireReply;
 pub use wire_request::WireRequest;
 pub use wire_server::{WireHandler, WireServer};
+
+pub(crate) use wire_server::lock;
--- a/testkit/src/wire/wire_client.rs
+++ b/testkit/src/wire/wire_client.rs
@@ -37,6 +37,18 @@
         self.reader.get_ref().set_read_timeout(Some(timeout))
     }
 
+    /// Returns whether the other end has neither closed the connection nor sent unasked bytes.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        let stream = self.reader.get_ref();
+        let mut byte = [0];
+        let seen = stream
+            .set_nonblocking(true)
+            .and_then(|()| stream.peek(&mut byte));
+        let quiet = seen.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+        stream.set_nonblocking(false).is_ok() && quiet
+    }
+
     /// Sends a request and reads its whole answer.
     ///
     /// # Errors
--- a/testkit/tests/standins.rs
+++ b/testkit/tests/standins.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use testkit::load::{AnswerCheck, AttemptResult};
 use testkit::wire::{WireAnswer, WireClient};
 use testkit::{DeploymentPlan, FleetPlan, HttpProbe, PortRange, ProcessGuard};
 
@@ -234,3 +235,87 @@
     assert_ne!(left.address()?, right.address()?);
     Ok(())
 }
+
+/// Guards against a load report that hides wrong answers, or a call that is lost from it.
+#[test]
+fn load_gen_checks_and_counts() -> TestResult {
+    let (guard, control) = start("standin-backend", &["--name=a", "--slots=50"])?;
+    let folder = std::env::temp_dir();
+    let path = folder.join(format!("testkit-load-{}.json", std::process::id()));
+    let profile = json!({
+        "seed": 3,
+        "kinds": [
+            { "name": "order", "method": "POST", "path": "/orders", "share": 1, "weight": 2,
+              "deadline_ms": 1000, "key": "first", "body_bytes": 10 },
+            { "name": "price", "method": "GET", "path": "/price", "weight": 1,
+              "deadline_ms": 1000 }
+        ],
+        "steps": [{ "rate": 100, "rates": { "price": 50 }, "seconds": 0.5 }]
+    });
+    std::fs::write(&path, profile.to_string())?;
+    let command = || -> io::Result<Value> {
+        let mut command = std::process::Command::new(ProcessGuard::program_path("load-gen")?);
+        command.arg(format!("--direct={}", guard.address("listen")?));
+        let output = command.arg("--profile").arg(&path).output()?;
+        let text = String::from_utf8_lossy(&output.stdout);
+        Ok(serde_json::from_str(
+            text.lines().last().unwrap_or_default(),
+        )?)
+    };
+    let report = command()?;
+    let (order, price) = (&report["kinds"]["order"], &report["kinds"]["price"]);
+    assert_eq!(order["sent"], order["completed"], "{report}");
+    assert_eq!(price["sent"], price["completed"], "{report}");
+    let sent = order["sent"].as_u64().zip(price["sent"].as_u64());
+    let (orders, prices) = sent.ok_or("no counts")?;
+    assert!(
+        (20..90).contains(&orders) && (8..50).contains(&prices),
+        "{report}"
+    );
+    let counts = control.get("/counts")?.value();
+    assert_eq!(
+        (&counts["requests"], &counts["keys"]),
+        (&json!(orders + prices), &json!(orders))
+    );
+    fault(control, &json!({ "mode": "cut", "after_bytes": 9 }))?;
+    let cut = command()?;
+    assert_eq!(cut["completed"], 0);
+    assert_eq!(cut["kinds"]["order"]["unknown"]["connection"], orders);
+    std::fs::remove_file(&path)?;
+    Ok(())
+}
+
+/// Guards against a check that takes the answer to another request for its own.
+#[test]
+fn load_check_finds_foreign_answers() {
+    let check = AnswerCheck {
+        method: "GET".to_owned(),
+        path: "/price/1".to_owned(),
+        tag: "t1".to_owned(),
+        body_bytes: 0,
+    };
+    let answer = |path: &str, tag: &str, padding: &str| {
+        check.judge(&WireAnswer::json(&json!({
+            "instance": "a", "method": "GET", "path": path, "tag": tag, "received_bytes": 0,
+            "padding": padding,
+        })))
+    };
+    assert_eq!(
+        answer("/price/1", "t1", "xx"),
+        AttemptResult::Right("a".to_owned())
+    );
+    assert_eq!(answer("/price/2", "t1", "xx"), AttemptResult::Wrong);
+    assert_eq!(answer("/price/1", "t2", "xx"), AttemptResult::Wrong);
+    assert_eq!(answer("/price/1", "t1", "xy"), AttemptResult::Wrong);
+    assert_eq!(
+        check.judge(&WireAnswer::new(200, "{}")),
+        AttemptResult::Wrong
+    );
+    let refused = WireAnswer::new(503, "")
+        .with("x-outcome", "not-run")
+        .with("x-result-code", "303");
+    assert_eq!(
+        check.judge(&refused),
+        AttemptResult::Refused("303".to_owned())
+    );
+}
