--- a/src/caller/wire_stream.rs
+++ b/src/caller/wire_stream.rs
@@ -11,8 +11,11 @@
 use crate::caller::{BodyLength, WireError};
 use crate::clock::ClockTime;
 
-/// Bytes asked for in one read.
-const READ_SIZE: usize = 16 * 1024;
+/// Bytes asked for in one read of a head. An idle connection holds a buffer of this size, so 1,024
+/// of them hold 4 MiB.
+const HEAD_READ: usize = 4 * 1024;
+/// Bytes asked for in one read of a body.
+const BODY_READ: usize = 64 * 1024;
 /// Time for which bytes of a refused request are discarded. Closing with unread bytes resets the
 /// connection, and the caller could lose the refusal.
 const LINGER_TIME: ClockTime = ClockTime(1_000);
@@ -51,13 +54,19 @@
     ///
     /// Any error of the socket.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        self.fill_sized(HEAD_READ).await
+    }
+
+    async fn fill_sized(&mut self, size: usize) -> io::Result<usize> {
         let mut scratch = std::mem::take(&mut self.scratch);
         scratch.clear();
-        scratch.reserve(READ_SIZE);
+        scratch.reserve_exact(size);
         let (result, scratch) = self.stream.read(scratch).await;
         let count = result?;
         self.buffer.extend_from_slice(&scratch[..count]);
-        self.scratch = scratch;
+        if scratch.capacity() == HEAD_READ {
+            self.scratch = scratch;
+        }
         Ok(count)
     }
 
@@ -179,7 +188,7 @@
     }
 
     async fn fill_body(&mut self) -> Result<(), WireError> {
-        match self.fill().await {
+        match self.fill_sized(BODY_READ).await {
             Ok(0) => Err(WireError::Truncated),
             Ok(_) => Ok(()),
             Err(error) => Err(WireError::Lost(error)),
