--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,6 +4,7 @@
 mod call_header;
 mod call_lease;
 mod call_reply;
+mod connection_table;
 mod control_link;
 mod control_message;
 mod control_receiver;
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -1,5 +1,4 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +15,7 @@
 use crate::id::NodeAddress;
 use crate::peer::call_exchange;
 use crate::peer::call_lease::CallLease;
+use crate::peer::connection_table::ConnectionTable;
 use crate::peer::peer_connection::{self, PeerConnection};
 use crate::peer::peer_request;
 use crate::peer::{
@@ -31,7 +31,7 @@
 pub struct PeerPool {
     clock: SystemClock,
     answer_limit: usize,
-    connections: Rc<RefCell<HashMap<NodeAddress, Rc<PeerConnection>>>>,
+    table: Rc<ConnectionTable>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
     closed: Cell<bool>,
 }
@@ -43,16 +43,23 @@
         Self {
             clock,
             answer_limit,
-            connections: Rc::default(),
+            table: Rc::new(ConnectionTable::new(MAX_CONNECTIONS)),
             tasks: RefCell::default(),
             closed: Cell::new(false),
         }
     }
 
+    /// Limits the pool to `count` call connections instead of 512.
+    #[must_use]
+    pub fn with_connection_limit(mut self, count: usize) -> Self {
+        self.table = Rc::new(ConnectionTable::new(count));
+        self
+    }
+
     /// Returns the number of call connections that are open or being opened.
     #[must_use]
     pub fn connection_count(&self) -> usize {
-        self.connections.borrow().len()
+        self.table.len()
     }
 
     /// Closes every connection and joins its task; later calls are refused.
@@ -61,10 +68,7 @@
     /// for their connections to end.
     pub async fn close(&self) {
         self.closed.set(true);
-        let open: Vec<_> = self.connections.borrow_mut().drain().collect();
-        for (_, connection) in open {
-            connection.close();
-        }
+        self.table.close();
         let tasks = self.tasks.take();
         for task in tasks {
             task.await;
@@ -84,8 +88,7 @@
         if self.closed.get() {
             return Err(peer_connection::unreachable(to, "the pool is closed"));
         }
-        let held = self.connections.borrow().get(&to).cloned();
-        let connection = match held {
+        let connection = match self.table.get(to) {
             Some(connection) => connection,
             None => self.open(to)?,
         };
@@ -93,26 +96,19 @@
     }
 
     fn open(&self, to: NodeAddress) -> Result<Rc<PeerConnection>> {
-        let mut connections = self.connections.borrow_mut();
-        if connections.len() >= MAX_CONNECTIONS {
-            let idle = connections
-                .iter()
-                .filter(|(_, connection)| connection.outstanding.get() == 0)
-                .min_by_key(|(_, connection)| connection.last_used.get())
-                .map(|(address, _)| *address)
-                .ok_or_else(|| peer_connection::unreachable(to, "all connections are in use"))?;
-            if let Some(connection) = connections.remove(&idle) {
-                connection.close();
-            }
+        if !self.table.make_room() {
+            return Err(peer_connection::unreachable(
+                to,
+                "all connections are in use",
+            ));
         }
         let (connection, driver) = PeerConnection::new(to, self.clock.now());
-        connections.insert(to, Rc::clone(&connection));
-        drop(connections);
-        let table = Rc::clone(&self.connections);
+        self.table.insert(to, Rc::clone(&connection));
+        let table = Rc::clone(&self.table);
         let own = Rc::clone(&connection);
         self.spawn(async move {
             driver.await;
-            forget(&table, to, &own);
+            table.forget(to, &own);
         });
         Ok(connection)
     }
@@ -133,7 +129,7 @@
                 Ok(Err(error)) => error,
                 Err(_) => peer_connection::unreachable(to, "the connection was closed"),
             };
-            forget(&self.connections, to, lease.connection());
+            self.table.forget(to, lease.connection());
             lease.connection().retire();
             last = Some(error);
             if fresh {
@@ -276,9 +272,7 @@
 impl Drop for PeerPool {
     fn drop(&mut self) {
         // A pool that was not closed must not leave drivers running without an end.
-        for connection in self.connections.borrow().values() {
-            connection.close();
-        }
+        self.table.close();
     }
 }
 
@@ -290,18 +284,3 @@
             .finish_non_exhaustive()
     }
 }
-
-/// Removes a connection from the table unless another one has replaced it.
-fn forget(
-    table: &RefCell<HashMap<NodeAddress, Rc<PeerConnection>>>,
-    to: NodeAddress,
-    connection: &Rc<PeerConnection>,
-) {
-    let mut connections = table.borrow_mut();
-    if connections
-        .get(&to)
-        .is_some_and(|held| Rc::ptr_eq(held, connection))
-    {
-        connections.remove(&to);
-    }
-}
--- a/tests/peer_protocol.rs
+++ b/tests/peer_protocol.rs
@@ -451,6 +451,42 @@
     });
 }
 
+/// Guards against unbounded connections, a second one to the same peer, and one that a restarted
+/// peer has left behind.
+#[test]
+fn pool_shares_evicts_and_replaces_connections() {
+    run(async {
+        let handler = Rc::new(EchoHandler {
+            delay: 50,
+            ..EchoHandler::default()
+        });
+        let servers = [server(&handler), server(&handler), server(&handler)];
+        let pool = pool().with_connection_limit(2);
+        let call = |index: usize| pool.call(servers[index].address(), header(5_000), Bytes::new());
+        let (first, second) = futures_util::future::join(call(0), call(0)).await;
+        assert!(first.is_ok() && second.is_ok());
+        assert_eq!(pool.connection_count(), 1);
+        let answers = futures_util::future::join3(call(0), call(1), call(2)).await;
+        assert!(answers.0.is_ok() && answers.1.is_ok());
+        let full = answers.2.expect_err("both connections are in use");
+        assert_eq!(full.code(), ResultCode::PeerUnreachable);
+        for index in [2, 1, 0] {
+            call(index).await.expect("answer after an eviction");
+            assert_eq!(pool.connection_count(), 2);
+        }
+        let [left, ..] = servers;
+        let address = left.address();
+        left.shutdown(ClockTime(1_000)).await;
+        let handler: Rc<dyn PeerHandler> = handler;
+        let restarted = PeerServer::bind(address, handler, BODY_LIMIT, SystemClock::new());
+        let restarted = restarted.expect("bind again");
+        let answer = pool.call(address, header(5_000), Bytes::new()).await;
+        assert!(answer.is_ok(), "{answer:?}");
+        pool.close().await;
+        restarted.shutdown(ClockTime(1_000)).await;
+    });
+}
+
 /// Guards against a storm of reconnections that holds the thread with handshakes.
 #[test]
 fn closes_connections_above_the_handshake_rate() {
