--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -1,7 +1,9 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::fmt;
+use std::future;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -16,6 +18,7 @@
 use crate::id::NodeAddress;
 use crate::peer::call_exchange;
 use crate::peer::call_lease::CallLease;
+use crate::peer::connection_table::ConnectionTable;
 use crate::peer::peer_connection::{self, PeerConnection};
 use crate::peer::peer_request;
 use crate::peer::{
@@ -31,7 +34,7 @@
 pub struct PeerPool {
     clock: SystemClock,
     answer_limit: usize,
-    connections: Rc<RefCell<HashMap<NodeAddress, Rc<PeerConnection>>>>,
+    table: Rc<ConnectionTable>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
     closed: Cell<bool>,
 }
@@ -43,16 +46,23 @@
         Self {
             clock,
             answer_limit,
-            connections: Rc::default(),
+            table: Rc::new(ConnectionTable::new(MAX_CONNECTIONS)),
             tasks: RefCell::default(),
             closed: Cell::new(false),
         }
     }
 
+    /// Limits the pool to `count` call connections instead of 512.
+    #[must_use]
+    pub fn with_connection_limit(mut self, count: usize) -> Self {
+        self.table = Rc::new(ConnectionTable::new(count));
+        self
+    }
+
     /// Returns the number of call connections that are open or being opened.
     #[must_use]
     pub fn connection_count(&self) -> usize {
-        self.connections.borrow().len()
+        self.table.len()
     }
 
     /// Closes every connection and joins its task; later calls are refused.
@@ -61,10 +71,7 @@
     /// for their connections to end.
     pub async fn close(&self) {
         self.closed.set(true);
-        let open: Vec<_> = self.connections.borrow_mut().drain().collect();
-        for (_, connection) in open {
-            connection.close();
-        }
+        self.table.close();
         let tasks = self.tasks.take();
         for task in tasks {
             task.await;
@@ -84,8 +91,7 @@
         if self.closed.get() {
             return Err(peer_connection::unreachable(to, "the pool is closed"));
         }
-        let held = self.connections.borrow().get(&to).cloned();
-        let connection = match held {
+        let connection = match self.table.get(to) {
             Some(connection) => connection,
             None => self.open(to)?,
         };
@@ -93,26 +99,19 @@
     }
 
     fn open(&self, to: NodeAddress) -> Result<Rc<PeerConnection>> {
-        let mut connections = self.connections.borrow_mut();
-        if connections.len() >= MAX_CONNECTIONS {
-            let idle = connections
-                .iter()
-                .filter(|(_, connection)| connection.outstanding.get() == 0)
-                .min_by_key(|(_, connection)| connection.last_used.get())
-                .map(|(address, _)| *address)
-                .ok_or_else(|| peer_connection::unreachable(to, "all connections are in use"))?;
-            if let Some(connection) = connections.remove(&idle) {
-                connection.close();
-            }
+        if !self.table.make_room() {
+            return Err(peer_connection::unreachable(
+                to,
+                "all connections are in use",
+            ));
         }
         let (connection, driver) = PeerConnection::new(to, self.clock.now());
-        connections.insert(to, Rc::clone(&connection));
-        drop(connections);
-        let table = Rc::clone(&self.connections);
+        self.table.insert(to, Rc::clone(&connection));
+        let table = Rc::clone(&self.table);
         let own = Rc::clone(&connection);
         self.spawn(async move {
             driver.await;
-            forget(&table, to, &own);
+            table.forget(to, &own);
         });
         Ok(connection)
     }
@@ -133,7 +132,7 @@
                 Ok(Err(error)) => error,
                 Err(_) => peer_connection::unreachable(to, "the connection was closed"),
             };
-            forget(&self.connections, to, lease.connection());
+            self.table.forget(to, lease.connection());
             lease.connection().retire();
             last = Some(error);
             if fresh {
@@ -178,14 +177,17 @@
             }
             peer_request::read_answer(response, self.answer_limit).await
         };
+        // A process that resumes after the deadline must not go on writing the body.
+        let mut answer = pin!(answer);
+        let checked = future::poll_fn(|context| {
+            if self.clock.now() - start >= allowed {
+                return Poll::Ready(Err(passed(to, allowed)));
+            }
+            answer.as_mut().poll(context)
+        });
         let left = header.remaining.to_duration();
-        let result = time::timeout(left, answer).await;
-        result.unwrap_or_else(|_| {
-            Err(Error::new(
-                ResultCode::DeadlinePassed,
-                format!("no answer from {to} within {allowed}"),
-            ))
-        })
+        let result = time::timeout(left, checked).await;
+        result.unwrap_or_else(|_| Err(passed(to, allowed)))
     }
 
     async fn ask(&self, to: NodeAddress, question: FenceRequest) -> Result<FenceReply> {
@@ -258,12 +260,7 @@
     ) -> LocalBoxFuture<'_, Result<FenceReply>> {
         async move {
             let result = time::timeout(timeout.to_duration(), self.ask(to, request)).await;
-            result.unwrap_or_else(|_| {
-                Err(Error::new(
-                    ResultCode::DeadlinePassed,
-                    format!("no answer from {to} to a fence within {timeout}"),
-                ))
-            })
+            result.unwrap_or_else(|_| Err(passed(to, timeout)))
         }
         .boxed_local()
     }
@@ -276,9 +273,7 @@
 impl Drop for PeerPool {
     fn drop(&mut self) {
         // A pool that was not closed must not leave drivers running without an end.
-        for connection in self.connections.borrow().values() {
-            connection.close();
-        }
+        self.table.close();
     }
 }
 
@@ -291,17 +286,9 @@
     }
 }
 
-/// Removes a connection from the table unless another one has replaced it.
-fn forget(
-    table: &RefCell<HashMap<NodeAddress, Rc<PeerConnection>>>,
-    to: NodeAddress,
-    connection: &Rc<PeerConnection>,
-) {
-    let mut connections = table.borrow_mut();
-    if connections
-        .get(&to)
-        .is_some_and(|held| Rc::ptr_eq(held, connection))
-    {
-        connections.remove(&to);
-    }
+fn passed(to: NodeAddress, allowed: ClockTime) -> Error {
+    Error::new(
+        ResultCode::DeadlinePassed,
+        format!("no answer from {to} within {allowed}"),
+    )
 }
