Close idle backend connections when a reused one goes silent

Cause: connections can go silent together, and each of them would cost a call; reuse after `connection: close`, HTTP/1.0 or excess bytes was not tested. Change: a deadline that passes on a reused connection empties the idle pool; two tests for reuse.

--- a/src/backend/client_connection.rs
+++ b/src/backend/client_connection.rs
@@ -18,6 +18,7 @@
 /// Holds one client connection; requests run on it one after the other.
 pub(crate) struct ClientConnection {
     stream: WireStream,
+    is_proven: bool,
 }
 
 impl ClientConnection {
@@ -37,9 +38,15 @@
             .map_err(WireError::NotWritten)?;
         Ok(Self {
             stream: WireStream::new(stream),
+            is_proven: false,
         })
     }
 
+    /// Returns true if an answer was received on this connection before.
+    pub(crate) fn is_proven(&self) -> bool {
+        self.is_proven
+    }
+
     /// Returns true if the connection is open and no unexpected bytes have arrived.
     pub(crate) fn is_quiet(&mut self) -> bool {
         self.stream.is_quiet()
@@ -84,6 +91,7 @@
         let reusable = parts.version == Version::HTTP_11
             && !caller::has_token(&parts.headers, "close")
             && self.stream.buffered() == 0;
+        self.is_proven = true;
         Ok((http::Response::from_parts(parts, body), reusable))
     }
 }
--- a/src/backend/http_backend.rs
+++ b/src/backend/http_backend.rs
@@ -94,10 +94,16 @@
         let guard = self.cancels.guard(id);
         let exchange = connection.exchange(message, self.client.body_limit);
         match time::timeout(left.to_duration(), exchange).await {
-            Err(_) => Err(Error::new(
-                ResultCode::DeadlinePassed,
-                "backend server did not answer within the deadline",
-            )),
+            Err(_) => {
+                // Open connections can go silent together while new ones work.
+                if connection.is_proven() {
+                    self.pool.clear();
+                }
+                Err(Error::new(
+                    ResultCode::DeadlinePassed,
+                    "backend server did not answer within the deadline",
+                ))
+            }
             Ok(Ok((response, reusable))) => {
                 guard.disarm();
                 if reusable {
--- a/tests/backend_http.rs
+++ b/tests/backend_http.rs
@@ -223,6 +223,54 @@
     });
 }
 
+/// Guards against reuse of a connection that the server will close or that holds excess bytes.
+#[test]
+fn connection_is_reused_only_after_a_clean_answer() {
+    let closing: &[u8] = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
+    let excess = [OK, b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong"].concat();
+    let old = [b"HTTP/1.0", &OK[8..]].concat();
+    for (first, connections) in [
+        (OK.to_vec(), 1),
+        (closing.to_vec(), 2),
+        (excess, 2),
+        (old, 2),
+    ] {
+        let text = String::from_utf8_lossy(&first).into_owned();
+        let server = ScriptedServer::start(move |number, _| match number {
+            0 => vec![ScriptStep::Send(first.clone())],
+            _ => vec![ScriptStep::Send(OK.to_vec())],
+        });
+        block_on(async {
+            let backend = backend(server.address, 1);
+            assert_eq!(run(&backend, "/0").await, Ok("ok".to_owned()));
+            assert_eq!(run(&backend, "/1").await, Ok("ok".to_owned()));
+            backend.close().await;
+        });
+        assert_eq!(server.connections(), connections, "{text}");
+    }
+}
+
+/// Guards against call after call being lost on open connections that went silent together.
+#[test]
+fn silent_connection_takes_idle_ones_out_of_use() {
+    let server = ScriptedServer::start(|number, _| match number {
+        0 | 1 => vec![ScriptStep::Wait(30), ScriptStep::Send(OK.to_vec())],
+        2 => vec![ScriptStep::Wait(300), ScriptStep::Close],
+        _ => vec![ScriptStep::Send(OK.to_vec())],
+    });
+    block_on(async {
+        let backend = backend(server.address, 2);
+        let pair = future::join(run(&backend, "/0"), run(&backend, "/1")).await;
+        assert_eq!(pair, (Ok("ok".to_owned()), Ok("ok".to_owned())));
+        let silent = backend.run(request("/2", ""), ClockTime(50)).await;
+        assert_eq!(silent.unwrap_err().code(), ResultCode::DeadlinePassed);
+        assert_eq!(run(&backend, "/3").await, Ok("ok".to_owned()));
+        backend.close().await;
+    });
+    // Two at first, one for the cancellation and a new one for the last request.
+    assert_eq!(server.connections(), 4);
+}
+
 /// Guards against answers crossing between calls that share a small pool.
 #[test]
 fn interleaved_calls_get_their_own_answers() {
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -75,6 +75,7 @@
         assert_eq!(block_on(read_value(&platform)), expected, "{start}");
         let requests = server.requests();
         assert_eq!(requests.len(), 1, "one read is one request");
+        assert_eq!(server.connections(), 1);
         assert!(requests[0].starts_with("GET /v1/manifest?after=4&wait_ms=20 HTTP/1.1\r\n"));
     }
 }
--- a/tests/support/scripted_server.rs
+++ b/tests/support/scripted_server.rs
@@ -1,6 +1,6 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -17,6 +17,7 @@
 pub struct ScriptedServer {
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicUsize>,
     stopped: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -29,16 +30,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let requests = Arc::new(Mutex::new(Vec::new()));
+        let connections = Arc::new(AtomicUsize::new(0));
         let stopped = Arc::new(AtomicBool::new(false));
         let script = Arc::new(script);
         let thread = {
             let (requests, stopped) = (Arc::clone(&requests), Arc::clone(&stopped));
+            let connections = Arc::clone(&connections);
             thread::spawn(move || {
                 let mut workers = Vec::new();
                 while let Ok((stream, _)) = listener.accept() {
                     if stopped.load(Ordering::SeqCst) {
                         break;
                     }
+                    connections.fetch_add(1, Ordering::SeqCst);
                     let (script, requests) = (Arc::clone(&script), Arc::clone(&requests));
                     workers.push(thread::spawn(move || {
                         answer_all(stream, script.as_ref(), &requests);
@@ -52,6 +56,7 @@
         Self {
             address,
             requests,
+            connections,
             stopped,
             thread: Some(thread),
         }
@@ -61,6 +66,11 @@
     pub fn requests(&self) -> Vec<String> {
         self.requests.lock().unwrap().clone()
     }
+
+    /// Returns the number of connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
 }
 
 impl Drop for ScriptedServer {
