--- a/src/peer/call_exchange.rs
+++ b/src/peer/call_exchange.rs
@@ -12,6 +12,9 @@
 /// Longest piece for which capacity is reserved at once, in bytes.
 const CHUNK_LENGTH: usize = 64 << 10;
 
+/// Longest body that is copied behind its head, in bytes.
+const JOINED_LENGTH: usize = 8 << 10;
+
 /// Sends all bytes as the other side gives capacity for them.
 pub(crate) async fn send_all(
     stream: &mut SendStream<Bytes>,
@@ -36,6 +39,23 @@
     Ok(())
 }
 
+/// Sends the head and the body of a message and ends the stream.
+///
+/// A small body shares one DATA frame with its head, which saves a write and a wake-up per call.
+pub(crate) async fn send_message(
+    stream: &mut SendStream<Bytes>,
+    head: Bytes,
+    body: Bytes,
+) -> std::result::Result<(), h2::Error> {
+    if body.len() <= JOINED_LENGTH {
+        let mut joined = BytesMut::from(head);
+        joined.extend_from_slice(&body);
+        return send_all(stream, joined.freeze(), true).await;
+    }
+    send_all(stream, head, false).await?;
+    send_all(stream, body, true).await
+}
+
 /// Reads the next piece of the stream into `buffer`; returns false at its end.
 pub(crate) async fn read_more(
     stream: &mut RecvStream,
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -165,12 +165,7 @@
             .send_request(peer_request::post("/call/1"), false)
             .map_err(|error| peer_connection::unreachable(to, error))?;
         let answer = async {
-            let sent = match call_exchange::send_all(&mut stream, head, body.is_empty()).await {
-                Ok(()) if !body.is_empty() => {
-                    call_exchange::send_all(&mut stream, body, true).await
-                }
-                result => result,
-            };
+            let sent = call_exchange::send_message(&mut stream, head, body).await;
             // A peer may answer before it has read the whole body.
             if let Err(error) = sent {
                 log::debug!("the request to {to} was not taken in full: {error}");
--- a/src/peer/server_stream.rs
+++ b/src/peer/server_stream.rs
@@ -143,13 +143,7 @@
             .respond
             .send_response(Response::new(()), false)
             .map_err(|error| call_exchange::lost(&error))?;
-        let writing = async {
-            call_exchange::send_all(&mut stream, head, body.is_empty()).await?;
-            if !body.is_empty() {
-                call_exchange::send_all(&mut stream, body, true).await?;
-            }
-            Ok(())
-        };
+        let writing = call_exchange::send_message(&mut stream, head, body);
         time::timeout(ANSWER_TIMEOUT, writing)
             .await
             .map_err(|_| Error::new(ResultCode::ConnectionLost, "an answer was not taken"))?
