--- a/src/retry.rs
+++ b/src/retry.rs
@@ -1,1 +1,10 @@
-//! Retry budget and hedging policy.
+//! Retry budget, resend rule and hedging policy.
+
+mod call_window;
+mod hedge_policy;
+mod resend_rule;
+mod retry_budget;
+
+pub use hedge_policy::{HedgeCall, HedgePolicy};
+pub use resend_rule::{FailedCall, ResendRule};
+pub use retry_budget::RetryBudget;
