--- /dev/null
+++ b/tests/once_rules.rs
@@ -0,0 +1,407 @@
+//! Rules of at-most-once execution.
+
+use std::collections::HashSet;
+
+use bytes::Bytes;
+use endivelanding::ResultCode;
+use endivelanding::call::CallAnswer;
+use endivelanding::clock::ClockTime;
+use endivelanding::error::CallOutcome;
+use endivelanding::id::{NodeAddress, NodeIncarnation, RequestKey};
+use endivelanding::once::{
+    FenceDecision, FenceRound, KeyAge, KeyEnd, KeyLedger, KeyOrigin, KeyStart, PlacedKey,
+};
+use endivelanding::peer::{FenceReply, FenceRequest};
+use endivelanding::size::ByteSize;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const FIRST: KeyOrigin = KeyOrigin::Caller {
+    elapsed: ClockTime(0),
+};
+
+fn key() -> RequestKey {
+    "order-1".parse().unwrap()
+}
+
+fn address(number: usize) -> NodeAddress {
+    NodeAddress(([127, 0, 0, 1], number as u16).into())
+}
+
+fn answer(bytes: usize) -> CallAnswer {
+    CallAnswer {
+        code: ResultCode::Ok,
+        status: 200,
+        headers: Vec::new(),
+        body: Bytes::from(vec![0; bytes]),
+        retry_after: None,
+    }
+}
+
+fn request(token: u64, age: u64) -> FenceRequest {
+    FenceRequest {
+        service: "caja".parse().unwrap(),
+        key: key(),
+        token,
+        age: ClockTime(age),
+    }
+}
+
+fn ledger() -> KeyLedger {
+    KeyLedger::new(ClockTime(0), 2, ByteSize(20_000))
+}
+
+/// Guards against a second run of a key in any state, and against a lost answer.
+#[test]
+fn recorded_keys_do_not_run_again() {
+    let (now, key) = (ClockTime(40_000), key());
+    let mut ledger = ledger();
+    assert!(matches!(ledger.begin(now, &key, 0, FIRST), KeyStart::Run));
+    assert!(matches!(
+        ledger.begin(now, &key, 0, FIRST),
+        KeyStart::Running
+    ));
+    assert_eq!(ledger.fence(now, &request(9, 1)), FenceReply::Running);
+    ledger.finish(now, &key, &answer(100));
+    ledger.abandon(now, &key, KeyEnd::NotRun);
+    let KeyStart::Replay(replay) = ledger.begin(now, &key, 9, FIRST) else {
+        panic!("no replay");
+    };
+    assert_eq!(replay.body.len(), 100);
+    assert_eq!(ledger.fence(now, &request(9, 1)), FenceReply::Finished);
+    for (bytes, end) in [(17_000, None), (0, Some(KeyEnd::Unknown))] {
+        let mut ledger = self::ledger();
+        ledger.begin(now, &key, 0, FIRST);
+        match end {
+            Some(end) => ledger.abandon(now, &key, end),
+            None => ledger.finish(now, &key, &answer(bytes)),
+        }
+        let start = ledger.begin(now, &key, 0, FIRST);
+        assert_eq!(start.refusal(), Some(ResultCode::KeyMemoryGone));
+    }
+}
+
+/// Guards against an older attempt that runs after a newer one fenced the key, and against a fence
+/// at an endpoint that cannot know what its predecessor ran.
+#[test]
+fn fences_refuse_smaller_tokens() {
+    let (now, key) = (ClockTime(40_000), key());
+    let mut ledger = ledger();
+    assert_eq!(
+        ledger.fence(now, &request(5, 40_000)),
+        FenceReply::CannotTell
+    );
+    assert_eq!(ledger.fence(now, &request(5, 39_999)), FenceReply::Fenced);
+    assert_eq!(ledger.fence(now, &request(4, 1)), FenceReply::Superseded);
+    for (token, runs) in [(0, false), (4, false), (6, false), (5, true)] {
+        let start = ledger.begin(now, &key, token, FIRST);
+        assert_eq!(matches!(start, KeyStart::Run), runs, "{token}");
+        // Another attempt may run, so the refusal must not say "not run".
+        let code = start.refusal();
+        assert_ne!(code.map(ResultCode::outcome), Some(CallOutcome::NotRun));
+    }
+    ledger.abandon(now, &key, KeyEnd::NotRun);
+    assert!(matches!(
+        ledger.begin(now, &key, 0, FIRST),
+        KeyStart::Fenced
+    ));
+    assert!(matches!(ledger.begin(now, &key, 5, FIRST), KeyStart::Run));
+}
+
+/// Guards against keys at endpoints that other nodes don't know yet.
+#[test]
+fn young_endpoint_refuses_keys_of_callers() {
+    for (now, elapsed, settled_seen, token, runs) in [
+        (29_999, 0, Some(29_000), 0, false),
+        (30_000, 0, Some(29_000), 0, true),
+        (30_001, 2, Some(29_000), 0, false),
+        (5_000, 0, None, 0, true),
+        (5_000, 5_000, None, 0, false),
+        (5_000, 0, None, 7, false),
+        (20_000, 9_000, Some(9_000), 0, false),
+        (20_001, 9_000, Some(9_000), 0, true),
+    ] {
+        let (now, elapsed) = (ClockTime(now), ClockTime(elapsed));
+        let mut ledger = ledger();
+        if let Some(seen) = settled_seen {
+            ledger.observe_settled(ClockTime(seen));
+        }
+        ledger.fence(now, &request(token, 1));
+        let origin = KeyOrigin::Caller { elapsed };
+        let start = ledger.begin(now, &key(), token, origin);
+        assert_eq!(
+            matches!(start, KeyStart::Run),
+            runs,
+            "{now} {origin:?} {settled_seen:?}"
+        );
+    }
+}
+
+/// Guards against unbounded memory, and against room made by forgetting keys within their life.
+#[test]
+fn full_ledger_refuses_new_keys() {
+    let mut ledger = ledger();
+    let now = ClockTime(40_000);
+    let keys: Vec<RequestKey> = (0..3).map(|n| format!("k{n}").parse().unwrap()).collect();
+    for key in &keys[..2] {
+        ledger.begin(now, key, 0, FIRST);
+        ledger.finish(now, key, &answer(15_000));
+    }
+    let start = ledger.begin(now, &keys[2], 0, FIRST);
+    assert_eq!(start.refusal(), Some(ResultCode::Overloaded));
+    assert_eq!(ledger.fence(now, &request(1, 1)), FenceReply::CannotTell);
+    assert!(matches!(
+        ledger.begin(now, &keys[0], 0, FIRST),
+        KeyStart::Replay(_)
+    ));
+    assert!(matches!(
+        ledger.begin(now, &keys[1], 0, FIRST),
+        KeyStart::Unknown
+    ));
+    ledger.expire(now + ClockTime(600_000));
+    assert_eq!(ledger.len(), 2, "forgotten within the lifetime");
+    ledger.expire(now + ClockTime(660_000));
+    assert!(ledger.is_empty());
+}
+
+/// Guards against a key whose age is taken too low, which lets a fence miss its first run.
+#[test]
+fn age_is_never_underestimated() {
+    let wall = 1_800_000_000_000;
+    let mut rng = SmallRng::seed_from_u64(3);
+    let (node, start) = (address(7), NodeIncarnation(wall - 9_000));
+    let placed = PlacedKey::issue(node, start, wall - 4_000, &mut rng);
+    assert_eq!(placed.to_string().parse(), Ok(placed.clone()));
+    assert_eq!((placed.address(), placed.incarnation()), (node, start));
+    let placed = placed.to_string();
+    let dated = uuid::Builder::from_unix_timestamp_millis(wall - 2_000, &[1; 10]);
+    let dated = dated.into_uuid().to_string();
+    let at_most = |age| KeyAge::AtMost(ClockTime(age));
+    for (key, header, later, expected) in [
+        ("order-1", Some(0), 0, KeyAge::First),
+        ("order-1", Some(700), 0, at_most(700)),
+        ("order-1", Some(600_000), 0, KeyAge::Past),
+        ("order-1", None, 0, KeyAge::Past),
+        (&dated, None, 0, at_most(7_000)),
+        (&dated, None, 600_000, KeyAge::Past),
+        (&placed, None, 0, at_most(9_000)),
+        (&placed, Some(0), 0, KeyAge::First),
+        (&placed, Some(0), 600_000, KeyAge::Past),
+    ] {
+        let key: RequestKey = key.parse().unwrap();
+        let age = KeyAge::resolve(&key, header.map(ClockTime), wall + later);
+        assert_eq!(age, expected, "{key} {header:?} {later}");
+    }
+    assert_eq!(
+        PlacedKey::code_when_gone(KeyAge::First).outcome(),
+        CallOutcome::NotRun
+    );
+    assert_eq!(
+        PlacedKey::code_when_gone(KeyAge::Past).outcome(),
+        CallOutcome::Unknown
+    );
+}
+
+/// Guards against a run while one endpoint may have run the key already.
+#[test]
+fn round_runs_only_if_all_vouch() {
+    use FenceReply::{CannotTell, Fenced, Finished, Running, Superseded, Unknown};
+    let answer = |code| Some(FenceDecision::Answer(code));
+    for (replies, gone, uptime, expected) in [
+        (vec![Fenced, Fenced], 0, 40_000, Some(FenceDecision::Run)),
+        (
+            vec![Fenced, Fenced],
+            1,
+            40_000,
+            answer(ResultCode::KeyMemoryGone),
+        ),
+        (
+            vec![Fenced, Fenced],
+            0,
+            31_999,
+            answer(ResultCode::KeyMemoryGone),
+        ),
+        (vec![Fenced], 0, 40_000, answer(ResultCode::KeyMemoryGone)),
+        (
+            vec![Fenced, CannotTell],
+            0,
+            40_000,
+            answer(ResultCode::KeyMemoryGone),
+        ),
+        (
+            vec![Fenced, Superseded],
+            0,
+            40_000,
+            answer(ResultCode::KeyRunning),
+        ),
+        (
+            vec![Fenced, Running],
+            0,
+            40_000,
+            answer(ResultCode::KeyRunning),
+        ),
+        (
+            vec![Unknown, CannotTell],
+            0,
+            40_000,
+            answer(ResultCode::ConnectionLost),
+        ),
+        (
+            vec![CannotTell, Finished],
+            0,
+            40_000,
+            Some(FenceDecision::Replay(address(1))),
+        ),
+    ] {
+        let live = [address(0), address(1)];
+        let gone: Vec<_> = (0..gone).map(|_| address(9)).collect();
+        let age = KeyAge::AtMost(ClockTime(2_000));
+        let mut round = FenceRound::new(ClockTime(0), age, &live, &gone, ClockTime(uptime));
+        for (number, reply) in replies.iter().enumerate() {
+            round.reply(ClockTime(10), address(number), *reply);
+        }
+        assert_eq!(round.decide(round.deadline()), expected, "{replies:?}");
+        let early = round.decide(ClockTime(20));
+        assert_eq!(early.is_some(), replies.len() == 2, "{replies:?}");
+    }
+}
+
+/// An endpoint of the model; `known` holds if a predecessor at its address was known everywhere.
+struct Place {
+    ledger: KeyLedger,
+    started: u64,
+    live: bool,
+    known: bool,
+}
+
+impl Place {
+    fn start(now: u64, known: bool) -> Self {
+        Self {
+            ledger: KeyLedger::new(ClockTime(now), 10, ByteSize(1_000)),
+            started: now,
+            live: true,
+            known,
+        }
+    }
+
+    fn is_settled(&self, now: u64) -> bool {
+        self.live && now - self.started >= 30_000
+    }
+}
+
+/// Runs one key through random attempts, fences, restarts and views; returns its runs and whether
+/// one of them followed a fence.
+fn run_model(seed: u64) -> (u32, bool) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (first, mut now) = (700_000, 700_000);
+    let count = rng.random_range(1..=4);
+    let mut places: Vec<Place> = (0..count)
+        .map(|_| {
+            let span = [600_000, 25_000][rng.random_range(0..2)];
+            Place::start(first - rng.random_range(0..span), false)
+        })
+        .collect();
+    let (mut runs, mut by_fence) = (0, false);
+    let mut running: Vec<(usize, u64, u64)> = Vec::new();
+    let mut rounds: Vec<(FenceRound, u64, u64, Vec<usize>)> = Vec::new();
+    // Place, token and start of an attempt, and its round while it fences. Messages that stay
+    // undelivered are lost.
+    let mut messages = vec![(rng.random_range(0..count), 0, first, None)];
+    let mut decided = HashSet::new();
+    for _ in 0..60 {
+        let step = rng.random_range(0..6).min(rng.random_range(0..6_usize));
+        now += [0, 5, 400, 3_000, 20_000, 100_000][step];
+        let time = ClockTime(now);
+        if places.iter().any(|place| place.is_settled(now)) {
+            places
+                .iter_mut()
+                .for_each(|place| place.ledger.observe_settled(time));
+        }
+        for place in &mut places {
+            place.known |= place.is_settled(now);
+        }
+        match rng.random_range(0..8) {
+            0 => {
+                let at = rng.random_range(0..places.len());
+                running.retain(|(place, ..)| *place != at);
+                places[at].live = false;
+                if rng.random_bool(0.7) {
+                    places[at] = Place::start(now, places[at].known);
+                }
+            }
+            1 if places.len() < 4 => places.push(Place::start(now, false)),
+            2 => {
+                // Endpoints that have settled are known everywhere; others may be missing.
+                let view = (0..places.len()).filter(|at| places[*at].known || rng.random_bool(0.5));
+                let (live, gone): (Vec<_>, Vec<_>) = view.partition(|at| places[*at].live);
+                let uptime = live.iter().map(|at| now - places[*at].started).max();
+                let name =
+                    |list: &[usize]| -> Vec<_> { list.iter().map(|at| address(*at)).collect() };
+                let age = KeyAge::resolve(&key(), Some(ClockTime((now - first).max(1))), 0);
+                let oldest = ClockTime(uptime.unwrap_or(0));
+                let round = FenceRound::new(time, age, &name(&live), &name(&gone), oldest);
+                let token = rng.random_range(1..100_000);
+                messages.extend(live.iter().map(|at| (*at, token, now, Some(rounds.len()))));
+                rounds.push((round, token, now, live));
+            }
+            3 | 4 if !running.is_empty() => {
+                let call = running.swap_remove(rng.random_range(0..running.len()));
+                let (at, token, sent) = call;
+                let ledger = &mut places[at].ledger;
+                match rng.random_range(0..3) {
+                    0 => ledger.finish(time, &key(), &answer(10)),
+                    1 => ledger.abandon(time, &key(), KeyEnd::Unknown),
+                    _ => {
+                        // The work did not run, and the entry node resends it.
+                        ledger.abandon(time, &key(), KeyEnd::NotRun);
+                        runs -= 1;
+                        messages.push((rng.random_range(0..places.len()), token, sent, None));
+                    }
+                }
+            }
+            _ if !messages.is_empty() => {
+                let message = messages.swap_remove(rng.random_range(0..messages.len()));
+                let (at, token, sent, round) = message;
+                let (place, elapsed) = (&mut places[at], ClockTime(now - sent));
+                if !place.live {
+                    continue;
+                }
+                if let Some(round) = round {
+                    let round: &mut FenceRound = &mut rounds[round].0;
+                    let asked = request(token, round.request_age().0);
+                    round.reply(time, address(at), place.ledger.fence(time, &asked));
+                } else if elapsed < ClockTime(60_000) {
+                    // No kind has a longer deadline here, and nothing is written after it.
+                    let origin = KeyOrigin::Caller { elapsed };
+                    let start = place.ledger.begin(time, &key(), token, origin);
+                    if matches!(start, KeyStart::Run) {
+                        runs += 1;
+                        by_fence |= token > 0;
+                        running.push((at, token, sent));
+                    }
+                }
+            }
+            _ => {}
+        }
+        for (number, (round, token, sent, live)) in rounds.iter().enumerate() {
+            if round.decide(time) == Some(FenceDecision::Run) && decided.insert(number) {
+                messages.push((live[rng.random_range(0..live.len())], *token, *sent, None));
+            }
+        }
+        assert!(runs <= 1, "seed {seed}: the key ran {runs} times");
+    }
+    (runs, by_fence)
+}
+
+/// Guards against a second run of a key under any interleaving of attempts, fences, restarts and
+/// differing views; also against a model in which nothing runs.
+#[test]
+fn key_runs_at_most_once() {
+    let results: Vec<_> = (0..100_000).map(run_model).collect();
+    let ran = results.iter().filter(|(runs, _)| *runs == 1).count();
+    let fenced = results.iter().filter(|(_, by_fence)| *by_fence).count();
+    assert!(
+        ran > 10_000 && fenced > 1_000,
+        "{ran} ran, {fenced} after a fence"
+    );
+}
