Decide distribution of versions as a state machine

The node needs one place that decides what to send, whom to link and when to read, without sockets and clocks, so that lost, repeated and crossing messages can be tested by seed.

--- /dev/null
+++ b/src/distribution/control_messages.rs
@@ -0,0 +1,205 @@
+use crate::clock::ClockTime;
+use crate::distribution::control_offer;
+use crate::distribution::link_state::LinkState;
+use crate::distribution::{Actions, ControlAction, ControlState};
+use crate::error::{Error, ResultCode};
+use crate::id::NodeAddress;
+use crate::membership::MemberEntry;
+use crate::peer::{ControlMessage, NodeHello};
+use crate::version::VersionStamp;
+
+/// Member entries in one message.
+const BATCH_MEMBERS: usize = 500;
+/// Time during which every chunk of the first full table counts as part of it.
+const FIRST_TABLE_TIME: ClockTime = ClockTime(2_000);
+/// Time that digests must differ before the full table is asked for; changes in flight make them
+/// differ for shorter times.
+const DIFFER_TIME: ClockTime = ClockTime(5_000);
+/// Time between two requests for the full table; it has about 100 bytes for each node.
+const TABLE_INTERVAL: ClockTime = ClockTime(60_000);
+/// Time between two requests while no table was received yet.
+const FIRST_TABLE_INTERVAL: ClockTime = ClockTime(1_000);
+/// Refusals of other nodes kept.
+const MAX_REFUSALS: usize = 64;
+
+impl ControlState {
+    /// Handles a message that came on the link to `from`.
+    pub fn on_message(
+        &mut self,
+        from: NodeAddress,
+        message: ControlMessage,
+        now: ClockTime,
+    ) -> Actions {
+        let mut actions = Actions::new();
+        let greeting = matches!(message, ControlMessage::Hello(_));
+        let Some(link) = self.links.get_mut(&from) else {
+            return actions;
+        };
+        if link.zone.is_none() && !greeting {
+            // A peer that does not greet is not heard, so its link is replaced.
+            return actions;
+        }
+        link.heard = now;
+        self.members_dirty |= self.members.hear(&from, now);
+        match message {
+            ControlMessage::Hello(hello) => self.on_hello(from, &hello, now, &mut actions),
+            ControlMessage::Heartbeat {
+                stamp,
+                read_age,
+                member_digest,
+            } => {
+                // The largest value says that the sender knows of no read.
+                if read_age < ClockTime(u64::MAX) {
+                    self.freshest = self
+                        .freshest
+                        .max(now.0.checked_sub(read_age.0).map(ClockTime));
+                }
+                self.compare_members(from, member_digest, now, &mut actions);
+                self.on_peer_stamp(from, stamp, now, &mut actions);
+            }
+            ControlMessage::Delta(delta) => self.on_delta(from, &delta, now, &mut actions),
+            ControlMessage::IndexRequest(wanted) => {
+                self.on_index_request(from, wanted, now, &mut actions);
+            }
+            ControlMessage::Index { stamp, entries } => {
+                self.on_index(from, stamp, entries, now, &mut actions);
+            }
+            ControlMessage::PieceRequest(digests) => {
+                self.send_pieces(from, &digests, now, &mut actions);
+            }
+            ControlMessage::Pieces(blobs) => {
+                let fetch = self.fetch.as_mut();
+                if fetch.is_some_and(|fetch| fetch.add(&blobs, now)) {
+                    self.try_fetched(from, now, &mut actions);
+                }
+            }
+            ControlMessage::MembersRequest => {
+                let entries: Vec<_> = self.members.entries().cloned().collect();
+                send_members(from, &entries, &mut actions);
+            }
+            ControlMessage::Members(entries) => self.on_members(from, &entries, now),
+            ControlMessage::Suspicion {
+                subject,
+                incarnation,
+                witness,
+                ..
+            } => {
+                actions = self.spread_suspicion(subject, incarnation, witness, Some(from), now);
+            }
+            ControlMessage::Applied { stamp, nodes } => self.applied.record(stamp, &nodes, from),
+            ControlMessage::Refused {
+                number,
+                digest,
+                node,
+                code,
+            } => {
+                let refusal = (number, digest, code);
+                let room = self.refusals.len() < MAX_REFUSALS || self.refusals.contains_key(&node);
+                if room && self.refusals.insert(node, refusal) != Some(refusal) {
+                    let message = ControlMessage::Refused {
+                        number,
+                        digest,
+                        node,
+                        code,
+                    };
+                    self.broadcast(&message, Some(from), &mut actions);
+                }
+            }
+        }
+        self.finish(now, &mut actions);
+        actions
+    }
+
+    fn on_hello(
+        &mut self,
+        from: NodeAddress,
+        hello: &NodeHello,
+        now: ClockTime,
+        actions: &mut Actions,
+    ) {
+        if hello.member.address != from {
+            self.break_link(from, "greeting names another address", actions);
+            return;
+        }
+        let first = self
+            .links
+            .get_mut(&from)
+            .is_some_and(|link| link.zone.replace(hello.member.zone.clone()).is_none());
+        self.members_dirty |= self.members.merge(&hello.member, from, false, now);
+        self.members_dirty |= self.members.hear(&from, now);
+        if !first && !hello.ready && self.sync.ready() {
+            actions.push(self.hello(from));
+        }
+        let refused = self.keeper.is_refused(hello.stamp);
+        let stamp = if refused {
+            VersionStamp::default()
+        } else {
+            hello.stamp
+        };
+        self.sync.on_peer_answer(from, stamp, hello.ready);
+        self.compare_members(from, self.members.digest(), now, actions);
+        self.on_peer_stamp(from, hello.stamp, now, actions);
+    }
+
+    fn on_members(&mut self, from: NodeAddress, entries: &[MemberEntry], now: ClockTime) {
+        let since = *self.members_since.get_or_insert(now);
+        let first = now - since < FIRST_TABLE_TIME;
+        for entry in entries {
+            self.members_dirty |= self.members.merge(entry, from, first, now);
+        }
+    }
+
+    /// Asks for the full member table at the start and when the digests differ for long.
+    fn compare_members(
+        &mut self,
+        from: NodeAddress,
+        digest: u64,
+        now: ClockTime,
+        actions: &mut Actions,
+    ) {
+        let own = self.members.digest();
+        let Some(link) = self.links.get_mut(&from) else {
+            return;
+        };
+        link.differs = (digest != own).then(|| link.differs.unwrap_or(now));
+        let unknown = self.members_since.is_none();
+        let differs = link.differs.is_some_and(|since| now - since >= DIFFER_TIME);
+        if (unknown || differs) && now >= self.next_members_request {
+            let interval = if unknown {
+                FIRST_TABLE_INTERVAL
+            } else {
+                TABLE_INTERVAL
+            };
+            self.next_members_request = now + interval;
+            let message = ControlMessage::MembersRequest;
+            actions.push(ControlAction::Send { to: from, message });
+        }
+    }
+
+    /// Sends the entries that changed to every link that has not seen them.
+    pub(super) fn gossip_members(&mut self, actions: &mut Actions) {
+        let sequence = self.members.sequence();
+        let due = |link: &LinkState| link.members < sequence && link.zone.is_some();
+        for (to, link) in self.links.iter_mut().filter(|(_, link)| due(link)) {
+            let entries = self.members.changed_since(link.members, to);
+            link.members = sequence;
+            send_members(*to, &entries, actions);
+        }
+    }
+
+    fn break_link(&mut self, peer: NodeAddress, reason: &str, actions: &mut Actions) {
+        self.broken.push(peer);
+        let error = Error::new(
+            ResultCode::PeerProtocol,
+            format!("link to {peer}: {reason}"),
+        );
+        actions.push(control_offer::warning(error));
+    }
+}
+
+fn send_members(to: NodeAddress, entries: &[MemberEntry], actions: &mut Actions) {
+    for chunk in entries.chunks(BATCH_MEMBERS) {
+        let message = ControlMessage::Members(chunk.to_vec());
+        actions.push(ControlAction::Send { to, message });
+    }
+}
--- /dev/null
+++ b/src/distribution/control_state.rs
@@ -0,0 +1,257 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::Rng;
+
+use crate::clock::ClockTime;
+use crate::distribution::control_offer;
+use crate::distribution::fetch_state::FetchState;
+use crate::distribution::link_state::LinkState;
+use crate::distribution::read_slot::ReadSlot;
+use crate::distribution::{
+    Actions, AppliedSet, ControlAction, ControlSettings, DeltaLog, FleetView, NeighborSet,
+    ReadBudget, ReaderRank, SyncState, VersionKeeper,
+};
+use crate::error::{Result, ResultCode};
+use crate::id::NodeAddress;
+use crate::membership::{MemberSnapshot, MemberState, MemberTable};
+use crate::platform::{ConfigRead, InstanceList};
+use crate::version::{ContentDigest, VersionStamp};
+
+/// Fleet size assumed for the read budget while no other node is known.
+///
+/// A larger number would delay the first version of a small fleet by more than 5 s a try.
+const ASSUMED_FLEET: usize = 1_000;
+
+/// Decides everything that a node does for the distribution of versions and membership.
+///
+/// Events go in with the time, actions come out. `on_tick` is to be called about every 100 ms.
+#[derive(Debug, Clone)]
+pub struct ControlState {
+    pub(super) settings: ControlSettings,
+    pub(super) members: MemberTable,
+    pub(super) keeper: VersionKeeper,
+    pub(super) log: DeltaLog,
+    pub(super) neighbors: NeighborSet,
+    pub(super) sync: SyncState,
+    pub(super) applied: AppliedSet,
+    pub(super) budget: ReadBudget,
+    pub(super) rank: Option<ReaderRank>,
+    pub(super) view: FleetView,
+    pub(super) view_sequence: Option<u64>,
+    pub(super) links: BTreeMap<NodeAddress, LinkState>,
+    pub(super) broken: Vec<NodeAddress>,
+    pub(super) fetch: Option<FetchState>,
+    pub(super) start: ClockTime,
+    pub(super) first_read: Option<ClockTime>,
+    pub(super) freshest: Option<ClockTime>,
+    pub(super) manifest_read: ReadSlot,
+    pub(super) instances_read: ReadSlot,
+    pub(super) members_since: Option<ClockTime>,
+    pub(super) next_members_request: ClockTime,
+    pub(super) members_dirty: bool,
+    pub(super) next_beat: ClockTime,
+    pub(super) next_plan: ClockTime,
+    pub(super) refusals: BTreeMap<NodeAddress, (u64, ContentDigest, ResultCode)>,
+}
+
+impl ControlState {
+    /// Creates the state of a node that starts now.
+    #[must_use]
+    pub fn new(settings: ControlSettings, now: ClockTime) -> Self {
+        let mut settings = settings;
+        let own = settings.member.address;
+        settings.seeds.retain(|seed| *seed != own);
+        Self {
+            members: MemberTable::new(settings.member.clone()),
+            keeper: VersionKeeper::default(),
+            log: DeltaLog::default(),
+            neighbors: NeighborSet::default(),
+            sync: SyncState::new(now),
+            applied: AppliedSet::default(),
+            budget: ReadBudget::new(settings.call_budget, 1, ASSUMED_FLEET, now),
+            rank: None,
+            view: FleetView::default(),
+            view_sequence: None,
+            links: BTreeMap::new(),
+            broken: Vec::new(),
+            fetch: None,
+            start: now,
+            first_read: None,
+            freshest: None,
+            manifest_read: ReadSlot::default(),
+            instances_read: ReadSlot::default(),
+            members_since: None,
+            next_members_request: now,
+            members_dirty: true,
+            next_beat: now,
+            next_plan: now,
+            refusals: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    /// Returns whether the node may answer calls.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.sync.ready()
+    }
+
+    /// Returns the versions held, refused and in conflict.
+    #[must_use]
+    pub fn keeper(&self) -> &VersionKeeper {
+        &self.keeper
+    }
+
+    /// Returns the member table.
+    #[must_use]
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Returns a copy of the member table for the call side.
+    #[must_use]
+    pub fn snapshot(&self, now: ClockTime) -> Arc<MemberSnapshot> {
+        self.members.snapshot(now)
+    }
+
+    /// Returns which nodes of the zone have the version in force.
+    #[must_use]
+    pub fn applied(&self) -> &AppliedSet {
+        &self.applied
+    }
+
+    /// Returns the last refusal that each node reported.
+    #[must_use]
+    pub fn refusals(&self) -> &BTreeMap<NodeAddress, (u64, ContentDigest, ResultCode)> {
+        &self.refusals
+    }
+
+    /// Returns the peers to which a link is up.
+    pub fn linked(&self) -> impl Iterator<Item = &NodeAddress> {
+        self.links.keys()
+    }
+
+    /// Returns the age of the freshest read of the configuration service that the node knows of.
+    #[must_use]
+    pub fn read_age(&self, now: ClockTime) -> Option<ClockTime> {
+        self.freshest.map(|at| now - at)
+    }
+
+    /// Records that a link came up, opened by either side.
+    pub fn on_link_up(&mut self, peer: NodeAddress, now: ClockTime) -> Actions {
+        if !self.neighbors.on_link_up(peer, now) {
+            return vec![ControlAction::Close { to: peer }];
+        }
+        self.applied.forget(&peer);
+        let link = LinkState::new(self.members.sequence(), now);
+        self.links.insert(peer, link);
+        vec![self.hello(peer)]
+    }
+
+    /// Records that a link closed or could not be opened.
+    pub fn on_link_down<Random>(&mut self, peer: NodeAddress, now: ClockTime, rng: &mut Random)
+    where
+        Random: Rng + ?Sized,
+    {
+        self.links.remove(&peer);
+        self.applied.forget(&peer);
+        self.neighbors.on_link_down(&peer, now, rng);
+        self.sync.on_peer_lost(&peer, now);
+    }
+
+    /// Records the result of a read of the manifest.
+    pub fn on_manifest_read(&mut self, result: Result<ConfigRead>, now: ClockTime) -> Actions {
+        let mut actions = Actions::new();
+        let confirmed = self.manifest_read.finish(result.is_ok(), now);
+        match result {
+            Ok(ConfigRead::Value { revision, bytes }) => {
+                self.manifest_read.revision = Some(revision);
+                self.offer(None, now, &mut actions, |keeper| {
+                    keeper.offer_published(&bytes)
+                });
+            }
+            Ok(ConfigRead::Unchanged) => {}
+            Err(error) => actions.push(control_offer::warning(error)),
+        }
+        if confirmed {
+            self.freshest = Some(now);
+            self.sync.on_store_read(self.keeper.stamp());
+        }
+        self.finish(now, &mut actions);
+        actions
+    }
+
+    /// Records the result of a read of the instance list.
+    pub fn on_instances_read(
+        &mut self,
+        result: Result<Option<InstanceList>>,
+        now: ClockTime,
+    ) -> Actions {
+        self.instances_read.finish(result.is_ok(), now);
+        match result {
+            Ok(Some(list)) => {
+                self.instances_read.revision = Some(list.revision);
+                self.members_dirty |= self.members.apply_list(&list, now);
+                self.members_since.get_or_insert(now);
+                Actions::new()
+            }
+            Ok(None) => Actions::new(),
+            Err(error) => vec![control_offer::warning(error)],
+        }
+    }
+
+    /// Records that a call carried a stamp; a version that the node lacks is fetched.
+    pub fn on_stamp_seen(
+        &mut self,
+        from: NodeAddress,
+        stamp: VersionStamp,
+        now: ClockTime,
+    ) -> Actions {
+        let mut actions = Actions::new();
+        self.see_stamp(from, stamp, now, &mut actions);
+        actions
+    }
+
+    /// Records that the call side could not reach a node.
+    pub fn on_unreachable(&mut self, subject: NodeAddress, now: ClockTime) -> Actions {
+        let incarnation = self.members.get(&subject).map(|entry| entry.incarnation);
+        incarnation.map_or_else(Actions::new, |incarnation| {
+            let witness = self.settings.member.address;
+            self.spread_suspicion(subject, incarnation, witness, None, now)
+        })
+    }
+
+    /// Announces the node's own state, for example that it is leaving.
+    pub fn on_own_state(&mut self, state: MemberState, now: ClockTime) -> Actions {
+        let mut actions = Actions::new();
+        if self.members.announce(state, now) {
+            self.members_dirty = true;
+            self.gossip_members(&mut actions);
+        }
+        actions
+    }
+
+    /// Takes the node out of readiness after a gap in the monotonic clock.
+    ///
+    /// Every link is closed, because a message that waited in a buffer during the gap would be
+    /// taken for an answer given after it.
+    pub fn on_pause(&mut self, now: ClockTime) -> Actions {
+        let was_ready = self.sync.ready();
+        self.sync.on_pause(now);
+        self.manifest_read.pause();
+        self.instances_read.pause();
+        self.fetch = None;
+        self.links.clear();
+        self.next_plan = now;
+        let mut actions = Actions::new();
+        for to in self.neighbors.reset() {
+            self.applied.forget(&to);
+            actions.push(ControlAction::Close { to });
+        }
+        if was_ready {
+            actions.push(ControlAction::ReadyChanged(false));
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/src/distribution/control_tick.rs
@@ -0,0 +1,231 @@
+use rand::Rng;
+
+use crate::clock::ClockTime;
+use crate::distribution::{
+    Actions, ControlAction, ControlState, FleetView, LinkChange, ReaderRank, ReaderRole,
+};
+use crate::id::NodeAddress;
+use crate::peer::ControlMessage;
+
+/// Time between two heartbeats.
+const BEAT_INTERVAL: ClockTime = ClockTime(1_000);
+/// Time between two decisions about links.
+const PLAN_INTERVAL: ClockTime = ClockTime(250);
+/// Time after which a link on which nothing was heard is replaced.
+const SILENCE_LIMIT: ClockTime = ClockTime(3_000);
+/// Time after which a fetch without progress is retried at another peer.
+const FETCH_TIMEOUT: ClockTime = ClockTime(1_000);
+/// Time over which the first reads of a fleet that starts are spread.
+const FIRST_READ_SPREAD: ClockTime = ClockTime(5_000);
+/// Additional wait of a node in another region that has peers, because its reads are paid for.
+const REMOTE_WAIT: ClockTime = ClockTime(10_000);
+/// Time after which a node that learned of no other node reads as if it were alone.
+const ALONE_TIME: ClockTime = ClockTime(10_000);
+/// Longest wait of a watch; the age of the last completed read must show that a reader works.
+const WATCH_LIMIT: ClockTime = ClockTime(3_000);
+
+/// Added to the age of the freshest read at each hop. Without it two nodes would make the age
+/// smaller by the latency between them with every heartbeat.
+const HOP_ALLOWANCE: ClockTime = ClockTime(20);
+
+impl ControlState {
+    /// Does what is due.
+    pub fn on_tick<Random>(&mut self, now: ClockTime, rng: &mut Random) -> Actions
+    where
+        Random: Rng + ?Sized,
+    {
+        let mut actions = Actions::new();
+        self.drop_links(now, rng, &mut actions);
+        let beat = now >= self.next_beat;
+        if beat {
+            self.members_dirty |= self.members.expire(now);
+        }
+        self.refresh_view(now, rng);
+        if now >= self.next_plan {
+            self.next_plan = now + PLAN_INTERVAL;
+            self.plan_links(now, rng, &mut actions);
+        }
+        self.read_platform(now, rng, &mut actions);
+        self.retry_fetch(now, &mut actions);
+        self.gossip_members(&mut actions);
+        if beat {
+            self.next_beat = now + BEAT_INTERVAL;
+            self.send_beats(now, &mut actions);
+        }
+        if std::mem::take(&mut self.members_dirty) {
+            actions.push(ControlAction::MembersChanged);
+        }
+        self.finish(now, &mut actions);
+        actions
+    }
+
+    fn drop_links<Random>(&mut self, now: ClockTime, rng: &mut Random, actions: &mut Actions)
+    where
+        Random: Rng + ?Sized,
+    {
+        let mut peers = std::mem::take(&mut self.broken);
+        let silent = |heard: ClockTime| now - heard >= SILENCE_LIMIT;
+        let links = self.links.iter().filter(|(_, link)| silent(link.heard));
+        peers.extend(links.map(|(peer, _)| *peer));
+        for to in peers {
+            self.on_link_down(to, now, rng);
+            actions.push(ControlAction::Close { to });
+        }
+    }
+
+    fn refresh_view<Random>(&mut self, now: ClockTime, rng: &mut Random)
+    where
+        Random: Rng + ?Sized,
+    {
+        let sequence = self.members.sequence();
+        if self.view_sequence == Some(sequence) {
+            return;
+        }
+        self.view_sequence = Some(sequence);
+        let member = &self.settings.member;
+        self.view = FleetView::new(&self.members, member);
+        let home = member.region == self.settings.platform_region;
+        let rank = self.rank.as_ref().map(ReaderRank::rank);
+        if rank != Some(self.view.zone_rank) {
+            self.rank = Some(ReaderRank::new(&self.view, home, rng));
+        }
+        if self.members_since.is_some() {
+            let zones = self.view.zone_count();
+            self.budget.resize(zones, self.view.fleet, now);
+        }
+    }
+
+    fn plan_links<Random>(&mut self, now: ClockTime, rng: &mut Random, actions: &mut Actions)
+    where
+        Random: Rng + ?Sized,
+    {
+        let starting = !self.sync.ready();
+        let region = &self.settings.member.region;
+        let seeds = &self.settings.seeds;
+        let view = &self.view;
+        for change in self.neighbors.plan(view, region, seeds, starting, now, rng) {
+            match change {
+                LinkChange::Open(to) => {
+                    self.sync.ask(to, now);
+                    actions.push(ControlAction::Open { to });
+                }
+                LinkChange::Close(to) => {
+                    self.links.remove(&to);
+                    self.applied.forget(&to);
+                    actions.push(ControlAction::Close { to });
+                }
+            }
+        }
+        if self.members_since.is_some() || self.settings.seeds.is_empty() {
+            self.sync.settle();
+        }
+    }
+
+    fn read_platform<Random>(&mut self, now: ClockTime, rng: &mut Random, actions: &mut Actions)
+    where
+        Random: Rng + ?Sized,
+    {
+        let spread = FIRST_READ_SPREAD.0;
+        let first = *self
+            .first_read
+            .get_or_insert_with(|| self.start + ClockTime(rng.random_range(0..spread)));
+        let wait = self.settings.watch_wait.min(WATCH_LIMIT);
+        let known = self.members_since.is_some();
+        let age = now - self.freshest.unwrap_or(self.start);
+        let role = match &self.rank {
+            _ if self.settings.every_node_watches => ReaderRole::Watch,
+            Some(rank) if known => rank.role(age),
+            _ if age >= ALONE_TIME => ReaderRole::TakeOver,
+            _ => ReaderRole::Idle,
+        };
+        if role == ReaderRole::Watch {
+            if self.manifest_read.is_due(now) && self.budget.take_watch(now) {
+                self.read_manifest(wait, actions);
+            }
+            if self.instances_read.is_due(now) && self.budget.take_watch(now) {
+                self.read_instances(wait, actions);
+            }
+            return;
+        }
+        let greeted = self.links.values().any(|link| link.zone.is_some());
+        let home = self.settings.member.region == self.settings.platform_region;
+        let remote = greeted && !home;
+        let due = first + if remote { REMOTE_WAIT } else { ClockTime(0) };
+        let served = greeted && self.keeper.held().is_some();
+        let patient = served && now - self.start < FIRST_READ_SPREAD;
+        let starting = !self.sync.ready() && now >= due && !patient;
+        if starting || role == ReaderRole::TakeOver {
+            if self.manifest_read.is_due(now) && self.budget.take_takeover(now) {
+                self.read_manifest(ClockTime(0), actions);
+            }
+        } else if !known && now >= due && self.instances_read.is_due(now) {
+            // Without peers the list is the only way to learn of other nodes.
+            if !greeted && self.budget.take_takeover(now) {
+                self.read_instances(ClockTime(0), actions);
+            }
+        }
+    }
+
+    fn read_manifest(&mut self, wait: ClockTime, actions: &mut Actions) {
+        self.manifest_read.start();
+        let after = self.manifest_read.revision;
+        actions.push(ControlAction::ReadManifest { after, wait });
+    }
+
+    fn read_instances(&mut self, wait: ClockTime, actions: &mut Actions) {
+        self.instances_read.start();
+        let after = self.instances_read.revision;
+        actions.push(ControlAction::ReadInstances { after, wait });
+    }
+
+    fn retry_fetch(&mut self, now: ClockTime, actions: &mut Actions) {
+        let Some(fetch) = &self.fetch else {
+            return;
+        };
+        if now - fetch.since < FETCH_TIMEOUT {
+            return;
+        }
+        let (stamp, last) = (fetch.stamp, fetch.from);
+        let holds = |peer: &NodeAddress| {
+            let link = self.links.get(peer);
+            link.is_some_and(|link| link.stamp >= stamp)
+        };
+        let holders: Vec<_> = self.links.keys().copied().filter(holds).collect();
+        let next = holders.iter().find(|peer| **peer > last);
+        match next.or(holders.first()) {
+            Some(peer) => self.request_index(*peer, stamp, now, actions),
+            None => self.fetch = None,
+        }
+    }
+
+    fn send_beats(&mut self, now: ClockTime, actions: &mut Actions) {
+        let peers: Vec<_> = self.links.keys().copied().collect();
+        let heartbeat = ControlMessage::Heartbeat {
+            stamp: self.keeper.stamp(),
+            read_age: self
+                .read_age(now)
+                .map_or(ClockTime(u64::MAX), |age| age + HOP_ALLOWANCE),
+            member_digest: self.members.digest(),
+        };
+        let zone = self.settings.member.zone.clone();
+        for to in peers {
+            if !self.sync.ready() {
+                // A peer that is ready answers it, which verifies the version held here.
+                actions.push(self.hello(to));
+            }
+            actions.push(ControlAction::Send {
+                to,
+                message: heartbeat.clone(),
+            });
+            let link = self.links.get(&to);
+            if link.is_some_and(|link| link.zone.as_ref() == Some(&zone)) {
+                let nodes = self.applied.unsent(to);
+                if !nodes.is_empty() {
+                    let stamp = self.applied.stamp();
+                    let message = ControlMessage::Applied { stamp, nodes };
+                    actions.push(ControlAction::Send { to, message });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/distribution/fleet_view.rs
@@ -0,0 +1,74 @@
+use std::collections::BTreeMap;
+
+use crate::id::{NodeAddress, RegionName, ZoneName};
+use crate::membership::{MemberEntry, MemberTable};
+
+/// Arranges the member table as one node sees it; computed when the table changes.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    /// Other nodes of the zone in ring order of their hash, starting after the node itself.
+    pub ring: Vec<NodeAddress>,
+    /// Nodes of every other zone.
+    pub zones: BTreeMap<ZoneName, ZoneView>,
+    /// Position of the node in its zone by blake3 of address and zone.
+    pub zone_rank: usize,
+    /// Position of the node in its region by blake3 of address and region.
+    pub region_rank: usize,
+    /// Number of nodes that are not gone.
+    pub fleet: usize,
+}
+
+/// Lists the nodes of another zone.
+#[derive(Debug, Clone)]
+pub struct ZoneView {
+    /// Region of the zone.
+    pub region: RegionName,
+    /// Nodes of the zone in order of address.
+    pub nodes: Vec<NodeAddress>,
+}
+
+impl FleetView {
+    /// Arranges the table for the node with the entry `own`.
+    #[must_use]
+    pub fn new(table: &MemberTable, own: &MemberEntry) -> Self {
+        let mut view = Self::default();
+        let own_zone = hash(&own.address, own.zone.as_str());
+        let own_region = hash(&own.address, own.region.as_str());
+        let mut ring = Vec::new();
+        for member in table.present() {
+            view.fleet += 1;
+            let address = member.address;
+            if address == own.address {
+                continue;
+            }
+            if member.region == own.region && hash(&address, own.region.as_str()) < own_region {
+                view.region_rank += 1;
+            }
+            if member.zone == own.zone {
+                ring.push((hash(&address, own.zone.as_str()), address));
+            } else {
+                let zone = view.zones.entry(member.zone.clone());
+                let zone = zone.or_insert_with(|| ZoneView {
+                    region: member.region.clone(),
+                    nodes: Vec::new(),
+                });
+                zone.nodes.push(address);
+            }
+        }
+        ring.sort();
+        view.zone_rank = ring.partition_point(|(hash, _)| *hash < own_zone);
+        ring.rotate_left(view.zone_rank);
+        view.ring = ring.into_iter().map(|(_, address)| address).collect();
+        view
+    }
+
+    /// Returns the number of zones, with the own one.
+    #[must_use]
+    pub fn zone_count(&self) -> usize {
+        self.zones.len() + 1
+    }
+}
+
+fn hash(address: &NodeAddress, place: &str) -> [u8; 32] {
+    *blake3::hash(format!("{address} {place}").as_bytes()).as_bytes()
+}
