Add fault proxy

Faults of the network must act on open connections too. Adds fault-proxy with latency, bandwidth shared by groups, cuts, silence, truncation and byte counts, and moves accepting and resetting of connections into GateListener, which servers and mappings share.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod platform;
 pub mod port_range;
 pub mod process;
+pub mod proxy;
 pub mod signal;
 pub mod wire;
 
--- /dev/null
+++ b/testkit/src/proxy/proxy_mapping.rs
@@ -0,0 +1,133 @@
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::proxy::proxy_stream::{self, Connection};
+use crate::proxy::{LinkGroup, MappingEntry, ProxyFault, ProxyMode};
+use crate::wire::{self, GateListener};
+
+/// Time to connect to the target.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Holds the state of a mapping that its connections share.
+#[derive(Debug)]
+pub struct ProxyMapping {
+    target: SocketAddr,
+    group: Option<Arc<LinkGroup>>,
+    state: Mutex<State>,
+    bytes: [AtomicU64; 2],
+    open: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    latency: Duration,
+    mode: ProxyMode,
+    after_bytes: u64,
+    connections: Vec<Weak<Connection>>,
+}
+
+impl ProxyMapping {
+    /// Makes a mapping and starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(
+        entry: &MappingEntry,
+        group: Option<Arc<LinkGroup>>,
+    ) -> std::io::Result<(Arc<ProxyMapping>, GateListener)> {
+        let mapping = Arc::new(ProxyMapping {
+            target: entry.target,
+            group,
+            state: Mutex::default(),
+            bytes: [AtomicU64::new(0), AtomicU64::new(0)],
+            open: AtomicU64::new(0),
+        });
+        mapping.set_latency(entry.latency_ms);
+        let serving = Arc::clone(&mapping);
+        let serve = move |stream: &Arc<TcpStream>| serving.serve(stream);
+        let listener = GateListener::start(entry.listen, Box::new(serve))?;
+        Ok((mapping, listener))
+    }
+
+    /// Changes the one-way latency in ms for bytes that arrive from now on.
+    pub fn set_latency(&self, latency_ms: f64) {
+        let seconds = latency_ms.clamp(0.0, 60_000.0) / 1_000.0;
+        wire::lock(&self.state).latency = Duration::from_secs_f64(seconds);
+    }
+
+    /// Sets a fault, apart from the refusal of new connections.
+    pub fn set_fault(&self, fault: &ProxyFault) {
+        let mut state = wire::lock(&self.state);
+        state.mode = fault.mode;
+        state.after_bytes = fault.after_bytes;
+        for connection in state.connections.iter().filter_map(Weak::upgrade) {
+            match fault.mode {
+                ProxyMode::Silent | ProxyMode::SilentOpen => connection.silence(),
+                ProxyMode::Cut => connection.cut(),
+                ProxyMode::Truncate => connection.restart_count(),
+                ProxyMode::None => {}
+            }
+        }
+    }
+
+    /// Returns bytes each way and connections as JSON.
+    #[must_use]
+    pub fn report(&self, accepted: u64) -> Value {
+        let [target, source] = &self.bytes;
+        json!({
+            "to_target": target.load(Ordering::Relaxed),
+            "to_source": source.load(Ordering::Relaxed),
+            "connections": self.open.load(Ordering::Relaxed),
+            "accepted": accepted,
+        })
+    }
+
+    pub(super) fn latency(&self) -> Duration {
+        wire::lock(&self.state).latency
+    }
+
+    /// Returns the number of bytes after which a connection is reset.
+    pub(super) fn byte_limit(&self) -> Option<u64> {
+        let state = wire::lock(&self.state);
+        (state.mode == ProxyMode::Truncate).then_some(state.after_bytes)
+    }
+
+    pub(super) fn group(&self) -> Option<&LinkGroup> {
+        self.group.as_deref()
+    }
+
+    pub(super) fn count(&self, direction: super::Direction, bytes: usize) {
+        self.bytes[direction as usize].fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn serve(&self, source: &Arc<TcpStream>) {
+        let Ok(target) = TcpStream::connect_timeout(&self.target, CONNECT_TIMEOUT) else {
+            wire::reset(source);
+            return;
+        };
+        let connection = Arc::new(Connection {
+            source: Arc::clone(source),
+            target: Arc::new(target),
+            silent: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
+            counted: AtomicU64::new(0),
+        });
+        let mut state = wire::lock(&self.state);
+        match state.mode {
+            ProxyMode::Silent => connection.silence(),
+            ProxyMode::Cut => connection.cut(),
+            _ => {}
+        }
+        state.connections.retain(|entry| entry.strong_count() > 0);
+        state.connections.push(Arc::downgrade(&connection));
+        drop(state);
+        self.open.fetch_add(1, Ordering::Relaxed);
+        proxy_stream::forward(self, &connection);
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/testkit/src/proxy/proxy_server.rs
@@ -0,0 +1,131 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use serde_json::{Value, json};
+
+use crate::proxy::{LinkGroup, MappingRequest, ProxyFault, ProxyMapping, ProxyMode};
+use crate::wire::{self, GateListener, WireAnswer, WireHandler, WireReply, WireRequest};
+
+/// Holds all mappings and groups, and answers control requests.
+#[derive(Debug, Default)]
+pub struct ProxyServer {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    groups: BTreeMap<String, Arc<LinkGroup>>,
+    mappings: BTreeMap<String, Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    mapping: Arc<ProxyMapping>,
+    listener: GateListener,
+    group: Option<String>,
+}
+
+impl ProxyServer {
+    /// Adds and changes groups and mappings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound or a group is unknown; the entries before it
+    /// are in force.
+    pub fn apply(&self, request: &MappingRequest) -> io::Result<()> {
+        let mut state = wire::lock(&self.state);
+        for entry in &request.groups {
+            let name = entry.name.clone();
+            let made = || Arc::new(LinkGroup::new(entry.bits_per_second));
+            let group = state.groups.entry(name).or_insert_with(made);
+            group.set_rate(entry.bits_per_second);
+        }
+        for entry in &request.mappings {
+            if let Some(known) = state.mappings.get(&entry.name) {
+                known.mapping.set_latency(entry.latency_ms);
+                continue;
+            }
+            let group = match &entry.group {
+                Some(name) => {
+                    let found = state.groups.get(name).cloned();
+                    let missing = || io::Error::other(format!("unknown group {name}"));
+                    Some(found.ok_or_else(missing)?)
+                }
+                None => None,
+            };
+            let (mapping, listener) = ProxyMapping::start(entry, group)?;
+            let group = entry.group.clone();
+            let added = Entry {
+                mapping,
+                listener,
+                group,
+            };
+            state.mappings.insert(entry.name.clone(), added);
+        }
+        Ok(())
+    }
+
+    /// Sets a fault and returns the number of mappings that it holds for.
+    pub fn set_fault(&self, fault: &ProxyFault) -> usize {
+        let state = wire::lock(&self.state);
+        let all = fault.mappings.is_empty() && fault.groups.is_empty();
+        let mut count = 0;
+        for (name, entry) in &state.mappings {
+            let grouped = entry
+                .group
+                .as_ref()
+                .is_some_and(|group| fault.groups.contains(group));
+            if all || grouped || fault.mappings.contains(name) {
+                entry.mapping.set_fault(fault);
+                entry.listener.set_open(fault.mode != ProxyMode::Cut);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Returns the counts of mappings and the bytes of groups as JSON.
+    #[must_use]
+    pub fn report(&self) -> Value {
+        let state = wire::lock(&self.state);
+        let mut mappings = serde_json::Map::new();
+        let mut groups: BTreeMap<&str, [u64; 2]> = BTreeMap::new();
+        for (name, entry) in &state.mappings {
+            let report = entry.mapping.report(entry.listener.accepted());
+            if let Some(group) = &entry.group {
+                let sums = groups.entry(group).or_default();
+                sums[0] += report["to_target"].as_u64().unwrap_or(0);
+                sums[1] += report["to_source"].as_u64().unwrap_or(0);
+            }
+            mappings.insert(name.clone(), report);
+        }
+        let sums = groups.into_iter().map(|(name, [target, source])| {
+            let value = json!({ "to_target": target, "to_source": source });
+            (name.to_owned(), value)
+        });
+        let groups: serde_json::Map<String, Value> = sums.collect();
+        json!({ "mappings": mappings, "groups": groups })
+    }
+}
+
+impl WireHandler for ProxyServer {
+    fn handle(&self, request: &WireRequest) -> WireReply {
+        let body = request.body.as_slice();
+        WireReply::Answer(match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/bytes") => WireAnswer::json(&self.report()),
+            ("POST", "/mapping") => match serde_json::from_slice(body) {
+                Ok(parsed) => match self.apply(&parsed) {
+                    Ok(()) => WireAnswer::new(200, ""),
+                    Err(error) => WireAnswer::new(409, error.to_string()),
+                },
+                Err(error) => WireAnswer::new(400, error.to_string()),
+            },
+            ("POST", "/fault") => match serde_json::from_slice(body) {
+                Ok(fault) => WireAnswer::json(&json!({ "mappings": self.set_fault(&fault) })),
+                Err(error) => WireAnswer::new(400, error.to_string()),
+            },
+            _ => WireAnswer::new(404, "no such path"),
+        })
+    }
+}
--- a/testkit/src/wire.rs
+++ b/testkit/src/wire.rs
@@ -1,5 +1,8 @@
 //! HTTP/1.1 on blocking sockets, one thread for each connection.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+mod gate_listener;
 mod http_probe;
 mod message_head;
 mod wire_answer;
@@ -8,6 +11,8 @@
 mod wire_request;
 mod wire_server;
 
+pub(crate) use gate_listener::reset;
+pub use gate_listener::{GateListener, StreamHandler};
 pub use http_probe::HttpProbe;
 pub use message_head::MessageHead;
 pub use wire_answer::WireAnswer;
@@ -16,4 +21,7 @@
 pub use wire_request::WireRequest;
 pub use wire_server::{WireHandler, WireServer};
 
-pub(crate) use wire_server::lock;
+/// Locks a mutex, also after a panic of another holder.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
