--- a/src/distribution/control_state.rs
+++ b/src/distribution/control_state.rs
@@ -14,7 +14,7 @@
 };
 use crate::error::{Result, ResultCode};
 use crate::id::NodeAddress;
-use crate::membership::{MemberSnapshot, MemberState, MemberTable};
+use crate::membership::{MemberEntry, MemberSnapshot, MemberState, MemberTable};
 use crate::platform::{ConfigRead, InstanceList};
 use crate::version::{ContentDigest, VersionStamp};
 
@@ -109,6 +109,12 @@
         &self.members
     }
 
+    /// Returns the node's own entry as it was at the start.
+    #[must_use]
+    pub fn own_member(&self) -> &MemberEntry {
+        &self.settings.member
+    }
+
     /// Returns a copy of the member table for the call side.
     #[must_use]
     pub fn snapshot(&self, now: ClockTime) -> Arc<MemberSnapshot> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,1 +1,74 @@
 //! The node: wiring of all parts, drain and join of every task.
+
+mod admin_pages;
+mod call_sender;
+mod control_event;
+mod control_task;
+mod endpoint_service;
+mod endpoint_set;
+mod entry_service;
+mod health_task;
+mod idempotent_call;
+mod link_task;
+mod node_exit;
+mod node_runtime;
+mod node_view;
+mod once_call;
+mod peer_service;
+mod resolved_call;
+mod slot_gate;
+mod stop_watch;
+mod task_group;
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+use crate::error::{Error, Result, ResultCode};
+use crate::logging;
+use crate::settings::NodeSettings;
+
+pub use node_exit::NodeExit;
+
+use admin_pages::AdminPages;
+use call_sender::{AttemptAnswer, CallSender};
+use control_event::{ControlEvent, LinkHandle};
+use endpoint_service::EndpointService;
+use endpoint_set::EndpointSet;
+use entry_service::EntryService;
+use node_runtime::NodeRuntime;
+use node_view::NodeView;
+use peer_service::PeerService;
+use resolved_call::{AttemptKey, ResolvedCall};
+use slot_gate::{SlotGate, SlotGuard};
+use stop_watch::StopWatch;
+use task_group::TaskGroup;
+
+/// Runs a node until SIGTERM or SIGINT.
+///
+/// Prints a line that starts with `ready` on standard output once every listener is bound; whether
+/// the node serves calls is answered by `/readyz` at its admin address.
+///
+/// # Errors
+///
+/// `SettingsOutOfRange` if an address cannot be bound; nothing keeps running then.
+pub fn run(settings: NodeSettings) -> Result<NodeExit> {
+    logging::start(settings.log_level)?;
+    let signals = StopWatch::new()?;
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .map_err(|error| {
+            Error::new(
+                ResultCode::SettingsOutOfRange,
+                format!("the event loop cannot be started: {error}"),
+            )
+        })?;
+    runtime.block_on(async {
+        let listen = settings.listen.clone();
+        let node = NodeRuntime::start(settings)?;
+        println!(
+            "ready caller={} peer={} admin={}",
+            listen.caller, listen.peer, listen.admin
+        );
+        Ok(node.run(&signals).await)
+    })
+}
--- /dev/null
+++ b/src/node/admin_pages.rs
@@ -0,0 +1,146 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use serde::Serialize;
+
+use crate::admin::{AdminHandler, AdminPage};
+use crate::burn::BurnLedger;
+use crate::clock::{ClockTime, SystemClock};
+use crate::distribution::ControlState;
+use crate::membership::MemberState;
+use crate::metrics::NodeMetrics;
+use crate::node::{EndpointSet, NodeView};
+use crate::status::{CallExplanation, NodeStatus, RefusedVersion, VersionConflict};
+
+/// Makes the pages for operators; nothing in the node changes by them.
+pub(crate) struct AdminPages {
+    pub(crate) clock: SystemClock,
+    pub(crate) state: Rc<RefCell<ControlState>>,
+    pub(crate) view: Rc<NodeView>,
+    pub(crate) endpoints: Rc<EndpointSet>,
+    pub(crate) burn: Rc<RefCell<BurnLedger>>,
+    pub(crate) metrics: Rc<NodeMetrics>,
+}
+
+impl AdminHandler for AdminPages {
+    fn get(&self, path: &str, query: &str) -> AdminPage {
+        match path {
+            "/healthz" => AdminPage::text(200, "ok\n"),
+            "/readyz" => self.readiness(),
+            "/metrics" => match self.metrics.exposition() {
+                Ok(text) => AdminPage::text(200, text),
+                Err(error) => AdminPage::text(500, format!("{error}\n")),
+            },
+            "/v1/status" => json(&self.status()),
+            "/v1/members" => {
+                let state = self.state.borrow();
+                let entries: Vec<_> = state.members().present().collect();
+                json(&entries)
+            }
+            "/v1/explain" => json(&self.explain(query)),
+            "/v1/burn" => json(&self.burn.borrow().report(self.clock.now())),
+            _ => AdminPage::text(404, "no such page\n"),
+        }
+    }
+}
+
+impl AdminPages {
+    fn readiness(&self) -> AdminPage {
+        self.view.observe();
+        if self.view.is_leaving() {
+            AdminPage::text(503, "leaving\n")
+        } else if self.view.is_ready() {
+            AdminPage::text(200, "ready\n")
+        } else {
+            AdminPage::text(503, "no verified version yet\n")
+        }
+    }
+
+    fn status(&self) -> NodeStatus {
+        let now = self.view.observe();
+        let state = self.state.borrow();
+        let keeper = state.keeper();
+        let own = self.view.address();
+        let mut refused: Vec<_> = keeper
+            .refused()
+            .iter()
+            .map(|version| RefusedVersion {
+                number: version.number,
+                digest: version.digest,
+                node: own,
+                code: version.code,
+                message: version.message.clone(),
+            })
+            .collect();
+        let reported = state.refusals().iter().filter(|(node, _)| **node != own);
+        refused.extend(
+            reported.map(|(node, (number, digest, code))| RefusedVersion {
+                number: *number,
+                digest: *digest,
+                node: *node,
+                code: *code,
+                message: String::new(),
+            }),
+        );
+        let conflicts = keeper.conflicts().iter().map(|conflict| VersionConflict {
+            number: conflict.number,
+            winner: conflict.kept,
+            loser: conflict.lost,
+        });
+        let present: Vec<_> = state.members().present().collect();
+        let member = state.members().own().cloned();
+        NodeStatus {
+            member: member.unwrap_or_else(|| state.own_member().clone()),
+            ready: self.view.is_ready(),
+            uptime: now,
+            stamp: keeper.stamp(),
+            applied: state.applied().nodes().copied().collect(),
+            read_age: state.read_age(now).unwrap_or(ClockTime(u64::MAX)),
+            stale_reads: keeper.stale_reads(),
+            refused,
+            conflicts: conflicts.collect(),
+            live_members: present
+                .iter()
+                .filter(|entry| entry.state == MemberState::Live)
+                .count(),
+            links: state.linked().count(),
+        }
+    }
+
+    fn explain(&self, query: &str) -> CallExplanation {
+        let field = |name: &str| {
+            query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value)
+        };
+        let method = field("method").unwrap_or("GET");
+        let path = field("path").unwrap_or("/");
+        let manifest = self.view.manifest();
+        let found = manifest
+            .as_ref()
+            .and_then(|manifest| manifest.lookup(method, path));
+        let service = found.map(|found| found.service.name.clone());
+        CallExplanation {
+            stamp: self.view.stamp(),
+            prefix: found.map(|found| found.route.prefix.clone()),
+            kind: found.map(|found| found.kind.name.clone()),
+            endpoints: service
+                .as_ref()
+                .map(|service| self.endpoints.explain(service))
+                .unwrap_or_default(),
+            service,
+        }
+    }
+}
+
+fn json<Page>(page: &Page) -> AdminPage
+where
+    Page: Serialize,
+{
+    match serde_json::to_string(page) {
+        Ok(text) => AdminPage::json(200, text),
+        Err(error) => AdminPage::text(500, format!("{error}\n")),
+    }
+}
--- /dev/null
+++ b/src/node/call_sender.rs
@@ -0,0 +1,100 @@
+use std::rc::Rc;
+
+use crate::call::CallAnswer;
+use crate::clock::ClockTime;
+use crate::error::{CallOutcome, Error, Result, ResultCode};
+use crate::id::NodeAddress;
+use crate::node::{AttemptKey, ControlEvent, EndpointService, EndpointSet, NodeView, ResolvedCall};
+use crate::peer::{CallReply, PeerCaller};
+use crate::routing::CallVerdict;
+
+/// Sends one attempt of a call to one endpoint and records how it went.
+pub(crate) struct CallSender {
+    pub(crate) address: NodeAddress,
+    pub(crate) view: Rc<NodeView>,
+    pub(crate) endpoints: Rc<EndpointSet>,
+    pub(crate) own: Rc<EndpointService>,
+    pub(crate) peers: Rc<dyn PeerCaller>,
+}
+
+/// Holds the answer to one attempt; `code` is `Ok` or says why there is none.
+#[derive(Debug)]
+pub(crate) struct AttemptAnswer {
+    pub(crate) answer: CallAnswer,
+    pub(crate) latency_ms: f64,
+}
+
+impl CallSender {
+    /// Sends one attempt; dropping the future cancels it.
+    pub(crate) async fn send(
+        &self,
+        call: &ResolvedCall,
+        to: NodeAddress,
+        attempt: u8,
+        key: Option<&AttemptKey>,
+    ) -> AttemptAnswer {
+        let record = self.endpoints.start(&call.service, call.kind_name(), to);
+        // A pause between the choice and this point may have used up the time.
+        let now = self.view.observe();
+        let result = if now >= call.deadline {
+            let message = "the deadline passed before the call was sent";
+            Err(Error::new(ResultCode::DeadlineTooShort, message))
+        } else {
+            self.exchange(call, to, now, attempt, key).await
+        };
+        let (verdict, load) = match &result {
+            Ok((reply, _)) => {
+                self.view.see_stamp(to, reply.stamp);
+                (verdict_of(reply.code), Some(reply.load))
+            }
+            Err(error) => (verdict_of(error.code()), None),
+        };
+        let latency_ms = record.finish(verdict, load);
+        let answer = match result {
+            Ok((reply, body)) => CallAnswer {
+                code: reply.code,
+                status: reply.status,
+                headers: reply.headers,
+                body,
+                retry_after: reply.retry_after,
+            },
+            Err(error) => {
+                if matches!(
+                    error.code(),
+                    ResultCode::PeerUnreachable | ResultCode::ConnectionLost
+                ) {
+                    self.view.send(ControlEvent::Unreachable { peer: to });
+                }
+                CallAnswer::from_error(&error)
+            }
+        };
+        AttemptAnswer { answer, latency_ms }
+    }
+
+    async fn exchange(
+        &self,
+        call: &ResolvedCall,
+        to: NodeAddress,
+        now: ClockTime,
+        attempt: u8,
+        key: Option<&AttemptKey>,
+    ) -> Result<(CallReply, bytes::Bytes)> {
+        let header = call.header(self.address, now, attempt, key);
+        let body = call.request.body.clone();
+        if to == self.address {
+            Ok(self.own.call(header, body).await)
+        } else {
+            self.peers.call(to, header, body).await
+        }
+    }
+}
+
+fn verdict_of(code: ResultCode) -> CallVerdict {
+    match code {
+        ResultCode::Ok => CallVerdict::Answered,
+        // The sender's own check of the deadline and the endpoint's refusals say nothing bad of it.
+        ResultCode::PeerUnreachable | ResultCode::BackendUnreachable => CallVerdict::Failed,
+        code if code.outcome() == CallOutcome::NotRun => CallVerdict::Refused,
+        _ => CallVerdict::Failed,
+    }
+}
--- /dev/null
+++ b/src/node/control_task.rs
@@ -0,0 +1,355 @@
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use futures_channel::mpsc;
+use futures_util::stream::StreamExt;
+use monoio::time;
+use rand::rngs::StdRng;
+
+use crate::clock::{ClockTime, SystemClock};
+use crate::distribution::{Actions, ControlAction, ControlState};
+use crate::error::ResultCode;
+use crate::id::{NodeAddress, RegionName, ServiceName, ZoneName};
+use crate::logging::EventGate;
+use crate::membership::MemberState;
+use crate::metrics::{LinkScope, NodeMetrics};
+use crate::node::{
+    ControlEvent, EndpointSet, LinkHandle, NodeView, SlotGate, TaskGroup, link_task,
+};
+use crate::peer::{ControlMessage, PeerCaller};
+use crate::platform::{ConfigSource, InstanceSource};
+
+/// Time between two ticks of the control state.
+const TICK: ClockTime = ClockTime(100);
+/// Time between two updates of gauges and byte counters.
+const METRICS_INTERVAL: ClockTime = ClockTime(1_000);
+
+/// Owns the control state and carries out its actions.
+pub(crate) struct ControlTask {
+    pub(crate) clock: SystemClock,
+    pub(crate) service: ServiceName,
+    pub(crate) zone: ZoneName,
+    pub(crate) region: RegionName,
+    pub(crate) state: Rc<RefCell<ControlState>>,
+    pub(crate) view: Rc<NodeView>,
+    pub(crate) endpoints: Rc<EndpointSet>,
+    pub(crate) gate: SlotGate,
+    pub(crate) peers: Rc<dyn PeerCaller>,
+    pub(crate) config: Rc<dyn ConfigSource>,
+    pub(crate) instances: Rc<dyn InstanceSource>,
+    pub(crate) metrics: Rc<NodeMetrics>,
+    pub(crate) tasks: Rc<TaskGroup>,
+    pub(crate) link_ids: Rc<LinkIds>,
+    pub(crate) rng: StdRng,
+    pub(crate) links: LinkTable,
+    pub(crate) log_gate: EventGate,
+}
+
+/// Numbers the links of a node.
+#[derive(Debug, Default)]
+pub(crate) struct LinkIds(std::cell::Cell<u64>);
+
+impl LinkIds {
+    pub(crate) fn next(&self) -> u64 {
+        self.0.set(self.0.get() + 1);
+        self.0.get()
+    }
+}
+
+/// Holds the links that are up, and those being opened.
+#[derive(Debug, Default)]
+pub(crate) struct LinkTable {
+    up: HashMap<NodeAddress, UpLink>,
+    opening: HashMap<NodeAddress, u64>,
+}
+
+#[derive(Debug)]
+struct UpLink {
+    handle: LinkHandle,
+    sent: u64,
+    received: u64,
+}
+
+impl ControlTask {
+    /// Runs until it is told to stop.
+    pub(crate) async fn run(mut self, mut events: mpsc::UnboundedReceiver<ControlEvent>) {
+        let mut next_tick = self.clock.now();
+        let mut next_metrics = next_tick;
+        loop {
+            let now = self.view.observe();
+            self.handle_pause(now);
+            if now >= next_tick {
+                next_tick = now + TICK;
+                let actions = self.state.borrow_mut().on_tick(now, &mut self.rng);
+                self.perform(actions);
+            }
+            if now >= next_metrics {
+                next_metrics = now + METRICS_INTERVAL;
+                self.update_metrics();
+            }
+            let wait = (next_tick - self.clock.now()).to_duration();
+            match time::timeout(wait, events.next()).await {
+                Ok(Some(ControlEvent::Stop) | None) => return,
+                Ok(Some(event)) => self.handle(event),
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Handles a pause before anything else: what arrived during it must not count as an answer.
+    fn handle_pause(&mut self, now: ClockTime) {
+        if let Some(gap) = self.view.take_pause() {
+            log::warn!("event=paused gap_ms={}", gap.0);
+            self.metrics.record_pause();
+            let actions = self.state.borrow_mut().on_pause(now);
+            self.perform(actions);
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let now = self.view.observe();
+        self.handle_pause(now);
+        let state = Rc::clone(&self.state);
+        let mut state = state.borrow_mut();
+        let actions = match event {
+            ControlEvent::StampSeen { from, stamp } => state.on_stamp_seen(from, stamp, now),
+            ControlEvent::Unreachable { peer } => state.on_unreachable(peer, now),
+            ControlEvent::BackendUsable { usable } => {
+                self.view.set_leaving(!usable);
+                state.on_own_state(
+                    if usable {
+                        MemberState::Live
+                    } else {
+                        MemberState::Leaving
+                    },
+                    now,
+                )
+            }
+            ControlEvent::Leave => {
+                self.view.set_leaving(true);
+                state.on_own_state(MemberState::Leaving, now)
+            }
+            ControlEvent::LinkUp(handle) => {
+                let peer = handle.peer;
+                if !self.links.add(handle, self.view.address()) {
+                    return;
+                }
+                state.on_link_up(peer, now)
+            }
+            ControlEvent::LinkMessage {
+                link,
+                peer,
+                message,
+            } => {
+                if !self.links.is_up(peer, link) {
+                    return;
+                }
+                state.on_message(peer, message, now)
+            }
+            ControlEvent::LinkDown { link, peer } => {
+                if !self.links.remove(peer, link) {
+                    return;
+                }
+                state.on_link_down(peer, now, &mut self.rng);
+                Actions::new()
+            }
+            ControlEvent::ManifestRead(result) => {
+                let label = if result.is_ok() { "ok" } else { "failed" };
+                self.metrics.record_platform_read("manifest", label);
+                state.on_manifest_read(result, now)
+            }
+            ControlEvent::InstancesRead(result) => {
+                let label = if result.is_ok() { "ok" } else { "failed" };
+                self.metrics.record_platform_read("instances", label);
+                state.on_instances_read(result, now)
+            }
+            ControlEvent::Paused | ControlEvent::Stop => Actions::new(),
+        };
+        drop(state);
+        self.perform(actions);
+    }
+
+    fn perform(&mut self, actions: Actions) {
+        for action in actions {
+            match action {
+                ControlAction::Send { to, message } => self.send(to, message),
+                ControlAction::Open { to } => self.open(to),
+                ControlAction::Close { to } => self.links.close(to),
+                ControlAction::ReadManifest { after, wait } => {
+                    let (config, view) = (Rc::clone(&self.config), Rc::clone(&self.view));
+                    self.tasks.spawn(async move {
+                        let result = config.read_manifest(after, wait).await;
+                        view.send(ControlEvent::ManifestRead(result));
+                    });
+                }
+                ControlAction::ReadInstances { after, wait } => {
+                    let (instances, view) = (Rc::clone(&self.instances), Rc::clone(&self.view));
+                    self.tasks.spawn(async move {
+                        let result = instances.read_instances(after, wait).await;
+                        view.send(ControlEvent::InstancesRead(result));
+                    });
+                }
+                ControlAction::Install(manifest) => {
+                    let stamp = manifest.stamp();
+                    log::info!(
+                        "event=installed version={} digest={}",
+                        stamp.number,
+                        stamp.digest
+                    );
+                    self.metrics.set_version(stamp.number);
+                    self.metrics.record_version_event("installed");
+                    if let Some(service) = manifest.service(&self.service) {
+                        self.gate.resize(service.slots);
+                    }
+                    self.view.install(manifest);
+                    self.update_endpoints();
+                }
+                ControlAction::MembersChanged => {
+                    let now = self.clock.now();
+                    self.view.set_members(self.state.borrow().snapshot(now));
+                    self.update_endpoints();
+                }
+                ControlAction::ReadyChanged(ready) => {
+                    log::info!("event=ready_changed ready={ready}");
+                    self.view.set_ready(ready);
+                    self.metrics.set_ready(ready);
+                }
+                ControlAction::Log { level, error } => self.log_event(level, &error),
+            }
+        }
+    }
+
+    fn send(&mut self, to: NodeAddress, message: ControlMessage) {
+        if !self.links.send(to, message) {
+            // A full outbox means that the peer does not read.
+            self.links.close(to);
+            let now = self.clock.now();
+            self.state.borrow_mut().on_link_down(to, now, &mut self.rng);
+        }
+    }
+
+    fn open(&mut self, to: NodeAddress) {
+        let link = self.link_ids.next();
+        self.links.opening.insert(to, link);
+        self.tasks.spawn(link_task::open_link(
+            link,
+            to,
+            Rc::clone(&self.peers),
+            Rc::clone(&self.view),
+        ));
+    }
+
+    fn update_endpoints(&self) {
+        if let Some(manifest) = self.view.manifest() {
+            self.endpoints.update(&manifest, &self.view.members());
+        }
+    }
+
+    fn update_metrics(&mut self) {
+        let members = self.view.members();
+        for (peer, link) in &mut self.links.up {
+            let scope = match members.member(peer).map(|view| &view.entry) {
+                Some(entry) if entry.region != self.region => LinkScope::Paid,
+                Some(entry) if entry.zone != self.zone => LinkScope::Region,
+                _ => LinkScope::Zone,
+            };
+            let (sent, received) = (link.handle.counter.sent(), link.handle.counter.received());
+            self.metrics
+                .record_control_bytes(scope, sent - link.sent, received - link.received);
+            (link.sent, link.received) = (sent, received);
+        }
+        let live = members
+            .iter()
+            .filter(|view| view.entry.state == MemberState::Live)
+            .count();
+        self.metrics.set_fleet(live, self.links.up.len());
+        let (running, queued) = self.gate.counts();
+        self.metrics.set_slots(running, queued);
+    }
+
+    fn log_event(&mut self, level: log::Level, error: &crate::error::Error) {
+        let event = match error.code() {
+            ResultCode::ManifestConflict => Some("conflict"),
+            ResultCode::ManifestStale => Some("stale"),
+            code if code.number() / 100 == 2 => Some("refused"),
+            _ => None,
+        };
+        if let Some(event) = event {
+            self.metrics.record_version_event(event);
+        }
+        let key = format!("{}:{}", error.code(), error.message());
+        if let Some(repeated) = self.log_gate.admit(&key, self.clock.now()) {
+            log::log!(
+                level,
+                "event=control code={} repeated={repeated} error=\"{}\"",
+                error.code(),
+                error.message()
+            );
+        }
+    }
+}
+
+impl LinkTable {
+    /// Adds a link that came up; returns false if another link to the peer is kept instead.
+    ///
+    /// When both sides open a link at the same time, both keep the one opened by the side with
+    /// the lower address.
+    fn add(&mut self, handle: LinkHandle, own: NodeAddress) -> bool {
+        let peer = handle.peer;
+        if handle.opened_here {
+            let expected = self.opening.remove(&peer);
+            if expected != Some(handle.link) {
+                return false;
+            }
+        }
+        if let Some(held) = self.up.get(&peer)
+            && held.handle.opened_here != handle.opened_here
+        {
+            let keep_own = own < peer;
+            if held.handle.opened_here == keep_own {
+                return false;
+            }
+        }
+        self.up.insert(
+            peer,
+            UpLink {
+                handle,
+                sent: 0,
+                received: 0,
+            },
+        );
+        true
+    }
+
+    fn is_up(&self, peer: NodeAddress, link: u64) -> bool {
+        self.up
+            .get(&peer)
+            .is_some_and(|held| held.handle.link == link)
+    }
+
+    /// Removes a link that ended; returns false if the peer has another one.
+    fn remove(&mut self, peer: NodeAddress, link: u64) -> bool {
+        if self.opening.get(&peer) == Some(&link) {
+            self.opening.remove(&peer);
+            return !self.up.contains_key(&peer);
+        }
+        if self.is_up(peer, link) {
+            self.up.remove(&peer);
+            return true;
+        }
+        false
+    }
+
+    fn close(&mut self, peer: NodeAddress) {
+        self.up.remove(&peer);
+        self.opening.remove(&peer);
+    }
+
+    /// Queues a message; returns false if the link does not take it.
+    fn send(&mut self, to: NodeAddress, message: ControlMessage) -> bool {
+        self.up
+            .get_mut(&to)
+            .is_none_or(|link| link.handle.outbox.try_send(message).is_ok())
+    }
+}
--- /dev/null
+++ b/src/node/endpoint_service.rs
@@ -0,0 +1,356 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use monoio::time;
+
+use crate::backend::BackendServer;
+use crate::call::{CallAnswer, CallRequest};
+use crate::clock::{ClockTime, SystemClock};
+use crate::error::{CallOutcome, Error, Result, ResultCode};
+use crate::id::{NodeAddress, NodeIncarnation, RequestKey, ServiceName};
+use crate::membership::MemberEntry;
+use crate::node::{NodeView, SlotGate, SlotGuard, TaskGroup};
+use crate::once::{KeyAge, KeyEnd, KeyLedger, KeyOrigin, KeyStart, PlacedKey, SETTLE_TIME};
+use crate::peer::{CallHeader, CallReply, FenceReply, FenceRequest};
+
+/// Time for which a slot stays taken after a call was given up, so that the cancellation arrives
+/// at the backend server before the next call does.
+const CANCEL_GRACE: ClockTime = ClockTime(20);
+
+/// Runs calls on the backend server beside the node, within its slots.
+pub(crate) struct EndpointService {
+    pub(crate) clock: SystemClock,
+    pub(crate) address: NodeAddress,
+    pub(crate) incarnation: NodeIncarnation,
+    pub(crate) service: ServiceName,
+    pub(crate) view: Rc<NodeView>,
+    pub(crate) gate: SlotGate,
+    pub(crate) backend: Rc<dyn BackendServer>,
+    pub(crate) ledger: Rc<RefCell<KeyLedger>>,
+    pub(crate) tasks: Rc<TaskGroup>,
+}
+
+/// Holds a refusal or failure with the time after which another attempt is welcome.
+type CallFailure = (Error, Option<ClockTime>);
+
+impl EndpointService {
+    /// Runs one call and returns its reply; every failure is a reply with a result code.
+    pub(crate) async fn call(&self, header: CallHeader, body: Bytes) -> (CallReply, Bytes) {
+        self.view.see_stamp(header.sender, header.stamp);
+        let (answer, retry_after) = match self.run(header, body).await {
+            Ok(answer) => (answer, None),
+            Err((error, retry_after)) => (CallAnswer::from_error(&error), retry_after),
+        };
+        let reply = CallReply {
+            code: answer.code,
+            status: answer.status,
+            headers: answer.headers,
+            retry_after,
+            load: self.gate.load(),
+            stamp: self.view.stamp(),
+            body_length: answer.body.len() as u64,
+        };
+        (reply, answer.body)
+    }
+
+    /// Tells the ledger whether another endpoint of the service has been up for the settle time.
+    pub(crate) fn observe_members(&self) {
+        let members = self.view.members();
+        let wall = self.clock.wall_now();
+        let settled = members.live(&self.service).any(|view| {
+            view.entry.address != self.address && uptime_of(&view.entry, wall) >= SETTLE_TIME
+        });
+        if settled {
+            let now = self.clock.now();
+            self.ledger.borrow_mut().observe_settled(now);
+        }
+    }
+
+    /// Removes keys past their lifetime.
+    pub(crate) fn expire_keys(&self) {
+        self.ledger.borrow_mut().expire(self.clock.now());
+    }
+
+    /// Answers whether a key has run here and fences it if not.
+    pub(crate) fn fence(&self, request: &FenceRequest) -> FenceReply {
+        let now = self.view.observe();
+        if request.service != self.service {
+            return FenceReply::CannotTell;
+        }
+        self.ledger.borrow_mut().fence(now, request)
+    }
+
+    async fn run(
+        &self,
+        header: CallHeader,
+        body: Bytes,
+    ) -> std::result::Result<CallAnswer, CallFailure> {
+        let now = self.view.observe();
+        let deadline = now + header.remaining;
+        if header.service != self.service {
+            let message = format!(
+                "this node stands beside {}, not {}",
+                self.service, header.service
+            );
+            return Err((Error::new(ResultCode::NoEndpoint, message), None));
+        }
+        // Calls made for work that runs here must still end while the node is leaving.
+        if header.depth <= 1 {
+            self.view.serving().map_err(|error| (error, None))?;
+        }
+        match header.key.clone() {
+            Some(key) if !header.idempotent => self.run_once(header, key, body, deadline).await,
+            _ => {
+                let guard = self.acquire(&header, deadline).await?;
+                let request = backend_request(header, body);
+                let run = GracefulRun::new(guard, Rc::clone(&self.tasks));
+                run.complete(self.run_backend(request, deadline).await)
+                    .map_err(|error| (error, None))
+            }
+        }
+    }
+
+    async fn run_once(
+        &self,
+        header: CallHeader,
+        key: RequestKey,
+        body: Bytes,
+        deadline: ClockTime,
+    ) -> std::result::Result<CallAnswer, CallFailure> {
+        self.check_owner(&key, header.token)
+            .map_err(|error| (error, None))?;
+        let now = self.view.observe();
+        self.observe_members();
+        let origin = self.origin(&header, &key, now);
+        let start = self
+            .ledger
+            .borrow_mut()
+            .begin(now, &key, header.token, origin);
+        if let KeyStart::Replay(answer) = start {
+            return Ok(answer);
+        }
+        if let Some(code) = start.refusal() {
+            let retry_after = match start {
+                KeyStart::Settling(wait) => Some(wait),
+                _ => None,
+            };
+            return Err((Error::new(code, code.meaning()), retry_after));
+        }
+        let mut claim = KeyClaim::new(Rc::clone(&self.ledger), self.clock, key);
+        let guard = self.acquire(&header, deadline).await?;
+        let (sender, receiver) = oneshot::channel();
+        let request = backend_request(header, body);
+        let backend = Rc::clone(&self.backend);
+        let clock = self.clock;
+        let tasks = Rc::clone(&self.tasks);
+        claim.end = KeyEnd::Unknown;
+        // The work goes on when the caller gives up, so that its outcome can be recorded.
+        self.tasks.spawn(async move {
+            let run = GracefulRun::new(guard, tasks);
+            let result = run.complete(timed_run(&*backend, clock, request, deadline).await);
+            claim.settle(&result);
+            let _ = sender.send(result);
+        });
+        receiver
+            .await
+            .unwrap_or_else(|_| {
+                Err(Error::new(
+                    ResultCode::ConnectionLost,
+                    "the node ended while the call was running",
+                ))
+            })
+            .map_err(|error| (error, None))
+    }
+
+    /// Refuses a placed key that names another process.
+    fn check_owner(&self, key: &RequestKey, token: u64) -> Result<()> {
+        let Ok(placed) = key.as_str().parse::<PlacedKey>() else {
+            return Ok(());
+        };
+        if placed.address() == self.address && placed.incarnation() == self.incarnation {
+            return Ok(());
+        }
+        let age = if token == 0 {
+            KeyAge::First
+        } else {
+            KeyAge::Past
+        };
+        Err(Error::new(
+            PlacedKey::code_when_gone(age),
+            "the endpoint that issued the key has restarted",
+        ))
+    }
+
+    fn origin(&self, header: &CallHeader, key: &RequestKey, now: ClockTime) -> KeyOrigin {
+        if header.private_key {
+            return KeyOrigin::Private;
+        }
+        if key.as_str().parse::<PlacedKey>().is_ok() {
+            return KeyOrigin::Placed;
+        }
+        KeyOrigin::Caller {
+            elapsed: header.elapsed + (self.clock.now() - now),
+        }
+    }
+
+    async fn acquire(
+        &self,
+        header: &CallHeader,
+        deadline: ClockTime,
+    ) -> std::result::Result<SlotGuard, CallFailure> {
+        self.gate
+            .acquire(header.kind.clone(), header.weight, header.long, deadline)
+            .await
+            .map_err(|refusal| {
+                let error = Error::new(refusal.code, refusal.code.meaning());
+                (error, Some(refusal.retry_after))
+            })
+    }
+
+    async fn run_backend(
+        &self,
+        request: CallRequest,
+        deadline: ClockTime,
+    ) -> (f64, Result<CallAnswer>) {
+        timed_run(&*self.backend, self.clock, request, deadline).await
+    }
+}
+
+async fn timed_run(
+    backend: &dyn BackendServer,
+    clock: SystemClock,
+    request: CallRequest,
+    deadline: ClockTime,
+) -> (f64, Result<CallAnswer>) {
+    let started = clock.precise_now();
+    let remaining = deadline - clock.now();
+    if remaining == ClockTime(0) {
+        let message = "the deadline passed before the request was written";
+        return (0.0, Err(Error::new(ResultCode::DeadlineTooShort, message)));
+    }
+    let result = backend
+        .run(request, remaining)
+        .await
+        .and_then(accept_answer);
+    (clock.precise_now() - started, result)
+}
+
+/// Turns the backend server's own refusal into one of the mesh.
+fn accept_answer(answer: CallAnswer) -> Result<CallAnswer> {
+    let refused = answer.status == 503
+        && answer
+            .headers
+            .iter()
+            .any(|(name, value)| name == "x-outcome" && value == "not-run");
+    if refused {
+        return Err(Error::new(
+            ResultCode::Overloaded,
+            "the backend server refused the call before running it",
+        ));
+    }
+    Ok(answer)
+}
+
+fn backend_request(header: CallHeader, body: Bytes) -> CallRequest {
+    CallRequest {
+        method: header.method,
+        path: header.path,
+        headers: header.headers,
+        body,
+        remaining: Some(header.remaining),
+        key: header.key,
+        first_attempt_age: None,
+        depth: header.depth,
+        attempt: header.attempt,
+        stamp: Some(header.stamp),
+    }
+}
+
+/// Returns the uptime of a node by the wall clock; zero if its start is not known.
+pub(crate) fn uptime_of(member: &MemberEntry, wall_ms: u64) -> ClockTime {
+    if member.incarnation.0 == 0 {
+        return ClockTime(0);
+    }
+    ClockTime(wall_ms.saturating_sub(member.incarnation.0))
+}
+
+/// Holds the slot of a running call and, if the call is given up, a little longer.
+struct GracefulRun {
+    guard: Option<SlotGuard>,
+    tasks: Rc<TaskGroup>,
+}
+
+impl GracefulRun {
+    fn new(guard: SlotGuard, tasks: Rc<TaskGroup>) -> Self {
+        Self {
+            guard: Some(guard),
+            tasks,
+        }
+    }
+
+    fn complete(mut self, (slot_ms, result): (f64, Result<CallAnswer>)) -> Result<CallAnswer> {
+        let given_up = matches!(&result, Err(error) if error.outcome() == CallOutcome::Unknown);
+        if !given_up && let Some(guard) = self.guard.take() {
+            match &result {
+                Ok(_) => guard.finish(slot_ms),
+                Err(_) => drop(guard),
+            }
+        }
+        result
+    }
+}
+
+impl Drop for GracefulRun {
+    fn drop(&mut self) {
+        if let Some(guard) = self.guard.take() {
+            self.tasks.spawn(async move {
+                time::sleep(CANCEL_GRACE.to_duration()).await;
+                drop(guard);
+            });
+        }
+    }
+}
+
+/// Settles a key at the ledger, whatever happens to the call that holds it.
+struct KeyClaim {
+    ledger: Rc<RefCell<KeyLedger>>,
+    clock: SystemClock,
+    key: RequestKey,
+    end: KeyEnd,
+    settled: bool,
+}
+
+impl KeyClaim {
+    fn new(ledger: Rc<RefCell<KeyLedger>>, clock: SystemClock, key: RequestKey) -> Self {
+        Self {
+            ledger,
+            clock,
+            key,
+            end: KeyEnd::NotRun,
+            settled: false,
+        }
+    }
+
+    fn settle(mut self, result: &Result<CallAnswer>) {
+        match result {
+            Ok(answer) => {
+                self.settled = true;
+                let now = self.clock.now();
+                self.ledger.borrow_mut().finish(now, &self.key, answer);
+            }
+            Err(error) if error.outcome() == CallOutcome::NotRun => self.end = KeyEnd::NotRun,
+            Err(_) => self.end = KeyEnd::Unknown,
+        }
+    }
+}
+
+impl Drop for KeyClaim {
+    fn drop(&mut self) {
+        if !self.settled {
+            let now = self.clock.now();
+            self.ledger.borrow_mut().abandon(now, &self.key, self.end);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/entry_service.rs
@@ -0,0 +1,158 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures_util::future::{FutureExt, LocalBoxFuture};
+use rand::rngs::StdRng;
+
+use crate::burn::BurnLedger;
+use crate::call::{CallAnswer, CallHandler, CallRequest};
+use crate::clock::{ClockTime, SystemClock};
+use crate::error::{Error, Result, ResultCode};
+use crate::id::{NodeAddress, NodeIncarnation, ServiceName};
+use crate::metrics::NodeMetrics;
+use crate::node::{CallSender, EndpointSet, NodeView, ResolvedCall};
+use crate::once::PlacedKey;
+use crate::retry::{HedgePolicy, RetryBudget};
+
+/// Path under which placed keys are issued.
+const KEY_PATH: &str = "/.endive/keys/";
+
+/// Runs the calls that callers and the node's own backend server send.
+pub(crate) struct EntryService {
+    pub(crate) clock: SystemClock,
+    pub(crate) address: NodeAddress,
+    pub(crate) incarnation: NodeIncarnation,
+    pub(crate) depth_limit: u8,
+    pub(crate) plain: bool,
+    pub(crate) view: Rc<NodeView>,
+    pub(crate) endpoints: Rc<EndpointSet>,
+    pub(crate) sender: CallSender,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) hedges: RefCell<HedgePolicy>,
+    pub(crate) burn: Rc<RefCell<BurnLedger>>,
+    pub(crate) metrics: Rc<NodeMetrics>,
+    pub(crate) rng: RefCell<StdRng>,
+}
+
+impl CallHandler for EntryService {
+    fn handle(&self, request: CallRequest) -> LocalBoxFuture<'_, CallAnswer> {
+        async move {
+            if let Some(service) = request.path.strip_prefix(KEY_PATH)
+                && request.method == "POST"
+            {
+                return self
+                    .issue_key(service)
+                    .unwrap_or_else(|error| CallAnswer::from_error(&error));
+            }
+            let started = self.clock.precise_now();
+            let call = match self.resolve(request) {
+                Ok(call) => call,
+                Err(error) => return CallAnswer::from_error(&error),
+            };
+            let answer = if call.kind.idempotent {
+                self.run_idempotent(&call).await
+            } else {
+                self.run_once(&call).await
+            };
+            self.record(&call, &answer, self.clock.precise_now() - started);
+            answer
+        }
+        .boxed_local()
+    }
+}
+
+impl EntryService {
+    fn resolve(&self, request: CallRequest) -> Result<ResolvedCall> {
+        let now = self.view.observe();
+        // Calls made for work that still runs here must end while the node is leaving.
+        let manifest = if request.depth == 0 {
+            self.view.serving()?
+        } else {
+            self.view.held()?
+        };
+        if request.depth >= self.depth_limit {
+            let message = format!("the call is more than {} deep", self.depth_limit);
+            return Err(Error::new(ResultCode::CallTooDeep, message));
+        }
+        let found = manifest
+            .lookup(&request.method, &request.path)
+            .ok_or_else(|| {
+                let message = format!("no route matches {} {}", request.method, request.path);
+                Error::new(ResultCode::NoRoute, message)
+            })?;
+        let allowed = found.kind.deadline;
+        let remaining = request.remaining.unwrap_or(allowed).min(allowed);
+        Ok(ResolvedCall {
+            service: found.service.name.clone(),
+            kind: found.kind.clone(),
+            stamp: manifest.stamp(),
+            arrived: now,
+            deadline: now + remaining,
+            request,
+        })
+    }
+
+    fn issue_key(&self, service: &str) -> Result<CallAnswer> {
+        let manifest = self.view.serving()?;
+        let service: ServiceName = service
+            .parse()
+            .map_err(|error: Error| Error::new(ResultCode::MalformedRequest, error.message()))?;
+        if manifest.service(&service).is_none() {
+            let message = format!("no service {service}");
+            return Err(Error::new(ResultCode::NoRoute, message));
+        }
+        let address = self.endpoints.choose(&service, &[]).ok_or_else(|| {
+            let message = format!("service {service} has no live endpoint");
+            Error::new(ResultCode::NoEndpoint, message)
+        })?;
+        let incarnation = self.incarnation_of(address).ok_or_else(|| {
+            let message = format!("endpoint {address} has not been heard yet");
+            Error::new(ResultCode::NoEndpoint, message)
+        })?;
+        let wall = self.clock.wall_now();
+        let key = PlacedKey::issue(address, incarnation, wall, &mut *self.rng.borrow_mut());
+        Ok(CallAnswer {
+            code: ResultCode::Ok,
+            status: 200,
+            headers: vec![("content-type".to_owned(), "text/plain".to_owned())],
+            body: key.to_key()?.to_string().into(),
+            retry_after: None,
+        })
+    }
+
+    fn incarnation_of(&self, address: NodeAddress) -> Option<NodeIncarnation> {
+        if address == self.address {
+            return Some(self.incarnation);
+        }
+        let members = self.view.members();
+        let incarnation = members.member(&address)?.entry.incarnation;
+        (incarnation.0 > 0).then_some(incarnation)
+    }
+
+    fn record(&self, call: &ResolvedCall, answer: &CallAnswer, duration_ms: f64) {
+        let kind = call.kind_name();
+        self.metrics
+            .record_call(&call.service, kind, answer.code, duration_ms);
+        let good = answer.code == ResultCode::Ok && answer.status < 500;
+        let bad = (!good).then_some(answer.code);
+        self.burn.borrow_mut().record(
+            self.clock.now(),
+            &call.service,
+            kind,
+            call.kind.objective,
+            bad,
+        );
+    }
+
+    /// Returns the time left before the deadline of a call.
+    pub(crate) fn remaining(&self, call: &ResolvedCall) -> ClockTime {
+        call.deadline - self.view.observe()
+    }
+
+    pub(crate) fn no_endpoint(call: &ResolvedCall) -> CallAnswer {
+        CallAnswer::from_error(&Error::new(
+            ResultCode::NoEndpoint,
+            format!("service {} has no live endpoint", call.service),
+        ))
+    }
+}
--- /dev/null
+++ b/src/node/idempotent_call.rs
@@ -0,0 +1,130 @@
+use std::pin::pin;
+
+use futures_util::future::{self, Either};
+use monoio::time;
+use smallvec::SmallVec;
+
+use crate::call::CallAnswer;
+use crate::error::ResultCode;
+use crate::id::NodeAddress;
+use crate::node::{AttemptAnswer, EntryService, ResolvedCall};
+use crate::retry::{FailedCall, HedgeCall, ResendRule};
+
+/// Endpoints that a call has been sent to.
+type TriedEndpoints = SmallVec<[NodeAddress; 4]>;
+
+impl EntryService {
+    /// Runs work that may run more than once: resent after failures, hedged when it is slow.
+    pub(crate) async fn run_idempotent(&self, call: &ResolvedCall) -> CallAnswer {
+        let now = self.clock.now();
+        self.budget.borrow_mut().record_call(now);
+        self.hedges.borrow_mut().record_call(now);
+        let mut tried = TriedEndpoints::new();
+        let mut attempt = call.request.attempt;
+        let mut last = None;
+        loop {
+            let Some(to) = self.endpoints.choose(&call.service, &tried) else {
+                return last.unwrap_or_else(|| Self::no_endpoint(call));
+            };
+            tried.push(to);
+            let answer = self.send_hedged(call, to, attempt, &mut tried).await;
+            if answer.code == ResultCode::Ok || !self.may_resend(call, answer.code, attempt) {
+                return answer;
+            }
+            self.metrics.record_resend("retry");
+            attempt = attempt.saturating_add(1);
+            last = Some(answer);
+        }
+    }
+
+    /// Asks rule and budget whether a failed call may be sent again.
+    pub(crate) fn may_resend(&self, call: &ResolvedCall, code: ResultCode, attempt: u8) -> bool {
+        let failed = FailedCall {
+            code,
+            idempotent: call.kind.idempotent,
+            attempt,
+            depth: call.request.depth,
+            remaining: self.remaining(call),
+        };
+        ResendRule::allows(failed) && self.budget.borrow_mut().take(self.clock.now())
+    }
+
+    async fn send_hedged(
+        &self,
+        call: &ResolvedCall,
+        to: NodeAddress,
+        attempt: u8,
+        tried: &mut TriedEndpoints,
+    ) -> CallAnswer {
+        let first = pin!(self.sender.send(call, to, attempt, None));
+        let Some(delay) = self.hedge_delay(call, attempt) else {
+            return self.learn(call, first.await);
+        };
+        let first = match future::select(first, pin!(time::sleep(delay))).await {
+            Either::Left((answer, _)) => return self.learn(call, answer),
+            Either::Right(((), first)) => first,
+        };
+        let Some(other) = self.hedge_endpoint(call, tried) else {
+            return self.learn(call, first.await);
+        };
+        tried.push(other);
+        self.metrics.record_resend("hedge");
+        let second = pin!(
+            self.sender
+                .send(call, other, attempt.saturating_add(1), None)
+        );
+        // The loser is dropped, which cancels it and frees its slot.
+        match future::select(first, second).await {
+            Either::Left((answer, second)) => self.first_good(call, answer, second).await,
+            Either::Right((answer, first)) => self.first_good(call, answer, first).await,
+        }
+    }
+
+    async fn first_good<Other>(
+        &self,
+        call: &ResolvedCall,
+        answer: AttemptAnswer,
+        other: Other,
+    ) -> CallAnswer
+    where
+        Other: Future<Output = AttemptAnswer>,
+    {
+        if answer.answer.code == ResultCode::Ok {
+            return self.learn(call, answer);
+        }
+        self.learn(call, other.await)
+    }
+
+    fn hedge_delay(&self, call: &ResolvedCall, attempt: u8) -> Option<std::time::Duration> {
+        if self.plain {
+            return None;
+        }
+        let hedge = HedgeCall {
+            kind: call.kind_name(),
+            idempotent: call.kind.idempotent,
+            attempt,
+            depth: call.request.depth,
+        };
+        let delay = self.hedges.borrow().delay(hedge)?;
+        (delay < self.remaining(call)).then(|| delay.to_duration())
+    }
+
+    fn hedge_endpoint(&self, call: &ResolvedCall, tried: &TriedEndpoints) -> Option<NodeAddress> {
+        let other = self.endpoints.choose(&call.service, tried)?;
+        let now = self.clock.now();
+        let mut budget = self.budget.borrow_mut();
+        self.hedges
+            .borrow_mut()
+            .take(now, &mut budget)
+            .then_some(other)
+    }
+
+    fn learn(&self, call: &ResolvedCall, answer: AttemptAnswer) -> CallAnswer {
+        if answer.answer.code == ResultCode::Ok {
+            self.hedges
+                .borrow_mut()
+                .record_latency(call.kind_name(), answer.latency_ms);
+        }
+        answer.answer
+    }
+}
--- /dev/null
+++ b/src/node/link_task.rs
@@ -0,0 +1,115 @@
+use std::pin::pin;
+use std::rc::Rc;
+
+use futures_channel::mpsc;
+use futures_util::future::{self, Either};
+use futures_util::stream::StreamExt;
+use monoio::time;
+
+use crate::clock::ClockTime;
+use crate::error::Result;
+use crate::id::NodeAddress;
+use crate::node::{ControlEvent, LinkHandle, NodeView};
+use crate::peer::{ControlLink, ControlMessage, ControlReceiver, ControlSender, PeerCaller};
+
+/// Messages that may wait on a link; a peer that reads slower than that is disconnected.
+const OUTBOX_LIMIT: usize = 1_024;
+/// Time in which the opener of a link must introduce itself.
+const HELLO_TIMEOUT: ClockTime = ClockTime(2_000);
+
+/// Opens a link to `peer` and serves it until it ends.
+pub(crate) async fn open_link(
+    link: u64,
+    peer: NodeAddress,
+    peers: Rc<dyn PeerCaller>,
+    view: Rc<NodeView>,
+) {
+    match peers.open_control(peer).await {
+        Ok(control) => serve(link, peer, true, control, None, &view).await,
+        Err(error) => {
+            log::debug!(
+                "event=link_failed peer={peer} code={} error=\"{error}\"",
+                error.code()
+            );
+            view.send(ControlEvent::LinkDown { link, peer });
+        }
+    }
+}
+
+/// Serves a link that a peer opened; the peer introduces itself first.
+pub(crate) async fn accept_link(link: u64, mut control: ControlLink, view: Rc<NodeView>) {
+    let first = time::timeout(HELLO_TIMEOUT.to_duration(), control.receive()).await;
+    let Ok(Ok(Some(message))) = first else {
+        return;
+    };
+    let ControlMessage::Hello(hello) = &message else {
+        return;
+    };
+    let peer = hello.member.address;
+    serve(link, peer, false, control, Some(message), &view).await;
+}
+
+async fn serve(
+    link: u64,
+    peer: NodeAddress,
+    opened_here: bool,
+    control: ControlLink,
+    first: Option<ControlMessage>,
+    view: &NodeView,
+) {
+    let counter = control.counter();
+    let (sender, receiver) = control.split();
+    let (outbox, messages) = mpsc::channel(OUTBOX_LIMIT);
+    view.send(ControlEvent::LinkUp(LinkHandle {
+        link,
+        peer,
+        opened_here,
+        outbox,
+        counter,
+    }));
+    if let Some(message) = first {
+        view.send(ControlEvent::LinkMessage {
+            link,
+            peer,
+            message,
+        });
+    }
+    let writing = pin!(write(sender, messages));
+    let reading = pin!(read(link, peer, receiver, view));
+    let result = match future::select(writing, reading).await {
+        Either::Left((result, _)) | Either::Right((result, _)) => result,
+    };
+    if let Err(error) = result {
+        log::debug!(
+            "event=link_lost peer={peer} code={} error=\"{error}\"",
+            error.code()
+        );
+    }
+    view.send(ControlEvent::LinkDown { link, peer });
+}
+
+async fn write(
+    mut sender: ControlSender,
+    mut messages: mpsc::Receiver<ControlMessage>,
+) -> Result<()> {
+    while let Some(message) = messages.next().await {
+        sender.send(&message).await?;
+    }
+    Ok(())
+}
+
+async fn read(
+    link: u64,
+    peer: NodeAddress,
+    mut receiver: ControlReceiver,
+    view: &NodeView,
+) -> Result<()> {
+    while let Some(message) = receiver.receive().await? {
+        view.send(ControlEvent::LinkMessage {
+            link,
+            peer,
+            message,
+        });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/node/node_view.rs
@@ -0,0 +1,168 @@
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+
+use futures_channel::mpsc;
+
+use crate::clock::{ClockTime, PauseGuard, SystemClock};
+use crate::error::{Error, Result, ResultCode};
+use crate::id::NodeAddress;
+use crate::manifest::Manifest;
+use crate::membership::MemberSnapshot;
+use crate::node::ControlEvent;
+use crate::version::VersionStamp;
+
+/// Gap between two readings of the clock that counts as a pause of the process.
+const PAUSE_LIMIT: ClockTime = ClockTime(2_000);
+
+/// Shows the call side what the control task holds, and tells the control task what calls see.
+pub(crate) struct NodeView {
+    clock: SystemClock,
+    address: NodeAddress,
+    manifest: RefCell<Option<Arc<Manifest>>>,
+    members: RefCell<Arc<MemberSnapshot>>,
+    ready: Cell<bool>,
+    leaving: Cell<bool>,
+    closed: Cell<bool>,
+    pause: RefCell<PauseGuard>,
+    paused: Cell<Option<ClockTime>>,
+    events: mpsc::UnboundedSender<ControlEvent>,
+}
+
+impl NodeView {
+    pub(crate) fn new(
+        clock: SystemClock,
+        address: NodeAddress,
+        events: mpsc::UnboundedSender<ControlEvent>,
+    ) -> Self {
+        Self {
+            clock,
+            address,
+            manifest: RefCell::default(),
+            members: RefCell::default(),
+            ready: Cell::new(false),
+            leaving: Cell::new(false),
+            closed: Cell::new(false),
+            pause: RefCell::new(PauseGuard::new(clock.now(), PAUSE_LIMIT)),
+            paused: Cell::new(None),
+            events,
+        }
+    }
+
+    /// Returns the time and takes the node out of readiness if the process was paused before.
+    ///
+    /// Every action that depends on held state reads the clock here, because after a resume other
+    /// tasks may run before the control task ticks.
+    pub(crate) fn observe(&self) -> ClockTime {
+        let now = self.clock.now();
+        if let Some(gap) = self.pause.borrow_mut().observe(now) {
+            self.ready.set(false);
+            self.paused.set(Some(gap));
+            self.send(ControlEvent::Paused);
+        }
+        now
+    }
+
+    /// Takes the length of a pause that the control state has not been told of yet.
+    pub(crate) fn take_pause(&self) -> Option<ClockTime> {
+        self.paused.take()
+    }
+
+    /// Returns the peer address of this node.
+    pub(crate) fn address(&self) -> NodeAddress {
+        self.address
+    }
+
+    /// Returns the version to resolve a new call against.
+    ///
+    /// # Errors
+    ///
+    /// `NodeNotReady` or, if the node takes no new work, `NodeLeaving`.
+    pub(crate) fn serving(&self) -> Result<Arc<Manifest>> {
+        self.observe();
+        if self.closed.get() {
+            return Err(Error::new(
+                ResultCode::NodeLeaving,
+                "the node is leaving and takes no new work",
+            ));
+        }
+        self.held()
+    }
+
+    /// Returns the version in force if it is verified.
+    ///
+    /// # Errors
+    ///
+    /// `NodeNotReady`.
+    pub(crate) fn held(&self) -> Result<Arc<Manifest>> {
+        self.manifest
+            .borrow()
+            .clone()
+            .filter(|_| self.ready.get())
+            .ok_or_else(|| {
+                Error::new(
+                    ResultCode::NodeNotReady,
+                    "the node does not hold a verified version yet",
+                )
+            })
+    }
+
+    /// Returns the version held, verified or not.
+    pub(crate) fn manifest(&self) -> Option<Arc<Manifest>> {
+        self.manifest.borrow().clone()
+    }
+
+    /// Returns the stamp of the version held.
+    pub(crate) fn stamp(&self) -> VersionStamp {
+        self.manifest
+            .borrow()
+            .as_ref()
+            .map_or_else(VersionStamp::default, |manifest| manifest.stamp())
+    }
+
+    pub(crate) fn members(&self) -> Arc<MemberSnapshot> {
+        Arc::clone(&self.members.borrow())
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    pub(crate) fn install(&self, manifest: Arc<Manifest>) {
+        *self.manifest.borrow_mut() = Some(manifest);
+    }
+
+    pub(crate) fn set_members(&self, members: Arc<MemberSnapshot>) {
+        *self.members.borrow_mut() = members;
+    }
+
+    pub(crate) fn set_ready(&self, ready: bool) {
+        self.ready.set(ready);
+    }
+
+    /// Marks the node as leaving; it still takes work that others send before they know.
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        self.leaving.set(leaving);
+    }
+
+    /// Refuses new work from now on.
+    pub(crate) fn close(&self) {
+        self.closed.set(true);
+    }
+
+    /// Tells the control task that a peer holds a newer version.
+    pub(crate) fn see_stamp(&self, from: NodeAddress, stamp: VersionStamp) {
+        if stamp > self.stamp() {
+            self.send(ControlEvent::StampSeen { from, stamp });
+        }
+    }
+
+    /// Sends an event to the control task.
+    pub(crate) fn send(&self, event: ControlEvent) {
+        // The control task ends last; an event after its end has nobody to act on it.
+        let _ = self.events.unbounded_send(event);
+    }
+}
--- /dev/null
+++ b/src/node/once_call.rs
@@ -0,0 +1,223 @@
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use monoio::time;
+use rand::Rng;
+use smallvec::SmallVec;
+use uuid::Builder;
+
+use crate::call::CallAnswer;
+use crate::clock::ClockTime;
+use crate::error::{CallOutcome, Error, Result, ResultCode};
+use crate::id::{NodeAddress, RequestKey};
+use crate::membership::MemberState;
+use crate::node::{AttemptKey, EntryService, ResolvedCall, endpoint_service};
+use crate::once::{FenceDecision, FenceRound, KeyAge, PlacedKey};
+use crate::peer::{FenceReply, FenceRequest};
+
+impl EntryService {
+    /// Runs work that must run at most once.
+    pub(crate) async fn run_once(&self, call: &ResolvedCall) -> CallAnswer {
+        self.budget.borrow_mut().record_call(self.clock.now());
+        let Some(key) = call.request.key.clone() else {
+            return match self.private_key() {
+                Ok(key) => self.run_first(call, key, true).await,
+                Err(error) => CallAnswer::from_error(&error),
+            };
+        };
+        let wall = self.clock.wall_now();
+        let age = KeyAge::resolve(&key, call.request.first_attempt_age, wall);
+        if let Ok(placed) = key.as_str().parse::<PlacedKey>() {
+            return self.run_placed(call, key, &placed, age).await;
+        }
+        match age {
+            KeyAge::First => self.run_first(call, key, false).await,
+            age => self.run_fenced(call, key, age).await,
+        }
+    }
+
+    /// Runs a first attempt; only refusals that did not run are sent elsewhere.
+    async fn run_first(&self, call: &ResolvedCall, key: RequestKey, private: bool) -> CallAnswer {
+        let mut tried: SmallVec<[NodeAddress; 4]> = SmallVec::new();
+        let mut attempt = call.request.attempt;
+        let mut last = None;
+        let key = AttemptKey {
+            key,
+            private,
+            token: 0,
+        };
+        loop {
+            let choice = if private {
+                self.endpoints.choose(&call.service, &tried)
+            } else {
+                self.endpoints
+                    .choose_by_hash(&call.service, &key.key, &tried)
+            };
+            let Some(to) = choice else {
+                return last.unwrap_or_else(|| Self::no_endpoint(call));
+            };
+            tried.push(to);
+            let answer = self.sender.send(call, to, attempt, Some(&key)).await.answer;
+            if answer.code == ResultCode::Ok || !self.may_resend(call, answer.code, attempt) {
+                return answer;
+            }
+            self.metrics.record_resend("retry");
+            attempt = attempt.saturating_add(1);
+            last = Some(answer);
+        }
+    }
+
+    /// Runs a placed key at the process that it names, or nowhere.
+    async fn run_placed(
+        &self,
+        call: &ResolvedCall,
+        key: RequestKey,
+        placed: &PlacedKey,
+        age: KeyAge,
+    ) -> CallAnswer {
+        let to = placed.address();
+        let members = self.view.members();
+        let here = members.member(&to).is_some_and(|view| {
+            view.entry.service == call.service && view.entry.state != MemberState::Gone
+        });
+        if age == KeyAge::Past || !here {
+            let code = PlacedKey::code_when_gone(age);
+            return CallAnswer::from_error(&Error::new(code, code.meaning()));
+        }
+        let key = AttemptKey {
+            key,
+            private: false,
+            token: 0,
+        };
+        let answer = self
+            .sender
+            .send(call, to, call.request.attempt, Some(&key))
+            .await
+            .answer;
+        if age == KeyAge::First {
+            answer
+        } else {
+            without_not_run(answer)
+        }
+    }
+
+    /// Asks every endpoint about a key and runs it only if all vouch that it has not run.
+    async fn run_fenced(&self, call: &ResolvedCall, key: RequestKey, age: KeyAge) -> CallAnswer {
+        let token = self.rng.borrow_mut().random_range(1..=u64::MAX);
+        let decision = self.fence(call, &key, token, age).await;
+        let replay = matches!(decision, FenceDecision::Replay(_));
+        let (to, token) = match decision {
+            FenceDecision::Answer(code) => {
+                return CallAnswer::from_error(&Error::new(code, code.meaning()));
+            }
+            FenceDecision::Replay(to) => (Some(to), 0),
+            FenceDecision::Run => (
+                self.endpoints.choose_by_hash(&call.service, &key, &[]),
+                token,
+            ),
+        };
+        let Some(to) = to else {
+            return Self::no_endpoint(call);
+        };
+        let key = AttemptKey {
+            key,
+            private: false,
+            token,
+        };
+        let attempt = call.request.attempt;
+        let answer = self.sender.send(call, to, attempt, Some(&key)).await.answer;
+        if replay {
+            without_not_run(answer)
+        } else {
+            answer
+        }
+    }
+
+    async fn fence(
+        &self,
+        call: &ResolvedCall,
+        key: &RequestKey,
+        token: u64,
+        age: KeyAge,
+    ) -> FenceDecision {
+        let members = self.view.members();
+        let (gone, live): (Vec<_>, Vec<_>) = members
+            .members(&call.service)
+            .iter()
+            .map(|view| &view.entry)
+            .partition(|entry| entry.state == MemberState::Gone);
+        let wall = self.clock.wall_now();
+        let oldest = live
+            .iter()
+            .map(|entry| endpoint_service::uptime_of(entry, wall))
+            .max()
+            .unwrap_or_default();
+        let live: Vec<NodeAddress> = live.iter().map(|entry| entry.address).collect();
+        let gone: Vec<NodeAddress> = gone.iter().map(|entry| entry.address).collect();
+        let mut round = FenceRound::new(self.clock.now(), age, &live, &gone, oldest);
+        let request = FenceRequest {
+            service: call.service.clone(),
+            key: key.clone(),
+            token,
+            age: round.request_age(),
+        };
+        let end = round.deadline().min(call.deadline);
+        let mut replies: FuturesUnordered<_> = live
+            .iter()
+            .map(|address| self.ask_fence(*address, &request, end))
+            .collect();
+        loop {
+            let now = self.view.observe();
+            if let Some(decision) = round.decide(now) {
+                return decision;
+            }
+            let wait = (end - now).to_duration();
+            match time::timeout(wait, replies.next()).await {
+                Ok(Some((address, Some(reply)))) => {
+                    round.reply(self.view.observe(), address, reply);
+                }
+                // The reply of this endpoint stays missing.
+                Ok(Some((_, None))) => {}
+                Ok(None) | Err(_) => {
+                    let late = round.deadline();
+                    return round
+                        .decide(late)
+                        .unwrap_or(FenceDecision::Answer(ResultCode::KeyMemoryGone));
+                }
+            }
+        }
+    }
+
+    async fn ask_fence(
+        &self,
+        address: NodeAddress,
+        request: &FenceRequest,
+        end: ClockTime,
+    ) -> (NodeAddress, Option<FenceReply>) {
+        if address == self.address {
+            return (address, Some(self.sender.own.fence(request)));
+        }
+        let timeout = end - self.clock.now();
+        let reply = self
+            .sender
+            .peers
+            .fence(address, request.clone(), timeout)
+            .await;
+        (address, reply.ok())
+    }
+
+    /// Makes a key for a call without one; nobody else knows it.
+    fn private_key(&self) -> Result<RequestKey> {
+        let bytes = self.rng.borrow_mut().random::<[u8; 10]>();
+        let key = Builder::from_unix_timestamp_millis(self.clock.wall_now(), &bytes).into_uuid();
+        key.to_string().parse()
+    }
+}
+
+/// Turns "not run" into "outcome unknown" for a key that an earlier attempt may have run.
+fn without_not_run(answer: CallAnswer) -> CallAnswer {
+    if answer.code.outcome() != CallOutcome::NotRun {
+        return answer;
+    }
+    let code = ResultCode::KeyMemoryGone;
+    let message = format!("{}: {}", code.meaning(), answer.code.meaning());
+    CallAnswer::from_error(&Error::new(code, message))
+}
--- /dev/null
+++ b/src/node/peer_service.rs
@@ -0,0 +1,30 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::future::{FutureExt, LocalBoxFuture};
+
+use crate::node::control_task::LinkIds;
+use crate::node::{EndpointService, NodeView, link_task};
+use crate::peer::{CallHeader, CallReply, ControlLink, FenceReply, FenceRequest, PeerHandler};
+
+/// Serves what other nodes send.
+pub(crate) struct PeerService {
+    pub(crate) endpoint: Rc<EndpointService>,
+    pub(crate) view: Rc<NodeView>,
+    pub(crate) link_ids: Rc<LinkIds>,
+}
+
+impl PeerHandler for PeerService {
+    fn call(&self, header: CallHeader, body: Bytes) -> LocalBoxFuture<'_, (CallReply, Bytes)> {
+        self.endpoint.call(header, body).boxed_local()
+    }
+
+    fn fence(&self, request: FenceRequest) -> LocalBoxFuture<'_, FenceReply> {
+        let endpoint = Rc::clone(&self.endpoint);
+        async move { endpoint.fence(&request) }.boxed_local()
+    }
+
+    fn control(&self, link: ControlLink) -> LocalBoxFuture<'_, ()> {
+        link_task::accept_link(self.link_ids.next(), link, Rc::clone(&self.view)).boxed_local()
+    }
+}
--- /dev/null
+++ b/src/node/slot_gate.rs
@@ -0,0 +1,234 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use monoio::time;
+
+use crate::admission::{Admission, AdmissionPolicy, CallTicket, CancelEffect, RefusedTicket};
+use crate::clock::{ClockTime, SystemClock};
+use crate::error::ResultCode;
+use crate::id::KindName;
+
+/// Wait between two checks of the queue while a call waits without a known expiry.
+const CHECK_INTERVAL: ClockTime = ClockTime(20);
+
+/// Lets calls wait for a slot of the backend server beside the node.
+#[derive(Clone)]
+pub(crate) struct SlotGate {
+    state: Rc<GateState>,
+}
+
+struct GateState {
+    clock: SystemClock,
+    policy: RefCell<Box<dyn AdmissionPolicy>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Grant>>>,
+    next_id: Cell<u64>,
+    running: Cell<usize>,
+}
+
+type Grant = Result<(), SlotRefusal>;
+
+/// States why a call got no slot; the call has not run.
+#[derive(Debug, Clone)]
+pub(crate) struct SlotRefusal {
+    /// Reason.
+    pub(crate) code: ResultCode,
+    /// Time after which another attempt is welcome.
+    pub(crate) retry_after: ClockTime,
+}
+
+impl SlotGate {
+    pub(crate) fn new(clock: SystemClock, policy: Box<dyn AdmissionPolicy>) -> Self {
+        Self {
+            state: Rc::new(GateState {
+                clock,
+                policy: RefCell::new(policy),
+                waiting: RefCell::default(),
+                next_id: Cell::new(1),
+                running: Cell::new(0),
+            }),
+        }
+    }
+
+    /// Waits for a slot; dropping the future leaves the queue.
+    pub(crate) async fn acquire(
+        &self,
+        kind: KindName,
+        weight: u32,
+        long: bool,
+        deadline: ClockTime,
+    ) -> Result<SlotGuard, SlotRefusal> {
+        let id = self.state.next_id.get();
+        self.state.next_id.set(id + 1);
+        let now = self.state.clock.now();
+        let ticket = CallTicket {
+            id,
+            kind,
+            weight,
+            long,
+            deadline,
+        };
+        let admission = self.state.policy.borrow_mut().offer(now, ticket);
+        match admission {
+            Admission::Run => Ok(self.guard(id)),
+            Admission::Refused { code, retry_after } => Err(SlotRefusal { code, retry_after }),
+            Admission::Queued { dropped } => {
+                let (sender, receiver) = oneshot::channel();
+                self.state.waiting.borrow_mut().insert(id, sender);
+                self.state.refuse(dropped);
+                self.wait(id, receiver).await
+            }
+        }
+    }
+
+    /// Returns running and queued calls per slot in thousandths.
+    pub(crate) fn load(&self) -> u32 {
+        self.state.policy.borrow().load()
+    }
+
+    /// Returns the numbers of running and of queued calls.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        (self.state.running.get(), self.state.waiting.borrow().len())
+    }
+
+    /// Returns whether nothing runs or waits.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.state.policy.borrow().is_idle()
+    }
+
+    /// Sets the number of slots.
+    pub(crate) fn resize(&self, slots: crate::size::SlotCount) {
+        let now = self.state.clock.now();
+        let next = self.state.policy.borrow_mut().resize(now, slots);
+        self.state.grant(&next);
+    }
+
+    fn guard(&self, id: u64) -> SlotGuard {
+        self.state.running.set(self.state.running.get() + 1);
+        SlotGuard {
+            gate: self.clone(),
+            id,
+            slot_ms: None,
+        }
+    }
+
+    async fn wait(
+        &self,
+        id: u64,
+        mut receiver: oneshot::Receiver<Grant>,
+    ) -> Result<SlotGuard, SlotRefusal> {
+        let mut place = QueuePlace {
+            gate: self,
+            id,
+            left: false,
+        };
+        loop {
+            let now = self.state.clock.now();
+            let expiry = self.state.policy.borrow().next_expiry(now);
+            let wait = expiry.map_or(CHECK_INTERVAL, |expiry| (expiry - now).max(ClockTime(1)));
+            match time::timeout(wait.to_duration(), &mut receiver).await {
+                Ok(Ok(Ok(()))) => {
+                    place.left = true;
+                    return Ok(self.guard(id));
+                }
+                Ok(Ok(Err(refusal))) => {
+                    place.left = true;
+                    return Err(refusal);
+                }
+                Ok(Err(_)) => {
+                    return Err(SlotRefusal {
+                        code: ResultCode::NodeLeaving,
+                        retry_after: ClockTime(0),
+                    });
+                }
+                Err(_) => {
+                    let now = self.state.clock.now();
+                    let expired = self.state.policy.borrow_mut().expire(now);
+                    self.state.refuse(expired);
+                }
+            }
+        }
+    }
+}
+
+impl GateState {
+    fn refuse<Tickets>(&self, tickets: Tickets)
+    where
+        Tickets: IntoIterator<Item = RefusedTicket>,
+    {
+        for ticket in tickets {
+            if let Some(sender) = self.waiting.borrow_mut().remove(&ticket.id) {
+                let refusal = SlotRefusal {
+                    code: ticket.code,
+                    retry_after: ticket.retry_after,
+                };
+                let _ = sender.send(Err(refusal));
+            }
+        }
+    }
+
+    fn grant(&self, ids: &[u64]) {
+        for id in ids {
+            let sender = self.waiting.borrow_mut().remove(id);
+            let delivered = sender.is_some_and(|sender| sender.send(Ok(())).is_ok());
+            if !delivered {
+                // The waiting call was dropped between the decision and this message.
+                self.release(*id, None);
+            }
+        }
+    }
+
+    fn release(&self, id: u64, slot_ms: Option<f64>) {
+        let now = self.clock.now();
+        let (next, expired) = {
+            let mut policy = self.policy.borrow_mut();
+            let expired = policy.expire(now);
+            (policy.finish(now, id, slot_ms), expired)
+        };
+        self.refuse(expired);
+        self.grant(&next);
+    }
+}
+
+/// Leaves the queue when a waiting call is dropped.
+struct QueuePlace<'a> {
+    gate: &'a SlotGate,
+    id: u64,
+    left: bool,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        if self.left {
+            return;
+        }
+        let state = &self.gate.state;
+        state.waiting.borrow_mut().remove(&self.id);
+        if state.policy.borrow_mut().cancel(self.id) == CancelEffect::Running {
+            state.release(self.id, None);
+        }
+    }
+}
+
+/// Holds one slot until it is dropped.
+pub(crate) struct SlotGuard {
+    gate: SlotGate,
+    id: u64,
+    slot_ms: Option<f64>,
+}
+
+impl SlotGuard {
+    /// Frees the slot and records for how long the backend server was busy.
+    pub(crate) fn finish(mut self, slot_ms: f64) {
+        self.slot_ms = Some(slot_ms);
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let state = &self.gate.state;
+        state.running.set(state.running.get() - 1);
+        state.release(self.id, self.slot_ms);
+    }
+}
--- a/src/peer/call_header.rs
+++ b/src/peer/call_header.rs
@@ -1,12 +1,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::ClockTime;
-use crate::id::{KindName, RequestKey, ServiceName};
+use crate::id::{KindName, NodeAddress, RequestKey, ServiceName};
 use crate::version::VersionStamp;
 
 /// Describes a call that one node hands to the node beside the chosen endpoint.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CallHeader {
+    /// Node that sends the call.
+    pub sender: NodeAddress,
     /// Service that the call is for; a node beside another service refuses it.
     pub service: ServiceName,
     /// Kind within the service.
@@ -29,6 +31,8 @@
     pub private_key: bool,
     /// Fence token; zero for a first attempt.
     pub token: u64,
+    /// Time since the entry node received the request, when the header was written.
+    pub elapsed: ClockTime,
     /// Time left when the header was written.
     pub remaining: ClockTime,
     /// Version that the sender resolved the call against.
--- a/src/routing/endpoint_policy.rs
+++ b/src/routing/endpoint_policy.rs
@@ -3,6 +3,7 @@
 use crate::clock::ClockTime;
 use crate::id::{KindName, NodeAddress, RequestKey};
 use crate::routing::{CallFinish, EndpointChoice, EndpointEntry};
+use crate::status::EndpointView;
 
 /// Chooses endpoints of one service and learns from the calls sent to them.
 pub trait EndpointPolicy {
@@ -31,6 +32,9 @@
     /// Records that a call was sent.
     fn started(&mut self, now: ClockTime, address: NodeAddress, kind: &KindName);
 
+    /// Shows every endpoint as the policy sees it, for operators.
+    fn explain(&self, now: ClockTime) -> Vec<EndpointView>;
+
     /// Records that a call ended; every `started` needs exactly one `finished`.
     fn finished(&mut self, now: ClockTime, finish: &CallFinish);
 }
--- a/src/routing/endpoint_table.rs
+++ b/src/routing/endpoint_table.rs
@@ -11,6 +11,7 @@
     CallFinish, CallVerdict, EndpointChoice, EndpointEntry, EndpointPolicy, EndpointScore,
     EndpointTier, OutlierGate,
 };
+use crate::status::EndpointView;
 
 /// Load per slot above which a tier counts as having no room.
 const ROOM_LIMIT: f64 = 0.8;
@@ -243,6 +244,32 @@
         }
     }
 
+    fn explain(&self, now: ClockTime) -> Vec<EndpointView> {
+        self.rows
+            .iter()
+            .map(|row| {
+                let state = if row.gate.is_ejected(now) {
+                    "ejected"
+                } else if row.entry.suspected {
+                    "suspected"
+                } else if row.entry.state == MemberState::Leaving {
+                    "leaving"
+                } else {
+                    "live"
+                };
+                let slowness = row.score.slowness(now, |kind| self.mean_of(kind));
+                EndpointView {
+                    address: row.entry.address,
+                    zone: Some(row.entry.zone.clone()),
+                    state: state.to_owned(),
+                    in_flight: row.score.in_flight() as u32,
+                    load: (row.score.carried(now) * 1_000.0) as u32,
+                    slowness,
+                }
+            })
+            .collect()
+    }
+
     fn finished(&mut self, now: ClockTime, finish: &CallFinish) {
         let Some(place) = self.place_of(finish.address) else {
             return;
--- a/src/routing/round_robin.rs
+++ b/src/routing/round_robin.rs
@@ -5,6 +5,7 @@
 use crate::membership::MemberState;
 use crate::routing::rendezvous_hash;
 use crate::routing::{CallFinish, EndpointChoice, EndpointEntry, EndpointPolicy, EndpointTier};
+use crate::status::EndpointView;
 
 /// Chooses live endpoints in turn, without load, latency or distance; for comparison only.
 #[derive(Debug, Default)]
@@ -49,6 +50,20 @@
             .map(choice_of)
     }
 
+    fn explain(&self, _now: ClockTime) -> Vec<EndpointView> {
+        self.addresses
+            .iter()
+            .map(|address| EndpointView {
+                address: *address,
+                zone: None,
+                state: "live".to_owned(),
+                in_flight: 0,
+                load: 0,
+                slowness: 1.0,
+            })
+            .collect()
+    }
+
     fn started(&mut self, _now: ClockTime, _address: NodeAddress, _kind: &KindName) {}
 
     fn finished(&mut self, _now: ClockTime, _finish: &CallFinish) {}
--- a/src/status/call_explanation.rs
+++ b/src/status/call_explanation.rs
@@ -23,14 +23,14 @@
 pub struct EndpointView {
     /// Peer address.
     pub address: NodeAddress,
-    /// Availability zone.
-    pub zone: ZoneName,
+    /// Availability zone, if the policy regards it.
+    pub zone: Option<ZoneName>,
     /// Why the endpoint would or would not be chosen.
     pub state: String,
     /// Own calls in flight.
     pub in_flight: u32,
     /// Load that the endpoint reported last, per slot, in thousandths.
     pub load: u32,
-    /// Latency estimate in ms.
-    pub latency_ms: f64,
+    /// Latency relative to the mean of the service; 1 is average.
+    pub slowness: f64,
 }
