Test distribution by seed with loss, repetition and pauses

Twelve nodes in three zones exchange messages with up to 30% loss while 20 versions with conflicts and lower numbers are published and nodes pause.

--- /dev/null
+++ b/tests/distribution_state.rs
@@ -0,0 +1,545 @@
+//! Order of versions, start, pause and links of a node, and exchange between nodes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use endivelanding::ResultCode::{ManifestDigestMismatch, ManifestOutOfRange, ManifestUnknownField};
+use endivelanding::clock::ClockTime;
+use endivelanding::distribution::{
+    Actions, ControlAction, ControlSettings, ControlState, DeltaLog, FleetView, LinkChange,
+    NeighborSet, OfferOutcome, SyncState, VersionKeeper,
+};
+use endivelanding::id::{NodeAddress, NodeIncarnation};
+use endivelanding::manifest::Manifest;
+use endivelanding::membership::{MemberEntry, MemberState, MemberTable};
+use endivelanding::peer::{ControlMessage, NodeHello};
+use endivelanding::platform::ConfigRead;
+use endivelanding::version::VersionStamp;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+fn address(port: u16) -> NodeAddress {
+    format!("127.0.0.1:{port}").parse().unwrap()
+}
+
+fn member(port: u16, zone: &str, region: &str) -> MemberEntry {
+    MemberEntry {
+        address: address(port),
+        admin: address(port + 10_000),
+        incarnation: NodeIncarnation(1),
+        service: "s0".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        region: region.parse().unwrap(),
+        state: MemberState::Live,
+    }
+}
+
+fn control(port: u16, zone: &str, region: &str, seeds: &[u16]) -> ControlState {
+    let settings = ControlSettings {
+        member: member(port, zone, region),
+        platform_region: "central".parse().unwrap(),
+        call_budget: 2_000,
+        watch_wait: ClockTime(3_000),
+        seeds: seeds.iter().map(|seed| address(*seed)).collect(),
+        every_node_watches: false,
+    };
+    ControlState::new(settings, ClockTime(0))
+}
+
+fn published(number: u64, slots: &[u32]) -> Vec<u8> {
+    let services = slots.iter().enumerate().map(|(n, slots)| {
+        format!(r#"{{"name":"s{n}","protocol":"http1","slots":{slots},"connections":9}}"#)
+    });
+    let services = services.collect::<Vec<_>>().join(",");
+    format!(r#"{{"number":{number},"services":[{services}],"routes":[]}}"#).into_bytes()
+}
+
+fn manifest(number: u64, slots: &[u32]) -> Manifest {
+    Manifest::decode(&published(number, slots)).unwrap()
+}
+
+fn holding(bytes: &[u8]) -> VersionKeeper {
+    let mut keeper = VersionKeeper::default();
+    assert!(matches!(
+        keeper.offer_published(bytes),
+        OfferOutcome::Installed(_)
+    ));
+    keeper
+}
+
+/// Guards against updates that cross in flight leading two nodes to different versions.
+#[test]
+fn crossing_updates() {
+    let versions = [
+        manifest(1, &[1, 1]),
+        manifest(2, &[2, 1]),
+        manifest(3, &[2, 3]),
+    ];
+    let deltas = [
+        versions[0].delta_to(&versions[1]),
+        versions[1].delta_to(&versions[2]),
+        versions[0].delta_to(&versions[2]),
+    ];
+    for order in [
+        [0, 1, 2],
+        [0, 2, 1],
+        [1, 0, 2],
+        [1, 2, 0],
+        [2, 0, 1],
+        [2, 1, 0],
+    ] {
+        let mut keeper = holding(&published(1, &[1, 1]));
+        let mut last = keeper.stamp();
+        for place in order {
+            keeper.offer_delta(&deltas[place]);
+            assert!(keeper.stamp() >= last, "{order:?} went back");
+            last = keeper.stamp();
+        }
+        // Without the last change in order a gap is left, which the index closes.
+        if last != versions[2].stamp() {
+            let pieces = versions[2].pieces().values().cloned().collect();
+            keeper.offer_pieces(versions[2].stamp(), pieces);
+        }
+        assert_eq!(keeper.stamp(), versions[2].stamp(), "{order:?}");
+    }
+}
+
+/// Guards against nodes that keep different contents of one number.
+#[test]
+fn two_contents_under_one_number() {
+    let (a, b) = (published(5, &[1]), published(5, &[2]));
+    let (mut one, mut two) = (holding(&a), holding(&b));
+    one.offer_published(&b);
+    two.offer_published(&a);
+    assert_eq!(one.stamp(), two.stamp());
+    assert_eq!(one.conflicts(), two.conflicts());
+    assert_eq!(one.conflicts().len(), 1);
+    assert!(one.refused().is_empty() && two.refused().is_empty());
+}
+
+/// Guards against a stale configuration service or a bad version taking a node back.
+#[test]
+fn lower_numbers_and_bad_versions_change_nothing() {
+    let mut keeper = holding(&published(7, &[1]));
+    assert!(matches!(
+        keeper.offer_published(&published(6, &[2])),
+        OfferOutcome::Older
+    ));
+    assert_eq!((keeper.stamp().number, keeper.stale_reads()), (7, 1));
+    assert!(matches!(
+        keeper.offer_published(&published(7, &[1])),
+        OfferOutcome::Unchanged
+    ));
+    assert_eq!(keeper.stale_reads(), 1);
+    let bad = published(8, &[0]);
+    assert!(matches!(
+        keeper.offer_published(&bad),
+        OfferOutcome::Refused(_)
+    ));
+    assert!(matches!(
+        keeper.offer_published(&bad),
+        OfferOutcome::Unchanged
+    ));
+    keeper.offer_published(br#"{"number":9,"other":1}"#);
+    let refused: Vec<_> = keeper
+        .refused()
+        .iter()
+        .map(|refused| (refused.number, refused.code))
+        .collect();
+    assert_eq!(
+        refused,
+        [(8, ManifestOutOfRange), (9, ManifestUnknownField)]
+    );
+    assert_eq!(keeper.stamp().number, 7);
+}
+
+/// Guards against a damaged or unrelated change being put in force, or a version being refused
+/// because its transfer failed.
+#[test]
+fn delta_gap_and_digest_mismatch() {
+    let (one, two) = (manifest(1, &[1, 1]), manifest(2, &[2, 1]));
+    let mut delta = one.delta_to(&two);
+    let mut behind = holding(&published(1, &[9]));
+    assert!(matches!(
+        behind.offer_delta(&delta),
+        OfferOutcome::NeedIndex
+    ));
+    *delta.changed[0].bytes.last_mut().unwrap() ^= 1;
+    assert_eq!(
+        one.apply_delta(&delta).unwrap_err().code(),
+        ManifestDigestMismatch
+    );
+    let mut keeper = holding(&published(1, &[1, 1]));
+    assert!(matches!(
+        keeper.offer_delta(&delta),
+        OfferOutcome::NeedIndex
+    ));
+    assert_eq!(keeper.stamp(), one.stamp());
+    assert!(matches!(
+        keeper.offer_delta(&one.delta_to(&two)),
+        OfferOutcome::Installed(_)
+    ));
+}
+
+/// Guards against a composed change that misses a service or reaches further back than 32 changes.
+#[test]
+fn delta_log_composes() {
+    let versions: Vec<_> = (0..40u32)
+        .map(|n| {
+            manifest(
+                u64::from(n) + 1,
+                &[n % 7 + 1, n / 7 + 1, 1][..2 + n as usize % 2],
+            )
+        })
+        .collect();
+    let mut log = DeltaLog::default();
+    versions
+        .windows(2)
+        .for_each(|pair| log.record(&pair[0].delta_to(&pair[1])));
+    let last = &versions[39];
+    for (n, version) in versions.iter().enumerate().take(39) {
+        let delta = log.compose(version.stamp(), last);
+        assert_eq!(delta.is_some(), n >= 7, "{n}");
+        if let Some(delta) = delta {
+            assert_eq!(version.apply_delta(&delta).unwrap().stamp(), last.stamp());
+        }
+    }
+}
+
+/// Guards against a node that answers calls from a version nobody confirmed.
+#[test]
+fn start_and_pause_rules() {
+    let (at, low, high) = (
+        ClockTime,
+        manifest(1, &[1]).stamp(),
+        manifest(2, &[1]).stamp(),
+    );
+    let mut sync = SyncState::new(at(0));
+    sync.ask(address(1), at(0));
+    sync.ask(address(2), at(0));
+    sync.settle();
+    sync.on_peer_answer(address(1), high, true);
+    assert!(!sync.evaluate(high, at(2_999)), "a peer did not answer yet");
+    assert!(
+        !sync.evaluate(low, at(3_000)),
+        "a peer has a higher version"
+    );
+    assert!(sync.evaluate(high, at(3_000)));
+    let mut alone = SyncState::new(at(0));
+    alone.settle();
+    assert!(!alone.evaluate(low, at(60_000)), "nobody answered");
+    alone.on_store_read(low);
+    assert!(alone.evaluate(low, at(60_000)));
+    alone.on_pause(at(90_000));
+    assert!(!alone.ready() && !alone.evaluate(low, at(95_000)));
+    alone.on_peer_answer(address(1), low, false);
+    assert!(alone.evaluate(low, at(95_000)));
+    sync.on_pause(at(90_000));
+    sync.on_peer_answer(address(1), high, false);
+    assert!(
+        !sync.evaluate(high, at(90_001)),
+        "two resumed nodes confirmed each other"
+    );
+    sync.on_peer_answer(address(2), high, true);
+    assert!(sync.evaluate(high, at(90_002)));
+}
+
+/// Guards against a read that began before a pause, or a link from before it, confirming a version.
+#[test]
+fn pause_discards_what_was_in_flight() {
+    let (mut rng, at) = (StdRng::seed_from_u64(1), ClockTime);
+    let mut node = control(1, "bangna", "central", &[]);
+    let reads = |actions: &Actions| {
+        actions
+            .iter()
+            .any(|action| matches!(action, ControlAction::ReadManifest { .. }))
+    };
+    assert!(reads(&node.on_tick(at(5_000), &mut rng)));
+    let value = ConfigRead::Value {
+        revision: 1,
+        bytes: published(3, &[1]).into(),
+    };
+    node.on_manifest_read(Ok(value), at(5_010));
+    assert!(node.ready());
+    node.on_link_up(address(2), at(5_020));
+    assert!((0..200).any(|n| reads(&node.on_tick(at(16_000 + n * 100), &mut rng))));
+    let actions = node.on_pause(at(60_000));
+    assert!(
+        actions
+            .iter()
+            .any(|action| matches!(action, ControlAction::ReadyChanged(false)))
+    );
+    node.on_manifest_read(Ok(ConfigRead::Unchanged), at(60_001));
+    let hello = NodeHello {
+        member: member(2, "bangna", "central"),
+        stamp: node.keeper().stamp(),
+        ready: true,
+    };
+    node.on_message(address(2), ControlMessage::Hello(hello), at(60_002));
+    assert!(!node.ready());
+    assert!((0..100).any(|n| reads(&node.on_tick(at(60_100 + n * 100), &mut rng))));
+    node.on_manifest_read(Ok(ConfigRead::Unchanged), at(71_000));
+    assert!(node.ready());
+}
+
+/// Guards against a version that a call named and that is never fetched, or fetched repeatedly.
+#[test]
+fn newer_stamp_is_fetched_once() {
+    let (mut rng, at) = (StdRng::seed_from_u64(2), ClockTime);
+    let mut node = control(1, "bangna", "central", &[]);
+    let stamp = manifest(3, &[1]).stamp();
+    let requests = |actions: &Actions| -> Vec<NodeAddress> {
+        let to = |action: &ControlAction| match action {
+            ControlAction::Send {
+                to,
+                message: ControlMessage::IndexRequest(_),
+            } => Some(*to),
+            _ => None,
+        };
+        actions.iter().filter_map(to).collect()
+    };
+    for port in [2, 3] {
+        node.on_link_up(address(port), at(0));
+        let hello = NodeHello {
+            member: member(port, "bangna", "central"),
+            stamp,
+            ready: true,
+        };
+        let actions = node.on_message(address(port), ControlMessage::Hello(hello), at(0));
+        assert_eq!(requests(&actions).len(), usize::from(port == 2));
+    }
+    assert!(requests(&node.on_stamp_seen(address(3), stamp, at(500))).is_empty());
+    assert!(requests(&node.on_tick(at(999), &mut rng)).is_empty());
+    assert_eq!(requests(&node.on_tick(at(1_000), &mut rng)), [address(3)]);
+}
+
+/// Guards against links that leave a part of a zone cut off, or that grow without limit.
+#[test]
+fn links_keep_a_zone_connected() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut table = MemberTable::new(member(1, "bangna", "central"));
+    for port in 2..=200 {
+        table.merge(
+            &member(port, "bangna", "central"),
+            address(port),
+            false,
+            ClockTime(0),
+        );
+    }
+    let dead: BTreeSet<_> = (150..=200).map(address).collect();
+    let mut edges: BTreeMap<NodeAddress, Vec<NodeAddress>> = BTreeMap::new();
+    for port in 1..150 {
+        let (mut set, own) = (NeighborSet::default(), member(port, "bangna", "central"));
+        let (view, mut up) = (FleetView::new(&table, &own), BTreeSet::new());
+        for now in (0..30_000).step_by(250).map(ClockTime) {
+            for change in set.plan(&view, &own.region, &[], false, now, &mut rng) {
+                match change {
+                    LinkChange::Open(peer) if dead.contains(&peer) => {
+                        set.on_link_down(&peer, now, &mut rng);
+                    }
+                    LinkChange::Open(peer) => up.extend(set.on_link_up(peer, now).then_some(peer)),
+                    LinkChange::Close(peer) => up.retain(|held| *held != peer),
+                }
+            }
+        }
+        assert!((4..=16).contains(&up.len()), "{} links", up.len());
+        for peer in up {
+            edges.entry(own.address).or_default().push(peer);
+            edges.entry(peer).or_default().push(own.address);
+        }
+    }
+    let (mut reached, mut front) = (BTreeSet::new(), vec![address(1)]);
+    while let Some(node) = front.pop() {
+        if reached.insert(node) {
+            front.extend(&edges[&node]);
+        }
+    }
+    assert_eq!(reached.len(), 149);
+}
+
+/// Carries actions between a few nodes with loss, repetition and reordering.
+struct Exchange {
+    nodes: Vec<ControlState>,
+    events: BTreeMap<(u64, u64), Event>,
+    installed: Vec<Vec<VersionStamp>>,
+    store: (u64, Vec<u8>),
+    loss: f64,
+    now: u64,
+    serial: u64,
+    rng: StdRng,
+}
+
+#[derive(Clone)]
+enum Event {
+    Up(usize, usize),
+    Down(usize, usize),
+    Message(usize, usize, ControlMessage),
+    Manifest(usize, Option<u64>),
+    Instances(usize),
+}
+
+impl Exchange {
+    const PORTS: u16 = 100;
+
+    fn new(seed: u64, loss: f64) -> Self {
+        let places = [
+            ("bangna", "central"),
+            ("ladkrabang", "central"),
+            ("hangdong", "north"),
+        ];
+        let node = |n: u16| {
+            let (zone, region) = places[n as usize % 3];
+            control(
+                Self::PORTS + n,
+                zone,
+                region,
+                &[Self::PORTS, Self::PORTS + 1],
+            )
+        };
+        Self {
+            nodes: (0..12).map(node).collect(),
+            events: BTreeMap::new(),
+            installed: vec![Vec::new(); 12],
+            store: (1, published(1, &[1; 4])),
+            loss,
+            now: 0,
+            serial: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.serial += 1;
+        self.events.insert((self.now + delay, self.serial), event);
+    }
+
+    fn perform(&mut self, node: usize, actions: Actions) {
+        let index = |to: NodeAddress| usize::from(to.0.port() - Self::PORTS);
+        for action in actions {
+            let delay = self.rng.random_range(1..200);
+            let lost = self.rng.random_bool(self.loss);
+            match action {
+                ControlAction::Send { to, message } => {
+                    let event = Event::Message(node, index(to), message);
+                    if self.rng.random_bool(self.loss) {
+                        self.after(delay + 50, event.clone());
+                    }
+                    if !lost {
+                        self.after(delay, event);
+                    }
+                }
+                ControlAction::Open { to } if lost => {
+                    self.after(delay, Event::Down(index(to), node));
+                }
+                ControlAction::Open { to } => {
+                    self.after(delay, Event::Up(node, index(to)));
+                    self.after(delay, Event::Up(index(to), node));
+                }
+                ControlAction::Close { to } => self.after(delay, Event::Down(node, index(to))),
+                ControlAction::ReadManifest { after, wait } => {
+                    let wait = if after == Some(self.store.0) {
+                        wait.0
+                    } else {
+                        0
+                    };
+                    self.after(wait + 5, Event::Manifest(node, after));
+                }
+                ControlAction::ReadInstances { .. } => self.after(3_000, Event::Instances(node)),
+                ControlAction::Install(manifest) => self.installed[node].push(manifest.stamp()),
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, until: u64) {
+        while self.now < until {
+            let next = self.events.first_key_value().map(|(key, _)| *key);
+            if let Some(key) = next.filter(|key| key.0 <= self.now) {
+                let event = self.events.remove(&key).unwrap();
+                self.deliver(event);
+                continue;
+            }
+            if self.now.is_multiple_of(100) {
+                for node in 0..self.nodes.len() {
+                    let actions = self.nodes[node].on_tick(ClockTime(self.now), &mut self.rng);
+                    self.perform(node, actions);
+                }
+            }
+            self.now += 1;
+        }
+    }
+
+    fn deliver(&mut self, event: Event) {
+        let now = ClockTime(self.now);
+        let address = |n: usize| address(Self::PORTS + n as u16);
+        let (node, actions) = match event {
+            Event::Up(from, to) => (to, self.nodes[to].on_link_up(address(from), now)),
+            Event::Down(from, to) => {
+                self.nodes[to].on_link_down(address(from), now, &mut self.rng);
+                return;
+            }
+            Event::Message(from, to, message) => {
+                (to, self.nodes[to].on_message(address(from), message, now))
+            }
+            Event::Manifest(node, after) => {
+                let (revision, bytes) = self.store.clone();
+                let read = match after {
+                    Some(held) if held == revision => ConfigRead::Unchanged,
+                    _ => ConfigRead::Value {
+                        revision,
+                        bytes: bytes.into(),
+                    },
+                };
+                (node, self.nodes[node].on_manifest_read(Ok(read), now))
+            }
+            Event::Instances(node) => (node, self.nodes[node].on_instances_read(Ok(None), now)),
+        };
+        self.perform(node, actions);
+    }
+}
+
+/// Guards against nodes that stay on different versions, or go back, when messages are lost,
+/// repeated and reordered, versions conflict, the store goes back and a node pauses.
+#[test]
+fn exchange_converges() {
+    for (seed, loss) in [(1, 0.0), (2, 0.1), (3, 0.2), (4, 0.2), (5, 0.3)] {
+        let mut exchange = Exchange::new(seed, loss);
+        exchange.run(15_000);
+        let mut highest = VersionStamp::default();
+        for revision in 2..22 {
+            let number = exchange.rng.random_range(revision / 2..=revision);
+            let slots: Vec<_> = (0..4).map(|_| exchange.rng.random_range(1..4)).collect();
+            exchange.store = (revision, published(number, &slots));
+            let pause = exchange.rng.random_range(0..12);
+            let until = exchange.now + exchange.rng.random_range(300..3_500);
+            exchange.run(until);
+            if revision % 4 == 0 {
+                let actions = exchange.nodes[pause].on_pause(ClockTime(exchange.now));
+                exchange.perform(pause, actions);
+            }
+        }
+        exchange.run(exchange.now + 20_000);
+        for (node, stamps) in exchange.nodes.iter().zip(&exchange.installed) {
+            assert!(stamps.is_sorted(), "seed {seed}: a node went back");
+            highest = highest.max(node.keeper().stamp());
+        }
+        let held: Vec<_> = exchange
+            .nodes
+            .iter()
+            .map(|node| node.keeper().stamp().number)
+            .collect();
+        assert!(
+            exchange
+                .nodes
+                .iter()
+                .all(|node| node.keeper().stamp() == highest),
+            "seed {seed}: {held:?}"
+        );
+        let ready: Vec<_> = exchange.nodes.iter().map(ControlState::ready).collect();
+        assert_eq!(ready, [true; 12], "seed {seed}");
+        assert_eq!(
+            exchange.nodes[0].members().present().count(),
+            12,
+            "seed {seed}"
+        );
+    }
+}
