--- a/tests/peer_protocol.rs
+++ b/tests/peer_protocol.rs
@@ -53,6 +53,8 @@
 
 fn header(remaining: u64) -> CallHeader {
     CallHeader {
+        sender: "127.0.0.1:1".parse().unwrap(),
+        elapsed: ClockTime(0),
         service: "ratecard".parse().expect("service"),
         kind: "price".parse().expect("kind"),
         weight: 1,
