--- a/testkit/src/load/kind_tally.rs
+++ b/testkit/src/load/kind_tally.rs
@@ -35,7 +35,7 @@
             failed: BTreeMap::new(),
             unknown: BTreeMap::new(),
             instances: BTreeMap::new(),
-            latencies: Histogram::new(3).expect("three digits are supported"),
+            latencies: Histogram::new_with_max(600_000_000, 3).expect("the bounds are valid"),
         }
     }
 
