Give long kinds queue places of their own

With common places a burst of short calls displaced queued long ones that had many seconds left. Long kinds now have a quarter of the places.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -9,6 +9,7 @@
 mod fifo_queue;
 mod queued_call;
 mod refused_ticket;
+mod running_call;
 mod slot_estimate;
 
 pub use admission_policy::{Admission, AdmissionPolicy, CancelEffect};
--- a/src/admission/admission_queue.rs
+++ b/src/admission/admission_queue.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::admission::queued_call::QueuedCall;
+use crate::admission::running_call::RunningCall;
 use crate::admission::{
     Admission, AdmissionPolicy, CallTicket, CancelEffect, RefusedTicket, SlotEstimate,
 };
@@ -16,12 +17,6 @@
 /// Bounds of `retry_after` before jitter, in ms.
 const RETRY_RANGE_MS: (f64, f64) = (10.0, 5_000.0);
 
-#[derive(Debug)]
-struct RunningCall {
-    ticket: CallTicket,
-    started: ClockTime,
-}
-
 /// Admits calls by weight per expected slot time among those that can meet their deadline.
 ///
 /// Long kinds hold at most `max(1, slots - 2)` slots, whatever the demand. A work-conserving cap
@@ -42,7 +37,7 @@
 }
 
 impl AdmissionQueue {
-    /// Creates an empty queue for `slots` running and at most `limit` waiting calls.
+    /// Creates an empty queue for `slots` running and about `limit` waiting calls.
     ///
     /// `seed` feeds the jitter of `retry_after`.
     #[must_use]
@@ -107,9 +102,7 @@
             .running
             .values()
             .partition(|call| self.is_long(&call.ticket) == long);
-        let rest = |call: &RunningCall| {
-            (self.expected(&call.ticket) - (now - call.started).as_f64()).max(0.0)
-        };
+        let rest = |call: &RunningCall| call.rest_ms(now, self.expected(&call.ticket));
         let slots = if long {
             self.long_cap()
         } else {
@@ -166,16 +159,30 @@
         self.running.insert(id, RunningCall { ticket, started });
     }
 
-    /// Makes a place at the queue limit; returns the dropped ticket, or `None` if the newcomer is
-    /// the least valuable.
+    /// Returns whether the queue has no place for a class.
+    ///
+    /// Long kinds have a quarter of the places and short ones the rest. With common places a burst
+    /// of short calls displaces long ones that have many seconds left and could run after it.
+    fn is_full(&self, long: bool) -> bool {
+        let quarter = self.limit / 4;
+        let places = if long { quarter } else { self.limit - quarter };
+        let calls = self.queue.iter();
+        let calls = calls.filter(|call| self.is_long(&call.ticket) == long);
+        calls.count() >= places.max(1)
+    }
+
+    /// Makes a place in the class of the newcomer; returns the dropped ticket, or `None` if the
+    /// newcomer is the least valuable.
     fn displace(&mut self, now: ClockTime, newcomer: &QueuedCall) -> Option<RefusedTicket> {
         // Work that can no longer finish has no value at all.
         let value = |call: &QueuedCall| {
             let feasible = self.is_feasible(now, &call.ticket);
             f64::from(u8::from(feasible)) * self.rank(now, call)
         };
+        let long = self.is_long(&newcomer.ticket);
         let calls = self.queue.iter().enumerate();
         let (place, least) = calls
+            .filter(|(_, call)| self.is_long(&call.ticket) == long)
             .map(|(place, call)| (place, value(call)))
             .min_by(|(first, one), (second, two)| one.total_cmp(two).then(second.cmp(first)))?;
         if least >= value(newcomer) {
@@ -212,7 +219,7 @@
             return self.refuse(ResultCode::Overloaded, wait);
         }
         let mut dropped = None;
-        if self.queue.len() >= self.limit {
+        if self.is_full(self.is_long(&call.ticket)) {
             dropped = self.displace(now, &call);
             if dropped.is_none() {
                 return self.refuse(ResultCode::Overloaded, wait);
--- /dev/null
+++ b/src/admission/running_call.rs
@@ -0,0 +1,16 @@
+use crate::admission::CallTicket;
+use crate::clock::ClockTime;
+
+/// Holds a ticket that has a slot.
+#[derive(Debug)]
+pub(super) struct RunningCall {
+    pub(super) ticket: CallTicket,
+    pub(super) started: ClockTime,
+}
+
+impl RunningCall {
+    /// Returns the time for which the slot is still held, in ms.
+    pub(super) fn rest_ms(&self, now: ClockTime, expected_ms: f64) -> f64 {
+        (expected_ms - (now - self.started).as_f64()).max(0.0)
+    }
+}
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -128,6 +128,12 @@
     };
     assert_eq!((dropped.id, dropped.code), (1, ResultCode::Overloaded));
     assert_eq!(queue.load(), 3_000);
+    let long = queue.offer(ClockTime(0), ticket(5, "print", 1, 60_000));
+    assert_eq!(
+        long,
+        Admission::Queued { dropped: None },
+        "no place of its own"
+    );
 }
 
 /// Guards against calls that wait in vain, and against a kind refused forever after a slow phase.
