--- a/src/admission/admission_queue.rs
+++ b/src/admission/admission_queue.rs
@@ -71,13 +71,14 @@
         self.slots.saturating_sub(RESERVED_SLOTS).max(1)
     }
 
-    fn has_slot(&self, ticket: &CallTicket) -> bool {
+    /// Returns whether a slot is free for a class.
+    fn has_slot(&self, long: bool) -> bool {
         if self.running.len() >= self.slots as usize {
             return false;
         }
         let running = self.running.values();
-        let long = running.filter(|call| self.is_long(&call.ticket)).count();
-        !self.is_long(ticket) || long < self.long_cap() as usize
+        let held = running.filter(|call| self.is_long(&call.ticket)).count();
+        !long || held < self.long_cap() as usize
     }
 
     /// Returns whether a ticket that starts now can finish before its deadline.
@@ -136,9 +137,10 @@
     fn fill(&mut self, now: ClockTime) -> Vec<u64> {
         let mut ids = Vec::new();
         loop {
+            let (short_free, long_free) = (self.has_slot(false), self.has_slot(true));
             let calls = self.queue.iter().enumerate();
             let calls = calls
-                .filter(|(_, call)| self.has_slot(&call.ticket))
+                .filter(|(_, call)| long_free || short_free && !self.is_long(&call.ticket))
                 .filter(|(_, call)| self.is_feasible(now, &call.ticket));
             let best = calls.max_by(|(first, one), (second, two)| {
                 let order = self.rank(now, one).total_cmp(&self.rank(now, two));
@@ -154,9 +156,8 @@
     }
 
     fn run(&mut self, now: ClockTime, ticket: CallTicket) {
-        let id = ticket.id;
-        let started = now;
-        self.running.insert(id, RunningCall { ticket, started });
+        let call = RunningCall::new(ticket, now);
+        self.running.insert(call.ticket.id, call);
     }
 
     /// Returns whether the queue has no place for a class.
@@ -206,12 +207,11 @@
         if !self.is_feasible(now, &ticket) {
             return self.refuse(ResultCode::DeadlineTooShort, 0.0);
         }
-        if self.has_slot(&ticket) {
+        if self.has_slot(self.is_long(&ticket)) {
             self.run(now, ticket);
             return Admission::Run;
         }
-        let arrived = now;
-        let call = QueuedCall { ticket, arrived };
+        let call = QueuedCall::new(ticket, now);
         let wait = self.wait_ms(now, &call);
         let ticket = &call.ticket;
         let required = self.estimate.required(now, &ticket.kind, ticket.long);
--- a/src/admission/queued_call.rs
+++ b/src/admission/queued_call.rs
@@ -12,6 +12,10 @@
 }
 
 impl QueuedCall {
+    pub(super) fn new(ticket: CallTicket, arrived: ClockTime) -> Self {
+        Self { ticket, arrived }
+    }
+
     /// Returns the rank: weight per expected slot time, raised as the slack is used up.
     ///
     /// The raise keeps work of low value per slot time from starving behind a stream of better
--- a/src/admission/running_call.rs
+++ b/src/admission/running_call.rs
@@ -9,6 +9,10 @@
 }
 
 impl RunningCall {
+    pub(super) fn new(ticket: CallTicket, started: ClockTime) -> Self {
+        Self { ticket, started }
+    }
+
     /// Returns the time for which the slot is still held, in ms.
     pub(super) fn rest_ms(&self, now: ClockTime, expected_ms: f64) -> f64 {
         (expected_ms - (now - self.started).as_f64()).max(0.0)
--- a/src/retry/hedge_policy.rs
+++ b/src/retry/hedge_policy.rs
@@ -54,17 +54,20 @@
 
     /// Records the latency of a whole answer in fractional ms.
     pub fn record_latency(&mut self, kind: &KindName, latency_ms: f64) {
-        let Ok(empty) = Histogram::new_with_bounds(1, LONGEST_US, 2) else {
+        if !self.kinds.contains_key(kind) {
+            let Ok(empty) = Histogram::new_with_bounds(1, LONGEST_US, 2) else {
+                return;
+            };
+            let fresh = KindLatency {
+                current: empty.clone(),
+                previous: empty,
+                delay_us: 0,
+            };
+            self.kinds.insert(kind.clone(), fresh);
+        }
+        let Some(latency) = self.kinds.get_mut(kind) else {
             return;
         };
-        let latency = self.kinds.entry(kind.clone()).or_insert_with(|| {
-            let previous = empty.clone();
-            KindLatency {
-                current: empty,
-                previous,
-                delay_us: 0,
-            }
-        });
         let micros = (latency_ms * 1_000.0) as u64;
         latency
             .current
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -34,6 +34,13 @@
     }
 }
 
+fn refusal(admission: &Admission) -> Option<ResultCode> {
+    match admission {
+        Admission::Refused { code, .. } => Some(*code),
+        _ => None,
+    }
+}
+
 /// Guards against long jobs in every slot, which makes lookups wait for seconds.
 #[test]
 fn long_kinds_leave_slots_for_short_work() {
@@ -41,11 +48,8 @@
         let mut queue = queue(slots, 10);
         for id in 0..u64::from(slots) {
             let admission = queue.offer(ClockTime(0), ticket(id, "print", 1, 60_000));
-            assert_eq!(
-                admission == Admission::Run,
-                id < cap,
-                "slots {slots}, id {id}"
-            );
+            let runs = admission == Admission::Run;
+            assert_eq!(runs, id < cap, "slots {slots}, id {id}");
         }
         if u64::from(slots) > cap {
             let admission = queue.offer(ClockTime(0), ticket(99, "lookup", 1, 300));
@@ -62,11 +66,8 @@
         estimate.record(ClockTime(0), &kind.parse().unwrap(), slot_ms);
     }
     for (kind, long) in [("a", false), ("b", false), ("c", false), ("d", true)] {
-        assert_eq!(
-            estimate.is_long(&kind.parse().unwrap(), false),
-            long,
-            "{kind}"
-        );
+        let learned = estimate.is_long(&kind.parse().unwrap(), false);
+        assert_eq!(learned, long, "{kind}");
     }
 }
 
@@ -80,11 +81,8 @@
         assert_eq!(admission, Admission::Queued { dropped: None }, "{id}");
     }
     assert_eq!(queue.finish(ClockTime(10), 1_000, None), [2], "ties by age");
-    assert_eq!(
-        queue.finish(ClockTime(360), 2, None),
-        [1],
-        "near its deadline"
-    );
+    let urgent = queue.finish(ClockTime(360), 2, None);
+    assert_eq!(urgent, [1], "near its deadline");
     assert_eq!(queue.finish(ClockTime(370), 1, None), [3]);
 }
 
@@ -98,8 +96,7 @@
     assert_eq!(queue.next_expiry(ClockTime(0)), Some(ClockTime(300)));
     assert_eq!(queue.finish(ClockTime(5_000), 1_000, None), [2]);
     let refused = queue.expire(ClockTime(5_000));
-    assert_eq!(refused.len(), 1);
-    assert_eq!(refused[0].id, 1);
+    assert_eq!((refused.len(), refused[0].id), (1, 1));
     assert_eq!(refused[0].code.outcome(), CallOutcome::NotRun);
     assert_eq!(queue.next_expiry(ClockTime(5_000)), None);
 }
@@ -112,28 +109,16 @@
     queue.offer(ClockTime(0), ticket(1, "lookup", 1, 9_000));
     queue.offer(ClockTime(0), ticket(2, "lookup", 3, 9_000));
     let admission = queue.offer(ClockTime(0), ticket(3, "lookup", 1, 9_000));
-    assert!(matches!(
-        admission,
-        Admission::Refused {
-            code: ResultCode::Overloaded,
-            ..
-        }
-    ));
+    assert_eq!(refusal(&admission), Some(ResultCode::Overloaded));
     let admission = queue.offer(ClockTime(0), ticket(4, "lookup", 5, 9_000));
-    let Admission::Queued {
-        dropped: Some(dropped),
-    } = admission
-    else {
+    let Admission::Queued { dropped } = admission else {
         panic!("{admission:?}");
     };
-    assert_eq!((dropped.id, dropped.code), (1, ResultCode::Overloaded));
+    let dropped = dropped.map(|ticket| (ticket.id, ticket.code));
+    assert_eq!(dropped, Some((1, ResultCode::Overloaded)));
     assert_eq!(queue.load(), 3_000);
     let long = queue.offer(ClockTime(0), ticket(5, "print", 1, 60_000));
-    assert_eq!(
-        long,
-        Admission::Queued { dropped: None },
-        "no place of its own"
-    );
+    assert_eq!(long, Admission::Queued { dropped: None });
 }
 
 /// Guards against calls that wait in vain, and against a kind refused forever after a slow phase.
@@ -149,25 +134,13 @@
         (4, 900, true),
     ] {
         let admission = queue.offer(ClockTime(0), ticket(id, "busy", 1, deadline));
-        assert_eq!(
-            !matches!(admission, Admission::Refused { .. }),
-            queued,
-            "{id}"
-        );
+        assert_eq!(refusal(&admission).is_none(), queued, "{id}");
     }
     let late = queue.offer(ClockTime(0), ticket(5, "busy", 1, 90));
-    assert!(matches!(
-        late,
-        Admission::Refused {
-            code: ResultCode::DeadlineTooShort,
-            ..
-        }
-    ));
-    queue.finish(ClockTime(0), 1, None);
+    assert_eq!(refusal(&late), Some(ResultCode::DeadlineTooShort));
     queue.cancel(2);
     queue.cancel(4);
-    queue.finish(ClockTime(0), 2, None);
-    queue.finish(ClockTime(0), 4, None);
+    assert!(queue.finish(ClockTime(0), 1, None).is_empty() && queue.is_idle());
     let later = queue.offer(ClockTime(20_000), ticket(6, "busy", 1, 20_090));
     assert_eq!(later, Admission::Run, "estimate is never relearned");
 }
--- a/tests/once_rules.rs
+++ b/tests/once_rules.rs
@@ -51,16 +51,17 @@
     KeyLedger::new(ClockTime(0), 2, ByteSize(20_000))
 }
 
+fn same(start: &KeyStart, wanted: &KeyStart) -> bool {
+    std::mem::discriminant(start) == std::mem::discriminant(wanted)
+}
+
 /// Guards against a second run of a key in any state, and against a lost answer.
 #[test]
 fn recorded_keys_do_not_run_again() {
     let (now, key) = (ClockTime(40_000), key());
     let mut ledger = ledger();
-    assert!(matches!(ledger.begin(now, &key, 0, FIRST), KeyStart::Run));
-    assert!(matches!(
-        ledger.begin(now, &key, 0, FIRST),
-        KeyStart::Running
-    ));
+    assert!(same(&ledger.begin(now, &key, 0, FIRST), &KeyStart::Run));
+    assert!(same(&ledger.begin(now, &key, 0, FIRST), &KeyStart::Running));
     assert_eq!(ledger.fence(now, &request(9, 1)), FenceReply::Running);
     ledger.finish(now, &key, &answer(100));
     ledger.abandon(now, &key, KeyEnd::NotRun);
@@ -87,12 +88,13 @@
 fn fences_refuse_smaller_tokens() {
     let (now, key) = (ClockTime(40_000), key());
     let mut ledger = ledger();
-    assert_eq!(
-        ledger.fence(now, &request(5, 40_000)),
-        FenceReply::CannotTell
-    );
-    assert_eq!(ledger.fence(now, &request(5, 39_999)), FenceReply::Fenced);
-    assert_eq!(ledger.fence(now, &request(4, 1)), FenceReply::Superseded);
+    for (token, age, reply) in [
+        (5, 40_000, FenceReply::CannotTell),
+        (5, 39_999, FenceReply::Fenced),
+        (4, 1, FenceReply::Superseded),
+    ] {
+        assert_eq!(ledger.fence(now, &request(token, age)), reply);
+    }
     for (token, runs) in [(0, false), (4, false), (6, false), (5, true)] {
         let start = ledger.begin(now, &key, token, FIRST);
         assert_eq!(matches!(start, KeyStart::Run), runs, "{token}");
@@ -101,11 +103,8 @@
         assert_ne!(code.map(ResultCode::outcome), Some(CallOutcome::NotRun));
     }
     ledger.abandon(now, &key, KeyEnd::NotRun);
-    assert!(matches!(
-        ledger.begin(now, &key, 0, FIRST),
-        KeyStart::Fenced
-    ));
-    assert!(matches!(ledger.begin(now, &key, 5, FIRST), KeyStart::Run));
+    assert!(same(&ledger.begin(now, &key, 0, FIRST), &KeyStart::Fenced));
+    assert!(same(&ledger.begin(now, &key, 5, FIRST), &KeyStart::Run));
 }
 
 /// Guards against keys at endpoints that other nodes don't know yet.
@@ -129,11 +128,7 @@
         ledger.fence(now, &request(token, 1));
         let origin = KeyOrigin::Caller { elapsed };
         let start = ledger.begin(now, &key(), token, origin);
-        assert_eq!(
-            matches!(start, KeyStart::Run),
-            runs,
-            "{now} {origin:?} {settled_seen:?}"
-        );
+        assert_eq!(same(&start, &KeyStart::Run), runs, "{now} {origin:?}");
     }
 }
 
@@ -150,13 +145,11 @@
     let start = ledger.begin(now, &keys[2], 0, FIRST);
     assert_eq!(start.refusal(), Some(ResultCode::Overloaded));
     assert_eq!(ledger.fence(now, &request(1, 1)), FenceReply::CannotTell);
-    assert!(matches!(
-        ledger.begin(now, &keys[0], 0, FIRST),
-        KeyStart::Replay(_)
-    ));
-    assert!(matches!(
-        ledger.begin(now, &keys[1], 0, FIRST),
-        KeyStart::Unknown
+    let start = ledger.begin(now, &keys[0], 0, FIRST);
+    assert!(matches!(start, KeyStart::Replay(_)));
+    assert!(same(
+        &ledger.begin(now, &keys[1], 0, FIRST),
+        &KeyStart::Unknown
     ));
     ledger.expire(now + ClockTime(600_000));
     assert_eq!(ledger.len(), 2, "forgotten within the lifetime");
@@ -192,14 +185,12 @@
         let age = KeyAge::resolve(&key, header.map(ClockTime), wall + later);
         assert_eq!(age, expected, "{key} {header:?} {later}");
     }
-    assert_eq!(
-        PlacedKey::code_when_gone(KeyAge::First).outcome(),
-        CallOutcome::NotRun
-    );
-    assert_eq!(
-        PlacedKey::code_when_gone(KeyAge::Past).outcome(),
-        CallOutcome::Unknown
-    );
+    for (age, outcome) in [
+        (KeyAge::First, CallOutcome::NotRun),
+        (KeyAge::Past, CallOutcome::Unknown),
+    ] {
+        assert_eq!(PlacedKey::code_when_gone(age).outcome(), outcome);
+    }
 }
 
 /// Guards against a run while one endpoint may have run the key already.
@@ -207,51 +198,20 @@
 fn round_runs_only_if_all_vouch() {
     use FenceReply::{CannotTell, Fenced, Finished, Running, Superseded, Unknown};
     let answer = |code| Some(FenceDecision::Answer(code));
+    let (run, replay) = (FenceDecision::Run, FenceDecision::Replay(address(1)));
+    let gone_code = answer(ResultCode::KeyMemoryGone);
+    let running = answer(ResultCode::KeyRunning);
+    let lost = answer(ResultCode::ConnectionLost);
     for (replies, gone, uptime, expected) in [
-        (vec![Fenced, Fenced], 0, 40_000, Some(FenceDecision::Run)),
-        (
-            vec![Fenced, Fenced],
-            1,
-            40_000,
-            answer(ResultCode::KeyMemoryGone),
-        ),
-        (
-            vec![Fenced, Fenced],
-            0,
-            31_999,
-            answer(ResultCode::KeyMemoryGone),
-        ),
-        (vec![Fenced], 0, 40_000, answer(ResultCode::KeyMemoryGone)),
-        (
-            vec![Fenced, CannotTell],
-            0,
-            40_000,
-            answer(ResultCode::KeyMemoryGone),
-        ),
-        (
-            vec![Fenced, Superseded],
-            0,
-            40_000,
-            answer(ResultCode::KeyRunning),
-        ),
-        (
-            vec![Fenced, Running],
-            0,
-            40_000,
-            answer(ResultCode::KeyRunning),
-        ),
-        (
-            vec![Unknown, CannotTell],
-            0,
-            40_000,
-            answer(ResultCode::ConnectionLost),
-        ),
-        (
-            vec![CannotTell, Finished],
-            0,
-            40_000,
-            Some(FenceDecision::Replay(address(1))),
-        ),
+        (vec![Fenced, Fenced], 0, 40_000, Some(run)),
+        (vec![Fenced, Fenced], 1, 40_000, gone_code),
+        (vec![Fenced, Fenced], 0, 31_999, gone_code),
+        (vec![Fenced], 0, 40_000, gone_code),
+        (vec![Fenced, CannotTell], 0, 40_000, gone_code),
+        (vec![Fenced, Superseded], 0, 40_000, running),
+        (vec![Fenced, Running], 0, 40_000, running),
+        (vec![Unknown, CannotTell], 0, 40_000, lost),
+        (vec![CannotTell, Finished], 0, 40_000, Some(replay)),
     ] {
         let live = [address(0), address(1)];
         let gone: Vec<_> = (0..gone).map(|_| address(9)).collect();
@@ -295,30 +255,27 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let (first, mut now) = (700_000, 700_000);
     let count = rng.random_range(1..=4);
-    let mut places: Vec<Place> = (0..count)
-        .map(|_| {
-            let span = [600_000, 25_000][rng.random_range(0..2)];
-            Place::start(first - rng.random_range(0..span), false)
-        })
-        .collect();
+    let mut places = Vec::new();
+    for _ in 0..count {
+        let span = [600_000, 25_000][rng.random_range(0..2)];
+        places.push(Place::start(first - rng.random_range(0..span), false));
+    }
     let (mut runs, mut by_fence) = (0, false);
     let mut running: Vec<(usize, u64, u64)> = Vec::new();
     let mut rounds: Vec<(FenceRound, u64, u64, Vec<usize>)> = Vec::new();
-    // Place, token and start of an attempt, and its round while it fences. Messages that stay
-    // undelivered are lost.
+    // Place, token and start of an attempt, and its round while it fences.
     let mut messages = vec![(rng.random_range(0..count), 0, first, None)];
     let mut decided = HashSet::new();
     for _ in 0..60 {
         let step = rng.random_range(0..6).min(rng.random_range(0..6_usize));
         now += [0, 5, 400, 3_000, 20_000, 100_000][step];
         let time = ClockTime(now);
-        if places.iter().any(|place| place.is_settled(now)) {
-            places
-                .iter_mut()
-                .for_each(|place| place.ledger.observe_settled(time));
-        }
+        let any_settled = places.iter().any(|place| place.is_settled(now));
         for place in &mut places {
             place.known |= place.is_settled(now);
+            if any_settled {
+                place.ledger.observe_settled(time);
+            }
         }
         match rng.random_range(0..8) {
             0 => {
@@ -335,18 +292,17 @@
                 let view = (0..places.len()).filter(|at| places[*at].known || rng.random_bool(0.5));
                 let (live, gone): (Vec<_>, Vec<_>) = view.partition(|at| places[*at].live);
                 let uptime = live.iter().map(|at| now - places[*at].started).max();
-                let name =
-                    |list: &[usize]| -> Vec<_> { list.iter().map(|at| address(*at)).collect() };
-                let age = KeyAge::resolve(&key(), Some(ClockTime((now - first).max(1))), 0);
+                let name = |list: &[usize]| list.iter().map(|at| address(*at)).collect::<Vec<_>>();
                 let oldest = ClockTime(uptime.unwrap_or(0));
+                let age = KeyAge::resolve(&key(), Some(ClockTime((now - first).max(1))), 0);
                 let round = FenceRound::new(time, age, &name(&live), &name(&gone), oldest);
                 let token = rng.random_range(1..100_000);
                 messages.extend(live.iter().map(|at| (*at, token, now, Some(rounds.len()))));
                 rounds.push((round, token, now, live));
             }
             3 | 4 if !running.is_empty() => {
-                let call = running.swap_remove(rng.random_range(0..running.len()));
-                let (at, token, sent) = call;
+                let place = rng.random_range(0..running.len());
+                let (at, token, sent) = running.swap_remove(place);
                 let ledger = &mut places[at].ledger;
                 match rng.random_range(0..3) {
                     0 => ledger.finish(time, &key(), &answer(10)),
@@ -360,13 +316,12 @@
                 }
             }
             _ if !messages.is_empty() => {
-                let message = messages.swap_remove(rng.random_range(0..messages.len()));
-                let (at, token, sent, round) = message;
+                let place = rng.random_range(0..messages.len());
+                let (at, token, sent, round) = messages.swap_remove(place);
                 let (place, elapsed) = (&mut places[at], ClockTime(now - sent));
                 if !place.live {
-                    continue;
-                }
-                if let Some(round) = round {
+                    // The message is lost.
+                } else if let Some(round) = round {
                     let round: &mut FenceRound = &mut rounds[round].0;
                     let asked = request(token, round.request_age().0);
                     round.reply(time, address(at), place.ledger.fence(time, &asked));
@@ -374,7 +329,7 @@
                     // No kind has a longer deadline here, and nothing is written after it.
                     let origin = KeyOrigin::Caller { elapsed };
                     let start = place.ledger.begin(time, &key(), token, origin);
-                    if matches!(start, KeyStart::Run) {
+                    if same(&start, &KeyStart::Run) {
                         runs += 1;
                         by_fence |= token > 0;
                         running.push((at, token, sent));
@@ -400,8 +355,6 @@
     let results: Vec<_> = (0..100_000).map(run_model).collect();
     let ran = results.iter().filter(|(runs, _)| *runs == 1).count();
     let fenced = results.iter().filter(|(_, by_fence)| *by_fence).count();
-    assert!(
-        ran > 10_000 && fenced > 1_000,
-        "{ran} ran, {fenced} after a fence"
-    );
+    assert!(ran > 10_000, "{ran} ran");
+    assert!(fenced > 1_000, "{fenced} ran after a fence");
 }
--- a/tests/routing_rules.rs
+++ b/tests/routing_rules.rs
@@ -37,6 +37,12 @@
     table
 }
 
+/// Returns a table with endpoints 1 to 4 in the own zone, and its entries.
+fn near_table() -> (EndpointTable, Vec<EndpointEntry>) {
+    let entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
+    (table(&entries), entries)
+}
+
 fn finish(table: &mut EndpointTable, now: u64, number: u16, verdict: CallVerdict, ms: f64) {
     let now = ClockTime(now);
     table.started(now, address(number), &kind());
@@ -65,11 +71,8 @@
 /// while far ones are free.
 #[test]
 fn nearest_tier_with_room_is_chosen() {
-    let entries = [
-        entry(1, "z1", "r1"),
-        entry(2, "z2", "r1"),
-        entry(3, "z3", "r2"),
-    ];
+    let places = [(1, "z1", "r1"), (2, "z2", "r1"), (3, "z3", "r2")];
+    let entries = places.map(|(number, zone, region)| entry(number, zone, region));
     for (zone, region, link, expected) in [
         (0, 0, 0, [EndpointTier::Zone; 2]),
         (4, 0, 0, [EndpointTier::Zone; 2]),
@@ -94,8 +97,7 @@
 /// Guards against an endpoint that stops answering keeping its share of work until calls time out.
 #[test]
 fn silent_endpoint_loses_work_within_half_a_second() {
-    let entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
-    let mut table = table(&entries);
+    let (mut table, _) = near_table();
     for round in 0..20 {
         for number in 1..=4 {
             finish(&mut table, round, number, CallVerdict::Answered, 2.0);
@@ -136,8 +138,7 @@
 #[test]
 fn latency_outlier_is_ejected_above_the_floor() {
     for (normal, slow, expected) in [(2.0, 9.0, false), (1.0, 8.0, false), (4.0, 60.0, true)] {
-        let entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
-        let mut table = table(&entries);
+        let (mut table, _) = near_table();
         for round in 0..10 {
             for number in 1..=4 {
                 let ms = if number == 4 { slow } else { normal };
@@ -152,8 +153,7 @@
 /// Guards against the last endpoints drowning when a common fault ejects most of them.
 #[test]
 fn gate_opens_when_more_than_half_are_ejected() {
-    let entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
-    let mut table = table(&entries);
+    let (mut table, _) = near_table();
     for number in 1..=3 {
         for _ in 0..3 {
             finish(&mut table, 0, number, CallVerdict::Failed, 1.0);
@@ -167,10 +167,10 @@
 /// Guards against new work on leaving or suspected endpoints, also for keys and resends.
 #[test]
 fn leaving_and_suspected_are_passed_over() {
-    let mut entries: Vec<_> = (1..=4).map(|number| entry(number, "z1", "r1")).collect();
+    let (mut table, mut entries) = near_table();
     entries[0].state = MemberState::Leaving;
     entries[1].suspected = true;
-    let mut table = table(&entries);
+    table.update(ClockTime(0), &entries);
     let counts = shares(&mut table, 0);
     assert_eq!(counts[..2], [0, 0], "{counts:?}");
     let mut rng = SmallRng::seed_from_u64(2);
