--- a/src/admission/admission_queue.rs
+++ b/src/admission/admission_queue.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::admission::queued_call::QueuedCall;
+use crate::admission::running_call::RunningCall;
 use crate::admission::{
     Admission, AdmissionPolicy, CallTicket, CancelEffect, RefusedTicket, SlotEstimate,
 };
@@ -16,12 +17,6 @@
 /// Bounds of `retry_after` before jitter, in ms.
 const RETRY_RANGE_MS: (f64, f64) = (10.0, 5_000.0);
 
-#[derive(Debug)]
-struct RunningCall {
-    ticket: CallTicket,
-    started: ClockTime,
-}
-
 /// Admits calls by weight per expected slot time among those that can meet their deadline.
 ///
 /// Long kinds hold at most `max(1, slots - 2)` slots, whatever the demand. A work-conserving cap
@@ -42,7 +37,7 @@
 }
 
 impl AdmissionQueue {
-    /// Creates an empty queue for `slots` running and at most `limit` waiting calls.
+    /// Creates an empty queue for `slots` running and about `limit` waiting calls.
     ///
     /// `seed` feeds the jitter of `retry_after`.
     #[must_use]
@@ -76,13 +71,14 @@
         self.slots.saturating_sub(RESERVED_SLOTS).max(1)
     }
 
-    fn has_slot(&self, ticket: &CallTicket) -> bool {
+    /// Returns whether a slot is free for a class.
+    fn has_slot(&self, long: bool) -> bool {
         if self.running.len() >= self.slots as usize {
             return false;
         }
         let running = self.running.values();
-        let long = running.filter(|call| self.is_long(&call.ticket)).count();
-        !self.is_long(ticket) || long < self.long_cap() as usize
+        let held = running.filter(|call| self.is_long(&call.ticket)).count();
+        !long || held < self.long_cap() as usize
     }
 
     /// Returns whether a ticket that starts now can finish before its deadline.
@@ -107,9 +103,7 @@
             .running
             .values()
             .partition(|call| self.is_long(&call.ticket) == long);
-        let rest = |call: &RunningCall| {
-            (self.expected(&call.ticket) - (now - call.started).as_f64()).max(0.0)
-        };
+        let rest = |call: &RunningCall| call.rest_ms(now, self.expected(&call.ticket));
         let slots = if long {
             self.long_cap()
         } else {
@@ -143,9 +137,10 @@
     fn fill(&mut self, now: ClockTime) -> Vec<u64> {
         let mut ids = Vec::new();
         loop {
+            let (short_free, long_free) = (self.has_slot(false), self.has_slot(true));
             let calls = self.queue.iter().enumerate();
             let calls = calls
-                .filter(|(_, call)| self.has_slot(&call.ticket))
+                .filter(|(_, call)| long_free || short_free && !self.is_long(&call.ticket))
                 .filter(|(_, call)| self.is_feasible(now, &call.ticket));
             let best = calls.max_by(|(first, one), (second, two)| {
                 let order = self.rank(now, one).total_cmp(&self.rank(now, two));
@@ -161,21 +156,34 @@
     }
 
     fn run(&mut self, now: ClockTime, ticket: CallTicket) {
-        let id = ticket.id;
-        let started = now;
-        self.running.insert(id, RunningCall { ticket, started });
+        let call = RunningCall::new(ticket, now);
+        self.running.insert(call.ticket.id, call);
+    }
+
+    /// Returns whether the queue has no place for a class.
+    ///
+    /// Long kinds have a quarter of the places and short ones the rest. With common places a burst
+    /// of short calls displaces long ones that have many seconds left and could run after it.
+    fn is_full(&self, long: bool) -> bool {
+        let quarter = self.limit / 4;
+        let places = if long { quarter } else { self.limit - quarter };
+        let calls = self.queue.iter();
+        let calls = calls.filter(|call| self.is_long(&call.ticket) == long);
+        calls.count() >= places.max(1)
     }
 
-    /// Makes a place at the queue limit; returns the dropped ticket, or `None` if the newcomer is
-    /// the least valuable.
+    /// Makes a place in the class of the newcomer; returns the dropped ticket, or `None` if the
+    /// newcomer is the least valuable.
     fn displace(&mut self, now: ClockTime, newcomer: &QueuedCall) -> Option<RefusedTicket> {
         // Work that can no longer finish has no value at all.
         let value = |call: &QueuedCall| {
             let feasible = self.is_feasible(now, &call.ticket);
             f64::from(u8::from(feasible)) * self.rank(now, call)
         };
+        let long = self.is_long(&newcomer.ticket);
         let calls = self.queue.iter().enumerate();
         let (place, least) = calls
+            .filter(|(_, call)| self.is_long(&call.ticket) == long)
             .map(|(place, call)| (place, value(call)))
             .min_by(|(first, one), (second, two)| one.total_cmp(two).then(second.cmp(first)))?;
         if least >= value(newcomer) {
@@ -199,12 +207,11 @@
         if !self.is_feasible(now, &ticket) {
             return self.refuse(ResultCode::DeadlineTooShort, 0.0);
         }
-        if self.has_slot(&ticket) {
+        if self.has_slot(self.is_long(&ticket)) {
             self.run(now, ticket);
             return Admission::Run;
         }
-        let arrived = now;
-        let call = QueuedCall { ticket, arrived };
+        let call = QueuedCall::new(ticket, now);
         let wait = self.wait_ms(now, &call);
         let ticket = &call.ticket;
         let required = self.estimate.required(now, &ticket.kind, ticket.long);
@@ -212,7 +219,7 @@
             return self.refuse(ResultCode::Overloaded, wait);
         }
         let mut dropped = None;
-        if self.queue.len() >= self.limit {
+        if self.is_full(self.is_long(&call.ticket)) {
             dropped = self.displace(now, &call);
             if dropped.is_none() {
                 return self.refuse(ResultCode::Overloaded, wait);
