Stop demo processes on SIGTERM and split types

A demo ended by SIGTERM would have left its processes running, since destructors do not run then. ProcessGuard now keeps the ids of processes that were not waited for, and the demo kills them before it exits with code 0. A few types move to files of their own, and RunningFleet can publish an instance list.

--- a/testkit/src/bin/demo.rs
+++ b/testkit/src/bin/demo.rs
@@ -9,7 +9,7 @@
 
 use clap::{Arg, ArgAction};
 use serde_json::Value;
-use testkit::{DeploymentPlan, FleetPlan, HttpProbe, ProcessGuard, RunningFleet, signal};
+use testkit::{DeploymentPlan, FleetPlan, HttpProbe, ProcessGuard, RunningFleet, process};
 
 /// Time for all nodes to become ready, and for all processes to stop, in ms.
 const FLEET_LIMIT_MS: u64 = 40_000;
@@ -39,7 +39,7 @@
         )
         .get_matches();
     let example = matches.get_one::<String>("example").expect("has a default");
-    signal::exit_on_term()?;
+    process::kill_all_on_term()?;
     println!("ready example={example}");
     let folder = std::env::temp_dir().join(format!("endive-demo-{}", std::process::id()));
     let mut plan = FleetPlan::new(DeploymentPlan::example(example)?, &folder)?;
--- a/testkit/src/fleet/running_fleet.rs
+++ b/testkit/src/fleet/running_fleet.rs
@@ -2,6 +2,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
+
 use crate::fleet::FleetPlan;
 use crate::process::ProcessGuard;
 use crate::wire::{HttpProbe, WireAnswer};
@@ -36,8 +38,7 @@
             plan,
         };
         fleet.start_platform()?;
-        let list = fleet.plan.instance_list().to_string();
-        expect_ok(&fleet.control().put("/instances", list.as_bytes())?)?;
+        fleet.publish_instances(&fleet.plan.instance_list())?;
         if let Some(latencies) = &fleet.plan.latencies {
             let proxy = ProcessGuard::start("fault-proxy", ["--control=127.0.0.1:0"])?;
             let probe = HttpProbe::new(proxy.address("control")?);
@@ -114,6 +115,16 @@
         expect_ok(&self.control().put("/manifest", manifest)?)
     }
 
+    /// Publishes an instance list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform refuses it.
+    pub fn publish_instances(&self, list: &Value) -> io::Result<()> {
+        let text = list.to_string();
+        expect_ok(&self.control().put("/instances", text.as_bytes())?)
+    }
+
     /// Returns a probe of the platform's control port.
     #[must_use]
     pub fn control(&self) -> HttpProbe {
--- a/testkit/src/load/load_caller.rs
+++ b/testkit/src/load/load_caller.rs
@@ -4,26 +4,13 @@
 
 use uuid::Builder;
 
-use crate::load::{AnswerCheck, AttemptResult, KeyChoice, KindLoad, LoadTarget};
+use crate::load::{AnswerCheck, AttemptResult, KeyChoice, KindLoad, LoadTarget, PlannedCall};
 use crate::wire::WireAnswer;
 
 /// Time that a caller waits for an answer after the deadline, so that late answers are told from
 /// missing ones.
 const LATE_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Describes one call before it is made.
-#[derive(Debug, Clone, Copy)]
-pub struct PlannedCall {
-    /// Index of the kind.
-    pub kind: usize,
-    /// Number within the run.
-    pub number: u64,
-    /// Intended start.
-    pub start: Instant,
-    /// Index of the first target; retries go to those after it.
-    pub target: usize,
-}
-
 /// Makes the attempts of one call.
 #[derive(Debug)]
 pub struct LoadCaller<'a> {
--- a/testkit/src/load/load_target.rs
+++ b/testkit/src/load/load_target.rs
@@ -1,35 +1,10 @@
 use std::io;
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::wire::{self, WireClient};
 
-/// Names an address that calls go to, in the form `[kind=]address`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetAddress {
-    /// Kind whose calls go there; all kinds if absent.
-    pub kind: Option<String>,
-    /// Address of a node or a backend server.
-    pub address: SocketAddr,
-}
-
-impl FromStr for TargetAddress {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<TargetAddress, String> {
-        let (kind, address) = match text.split_once('=') {
-            Some((kind, address)) => (Some(kind.to_owned()), address),
-            None => (None, text),
-        };
-        let address = address
-            .parse()
-            .map_err(|_| format!("bad address {address}"))?;
-        Ok(TargetAddress { kind, address })
-    }
-}
-
 /// Keeps open connections to one address.
 #[derive(Debug)]
 pub struct LoadTarget {
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -5,13 +5,34 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc;
+use std::sync::{Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
 
+use crate::wire;
+
+/// Ids of all started processes that have not been waited for.
+///
+/// The lock is held while a process is waited for, so that an id in the list never belongs to
+/// another process.
+static LIVE: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Makes SIGTERM kill every started process, then end this one with exit code 0.
+///
+/// # Errors
+///
+/// Returns an error if the signal handler cannot be installed.
+pub fn kill_all_on_term() -> io::Result<()> {
+    crate::signal::on_term(|| {
+        for id in wire::lock(&LIVE).iter() {
+            let _ = send(*id, Signal::SIGKILL);
+        }
+    })
+}
+
 /// Owns a started process; kills it and waits for it when dropped.
 #[derive(Debug)]
 pub struct ProcessGuard {
@@ -44,6 +65,7 @@
     pub fn start_command(mut command: Command) -> io::Result<ProcessGuard> {
         command.stdin(Stdio::null()).stdout(Stdio::piped());
         let mut child = command.spawn()?;
+        wire::lock(&LIVE).push(child.id());
         let output = child.stdout.take();
         // From here on, an early return kills the process.
         let mut guard = ProcessGuard {
@@ -125,7 +147,7 @@
     /// Returns an error if the process has ended.
     pub fn kill(&mut self) -> io::Result<()> {
         self.signal(Signal::SIGKILL)?;
-        self.child.wait().map(drop)
+        self.wait(10_000).map(drop)
     }
 
     /// Stops the process in place (SIGSTOP).
@@ -154,7 +176,7 @@
     pub fn wait(&mut self, limit_ms: u64) -> io::Result<ExitStatus> {
         let end = Instant::now() + Duration::from_millis(limit_ms);
         loop {
-            if let Some(status) = self.child.try_wait()? {
+            if let Some(status) = self.try_wait()? {
                 return Ok(status);
             }
             if Instant::now() >= end {
@@ -167,21 +189,34 @@
 
     fn signal(&mut self, signal: Signal) -> io::Result<()> {
         // The id of a process that was waited for may belong to another process by now.
-        if self.child.try_wait()?.is_some() {
+        if self.try_wait()?.is_some() {
             return Err(io::Error::other(format!("process {} has ended", self.id())));
         }
-        let id = i32::try_from(self.id()).map_err(io::Error::other)?;
-        signal::kill(Pid::from_raw(id), signal).map_err(io::Error::from)
+        send(self.id(), signal)
+    }
+
+    fn try_wait(&mut self) -> io::Result<Option<ExitStatus>> {
+        let mut live = wire::lock(&LIVE);
+        let status = self.child.try_wait()?;
+        if status.is_some() {
+            live.retain(|id| *id != self.child.id());
+        }
+        Ok(status)
     }
 }
 
 impl Drop for ProcessGuard {
     fn drop(&mut self) {
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = self.wait(10_000);
     }
 }
 
+fn send(id: u32, signal: Signal) -> io::Result<()> {
+    let id = i32::try_from(id).map_err(io::Error::other)?;
+    signal::kill(Pid::from_raw(id), signal).map_err(io::Error::from)
+}
+
 fn failed(command: &Command, text: &str) -> io::Error {
     io::Error::other(format!("{}: {text}", command.get_program().display()))
 }
--- a/testkit/src/proxy.rs
+++ b/testkit/src/proxy.rs
@@ -1,13 +1,15 @@
 //! TCP mappings with latency, limited bandwidth and faults.
 
 mod link_group;
+mod mapping_request;
 mod proxy_fault;
 mod proxy_mapping;
 mod proxy_server;
 mod proxy_stream;
 
 pub use link_group::LinkGroup;
-pub use proxy_fault::{GroupEntry, MappingEntry, MappingRequest, ProxyFault, ProxyMode};
+pub use mapping_request::{GroupEntry, MappingEntry, MappingRequest};
+pub use proxy_fault::{ProxyFault, ProxyMode};
 pub use proxy_mapping::ProxyMapping;
 pub use proxy_server::ProxyServer;
 
--- a/testkit/src/signal.rs
+++ b/testkit/src/signal.rs
@@ -2,7 +2,9 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
 
 use signal_hook::consts;
 use signal_hook::flag;
@@ -16,3 +18,24 @@
     flag::register_conditional_shutdown(consts::SIGTERM, 0, Arc::new(AtomicBool::new(true)))?;
     Ok(())
 }
+
+/// Makes SIGTERM run the action, then end the process with exit code 0.
+///
+/// # Errors
+///
+/// Returns an error if the signal handler cannot be installed.
+pub fn on_term<F>(action: F) -> io::Result<()>
+where
+    F: FnOnce() + Send + 'static,
+{
+    let asked = Arc::new(AtomicBool::new(false));
+    flag::register(consts::SIGTERM, Arc::clone(&asked))?;
+    thread::Builder::new().spawn(move || {
+        while !asked.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        action();
+        std::process::exit(0);
+    })?;
+    Ok(())
+}
