Run the demo's load under a process guard

The load generator was the one process that outlived a demo ended by SIGTERM. ProcessGuard can return the last line of output, so the demo starts the load through it as well.

--- a/testkit/src/bin/demo.rs
+++ b/testkit/src/bin/demo.rs
@@ -2,8 +2,7 @@
 
 use std::error::Error;
 use std::fs;
-use std::io::Read;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,6 +16,9 @@
 /// Time for a manifest to be in force everywhere, in ms; the design aims at 7 s.
 const FORCE_LIMIT_MS: u64 = 15_000;
 
+/// Time for the load to end, in ms; the profiles of the examples take 9 s.
+const LOAD_LIMIT_MS: u64 = 60_000;
+
 /// Time from the start of the load to the change of the manifest.
 const CHANGE_AFTER: Duration = Duration::from_secs(4);
 
@@ -73,11 +75,10 @@
     thread::sleep(CHANGE_AFTER);
     let published = Instant::now();
     fleet.publish(&second)?;
-    let waited = wait_in_force(&fleet, 2);
+    wait_in_force(&fleet, 2)?;
     let force_ms = published.elapsed().as_millis();
-    let answers = waited.and_then(|()| check_route(&fleet, &change));
-    let report = end_load(&mut load, answers.is_err())?;
-    let checked = answers?;
+    let checked = check_route(&fleet, &change)?;
+    let report: Value = serde_json::from_str(&load.last_line(LOAD_LIMIT_MS)?)?;
     println!("manifest 2 in force everywhere after {force_ms} ms");
     let (method, path, service) = &change;
     println!("{method} {path} answered by {service} at {checked} of {checked} nodes");
@@ -139,37 +140,12 @@
     Ok(fleet.plan.endpoints.len())
 }
 
-fn start_load(fleet: &RunningFleet, example: &str) -> DemoResult<Child> {
-    let mut command = Command::new(ProcessGuard::program_path("load-gen")?);
-    command.arg("--profile");
-    command.arg(DeploymentPlan::example_path(example, "load.toml"));
-    for endpoint in &fleet.plan.endpoints {
-        command.arg(format!("--target={}", endpoint.entry));
-    }
-    Ok(command
-        .stdin(Stdio::null())
-        .stdout(Stdio::piped())
-        .spawn()?)
-}
-
-/// Waits for the report of the load, or kills the load after a failure elsewhere.
-fn end_load(load: &mut Child, failed: bool) -> DemoResult<Value> {
-    if failed {
-        load.kill()?;
-        load.wait()?;
-        return Ok(Value::Null);
-    }
-    let mut text = String::new();
-    if let Some(output) = &mut load.stdout {
-        output.read_to_string(&mut text)?;
-    }
-    let status = load.wait()?;
-    if !status.success() {
-        return Err(format!("load-gen: {status}").into());
-    }
-    Ok(serde_json::from_str(
-        text.lines().last().unwrap_or_default(),
-    )?)
+fn start_load(fleet: &RunningFleet, example: &str) -> DemoResult<ProcessGuard> {
+    let profile = DeploymentPlan::example_path(example, "load.toml");
+    let mut arguments = vec![format!("--profile={}", profile.display())];
+    let endpoints = fleet.plan.endpoints.iter();
+    arguments.extend(endpoints.map(|endpoint| format!("--target={}", endpoint.entry)));
+    Ok(ProcessGuard::start("load-gen", arguments)?)
 }
 
 fn print_load(report: &Value) {
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, mpsc};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{self, Signal};
@@ -38,6 +38,8 @@
 pub struct ProcessGuard {
     child: Child,
     ready: String,
+    /// Reads the output to its end and returns the last line.
+    reader: Option<JoinHandle<Option<String>>>,
 }
 
 impl ProcessGuard {
@@ -71,16 +73,17 @@
         let mut guard = ProcessGuard {
             child,
             ready: String::new(),
+            reader: None,
         };
         let (sender, receiver) = mpsc::channel();
-        thread::spawn(move || {
-            let Some(output) = output else { return };
+        guard.reader = Some(thread::spawn(move || {
+            let output = output?;
             let mut lines = BufReader::new(output).lines().map_while(Result::ok);
             let ready = lines.find(|line| line.starts_with("ready"));
             let _ = sender.send(ready);
             // Reading on keeps the process from blocking on a full pipe.
-            lines.for_each(drop);
-        });
+            lines.last()
+        }));
         match receiver.recv_timeout(Duration::from_secs(10)) {
             Ok(Some(line)) => guard.ready = line,
             Ok(None) => return Err(failed(&command, "ended without a ready line")),
@@ -125,6 +128,21 @@
             .ok_or_else(|| io::Error::other(format!("no address {name} in: {}", self.ready)))
     }
 
+    /// Waits for the end of the process, at most for the given time in ms, and returns its last
+    /// line of output.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process still runs, fails, or printed nothing after its ready line.
+    pub fn last_line(&mut self, limit_ms: u64) -> io::Result<String> {
+        let status = self.wait(limit_ms)?;
+        if !status.success() {
+            return Err(io::Error::other(format!("process {}: {status}", self.id())));
+        }
+        let line = self.reader.take().and_then(|reader| reader.join().ok());
+        line.flatten().ok_or_else(|| io::Error::other("no output"))
+    }
+
     /// Returns the process id.
     #[must_use]
     pub fn id(&self) -> u32 {
