--- a/src/distribution/control_messages.rs
+++ b/src/distribution/control_messages.rs
@@ -86,7 +86,10 @@
             } => {
                 actions = self.spread_suspicion(subject, incarnation, witness, Some(from), now);
             }
-            ControlMessage::Applied { stamp, nodes } => self.applied.record(stamp, &nodes, from),
+            ControlMessage::Applied { stamp, nodes } => {
+                link.reports = true;
+                self.applied.record(stamp, &nodes, from);
+            }
             ControlMessage::Refused {
                 number,
                 digest,
--- a/src/distribution/control_state.rs
+++ b/src/distribution/control_state.rs
@@ -52,6 +52,8 @@
     pub(super) members_dirty: bool,
     pub(super) next_beat: ClockTime,
     pub(super) next_plan: ClockTime,
+    pub(super) next_view: ClockTime,
+    pub(super) next_snapshot: ClockTime,
     pub(super) refusals: BTreeMap<NodeAddress, (u64, ContentDigest, ResultCode)>,
 }
 
@@ -86,6 +88,8 @@
             members_dirty: true,
             next_beat: now,
             next_plan: now,
+            next_view: now,
+            next_snapshot: now,
             refusals: BTreeMap::new(),
             settings,
         }
--- a/src/distribution/control_tick.rs
+++ b/src/distribution/control_tick.rs
@@ -9,6 +9,13 @@
 
 /// Time between two heartbeats.
 const BEAT_INTERVAL: ClockTime = ClockTime(1_000);
+/// Shortest time between two arrangements of a large member table.
+const VIEW_INTERVAL: ClockTime = ClockTime(1_000);
+/// Number of nodes up to which the member table is arranged at each change.
+const SMALL_FLEET: usize = 200;
+/// Time from the first message of the first member table until all of it counts as received; the
+/// rank in a partial table would make too many nodes watch.
+const TABLE_TIME: ClockTime = ClockTime(2_000);
 /// Time between two decisions about links.
 const PLAN_INTERVAL: ClockTime = ClockTime(250);
 /// Time after which a link on which nothing was heard is replaced.
@@ -52,7 +59,9 @@
             self.next_beat = now + BEAT_INTERVAL;
             self.send_beats(now, &mut actions);
         }
-        if std::mem::take(&mut self.members_dirty) {
+        if self.members_dirty && now >= self.next_snapshot {
+            self.members_dirty = false;
+            self.next_snapshot = now + PLAN_INTERVAL;
             actions.push(ControlAction::MembersChanged);
         }
         self.finish(now, &mut actions);
@@ -78,10 +87,14 @@
         Random: Rng + ?Sized,
     {
         let sequence = self.members.sequence();
-        if self.view_sequence == Some(sequence) {
+        if self.view_sequence == Some(sequence) || now < self.next_view {
             return;
         }
         self.view_sequence = Some(sequence);
+        // A fleet view hashes every address; a small one is cheap to compute at once.
+        if self.members.entries().count() > SMALL_FLEET {
+            self.next_view = now + VIEW_INTERVAL;
+        }
         let member = &self.settings.member;
         self.view = FleetView::new(&self.members, member);
         let home = member.region == self.settings.platform_region;
@@ -130,7 +143,7 @@
             .first_read
             .get_or_insert_with(|| self.start + ClockTime(rng.random_range(0..spread)));
         let wait = self.settings.watch_wait.min(WATCH_LIMIT);
-        let known = self.members_since.is_some();
+        let known = self.members_since.is_some_and(|at| now - at >= TABLE_TIME);
         let age = now - self.freshest.unwrap_or(self.start);
         let role = match &self.rank {
             _ if self.settings.every_node_watches => ReaderRole::Watch,
@@ -218,7 +231,9 @@
                 message: heartbeat.clone(),
             });
             let link = self.links.get(&to);
-            if link.is_some_and(|link| link.zone.as_ref() == Some(&zone)) {
+            let near = link.is_some_and(|link| link.zone.as_ref() == Some(&zone));
+            let reports = link.is_some_and(|link| link.reports);
+            if near && (reports || self.neighbors.reports_to(&to)) {
                 let nodes = self.applied.unsent(to);
                 if !nodes.is_empty() {
                     let stamp = self.applied.stamp();
--- a/src/distribution/link_state.rs
+++ b/src/distribution/link_state.rs
@@ -21,6 +21,8 @@
     pub(crate) delta_to: VersionStamp,
     /// Position in the member table up to which changes were sent.
     pub(crate) members: u64,
+    /// Whether the peer reports on this link which nodes have a version in force.
+    pub(crate) reports: bool,
     /// Since when the digests of the member tables differ.
     pub(crate) differs: Option<ClockTime>,
 }
@@ -35,6 +37,7 @@
             pushed_at: now,
             delta_to: VersionStamp::default(),
             members,
+            reports: false,
             differs: None,
         }
     }
--- a/src/distribution/neighbor_set.rs
+++ b/src/distribution/neighbor_set.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct NeighborSet {
     picks: BTreeMap<LinkPurpose, NodeAddress>,
+    successor: Option<NodeAddress>,
     links: BTreeMap<NodeAddress, LinkRecord>,
     failures: BTreeMap<NodeAddress, FailureRecord>,
     /// Failures by purpose; they keep a node from trying every node of a part that is cut off.
@@ -115,6 +116,16 @@
         changes
     }
 
+    /// Returns whether this node reports to the peer which nodes have a version in force.
+    ///
+    /// Reports go over the next link of the ring and one random link only. Over all links each id
+    /// would be sent about four times as often, which exceeds the byte budget of a node.
+    #[must_use]
+    pub fn reports_to(&self, peer: &NodeAddress) -> bool {
+        let random = self.picks.get(&LinkPurpose::Zone(0));
+        self.successor.as_ref() == Some(peer) || random == Some(peer)
+    }
+
     /// Asks for a link to a peer that has a version this node lacks.
     pub fn want(&mut self, peer: NodeAddress, now: ClockTime) {
         self.fetch = Some((peer, now + FETCH_TIME));
@@ -197,6 +208,11 @@
     {
         let working = view.ring.iter().filter(|peer| self.usable(peer, now));
         let mut wanted: BTreeSet<_> = working.take(RING_LINKS).copied().collect();
+        self.successor = view
+            .ring
+            .iter()
+            .find(|peer| self.usable(peer, now))
+            .copied();
         let mut wishes: Vec<(LinkPurpose, Vec<NodeAddress>)> = Vec::new();
         for place in 0..RANDOM_LINKS {
             wishes.push((LinkPurpose::Zone(place), view.ring.clone()));
--- a/tests/distribution_state.rs
+++ b/tests/distribution_state.rs
@@ -312,6 +312,46 @@
     assert_eq!(requests(&node.on_tick(at(1_000), &mut rng)), [address(3)]);
 }
 
+/// Guards against a node that gets the same unusable change again after a lost one.
+#[test]
+fn lost_change_is_repaired_by_the_index() {
+    let (at, port) = (ClockTime, address(2));
+    let mut node = control(1, "bangna", "central", &[]);
+    let publish = |node: &mut ControlState, number| {
+        let bytes = published(number, &[number as u32, 1]).into();
+        let value = ConfigRead::Value {
+            revision: number,
+            bytes,
+        };
+        node.on_manifest_read(Ok(value), at(number))
+    };
+    publish(&mut node, 1);
+    node.on_link_up(port, at(1));
+    let hello = NodeHello {
+        member: member(2, "bangna", "central"),
+        stamp: node.keeper().stamp(),
+        ready: true,
+    };
+    node.on_message(port, ControlMessage::Hello(hello), at(1));
+    let mut peer = holding(&published(1, &[1, 1]));
+    let sent = |actions: Actions| {
+        let message = |action| match action {
+            ControlAction::Send { message, .. } => Some(message),
+            _ => None,
+        };
+        actions.into_iter().find_map(message)
+    };
+    publish(&mut node, 2);
+    let Some(ControlMessage::Delta(delta)) = sent(publish(&mut node, 3)) else {
+        panic!("no change was pushed");
+    };
+    assert_eq!(delta.from, manifest(2, &[2, 1]).stamp());
+    assert!(matches!(peer.offer_delta(&delta), OfferOutcome::NeedIndex));
+    let request = ControlMessage::IndexRequest(delta.to);
+    let answer = sent(node.on_message(port, request, at(4)));
+    assert!(matches!(answer, Some(ControlMessage::Index { stamp, .. }) if stamp == delta.to));
+}
+
 /// Guards against links that leave a part of a zone cut off, or that grow without limit.
 #[test]
 fn links_keep_a_zone_connected() {
