Test that a fence lost in a restart refuses its attempt

The model does not fail without this rule, because the settle time also covers it, so the table of fences checks it directly. The 7 tests of tests/once_rules.rs pass.

--- a/tests/once_rules.rs
+++ b/tests/once_rules.rs
@@ -88,6 +88,11 @@
 fn fences_refuse_smaller_tokens() {
     let (now, key) = (ClockTime(40_000), key());
     let mut ledger = ledger();
+    let unfenced = ledger.begin(now, &key, 5, FIRST);
+    assert!(
+        same(&unfenced, &KeyStart::Fenced),
+        "fence lost in a restart"
+    );
     for (token, age, reply) in [
         (5, 40_000, FenceReply::CannotTell),
         (5, 39_999, FenceReply::Fenced),
