--- a/src/node/once_call.rs
+++ b/src/node/once_call.rs
@@ -10,9 +10,12 @@
 use crate::id::{NodeAddress, RequestKey};
 use crate::membership::MemberState;
 use crate::node::{AttemptKey, EntryService, ResolvedCall, endpoint_service};
-use crate::once::{FenceDecision, FenceRound, KeyAge, PlacedKey};
+use crate::once::{FenceDecision, FenceRound, KeyAge, PlacedKey, SETTLE_TIME};
 use crate::peer::{FenceReply, FenceRequest};
 
+/// Allowance for the time that an attempt takes to arrive at an endpoint.
+const SETTLE_MARGIN: ClockTime = ClockTime(5_000);
+
 impl EntryService {
     /// Runs work that must run at most once.
     pub(crate) async fn run_once(&self, call: &ResolvedCall) -> CallAnswer {
@@ -36,7 +39,11 @@
 
     /// Runs a first attempt; only refusals that did not run are sent elsewhere.
     async fn run_first(&self, call: &ResolvedCall, key: RequestKey, private: bool) -> CallAnswer {
-        let mut tried: SmallVec<[NodeAddress; 4]> = SmallVec::new();
+        let mut tried: SmallVec<[NodeAddress; 4]> = if private {
+            SmallVec::new()
+        } else {
+            self.unsettled_endpoints(call)
+        };
         let mut attempt = call.request.attempt;
         let mut last = None;
         let key = AttemptKey {
@@ -109,10 +116,11 @@
                 return CallAnswer::from_error(&Error::new(code, code.meaning()));
             }
             FenceDecision::Replay(to) => (Some(to), 0),
-            FenceDecision::Run => (
-                self.endpoints.choose_by_hash(&call.service, &key, &[]),
-                token,
-            ),
+            FenceDecision::Run => {
+                let young = self.unsettled_endpoints(call);
+                let to = self.endpoints.choose_by_hash(&call.service, &key, &young);
+                (to, token)
+            }
         };
         let Some(to) = to else {
             return Self::no_endpoint(call);
@@ -204,6 +212,25 @@
         (address, reply.ok())
     }
 
+    /// Returns the endpoints that do not accept keys made by callers yet; none if all are young.
+    fn unsettled_endpoints(&self, call: &ResolvedCall) -> SmallVec<[NodeAddress; 4]> {
+        let members = self.view.members();
+        let wall = self.clock.wall_now();
+        let mut young = SmallVec::new();
+        let mut settled = false;
+        for view in members.live(&call.service) {
+            if endpoint_service::uptime_of(&view.entry, wall) < SETTLE_TIME + SETTLE_MARGIN {
+                young.push(view.entry.address);
+            } else {
+                settled = true;
+            }
+        }
+        if !settled {
+            young.clear();
+        }
+        young
+    }
+
     /// Makes a key for a call without one; nobody else knows it.
     fn private_key(&self) -> Result<RequestKey> {
         let bytes = self.rng.borrow_mut().random::<[u8; 10]>();
