Let settings name other dial addresses of peers

Cause: faults and latency between nodes could not be injected, and a tunnel between regions could not be used, because the identity of a node was also the address to dial. The settings test covers the new table.

--- a/src/node/node_runtime.rs
+++ b/src/node/node_runtime.rs
@@ -119,7 +119,8 @@
             body_limit,
             clock,
         )?;
-        let pool = Rc::new(PeerPool::new(clock, body_limit));
+        let pool = PeerPool::new(clock, body_limit).with_dial_addresses(settings.dial.clone());
+        let pool = Rc::new(pool);
         let endpoints = Rc::new(EndpointSet::new(
             clock,
             member.zone.clone(),
--- a/src/peer/peer_connection.rs
+++ b/src/peer/peer_connection.rs
@@ -1,5 +1,6 @@
 use std::cell::{Cell, RefCell};
 use std::future::{self, Future};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -47,6 +48,7 @@
     /// Creates a connection and the future that opens and drives it until it ends.
     pub(crate) fn new(
         to: NodeAddress,
+        dial: SocketAddr,
         now: ClockTime,
     ) -> (Rc<Self>, impl Future<Output = ()> + 'static) {
         let (reporter, opened) = oneshot::channel();
@@ -59,7 +61,7 @@
             retired: Cell::new(false),
             closer: RefCell::new(Some(closer)),
         });
-        let driver = drive(to, Rc::clone(&connection), reporter, closed);
+        let driver = drive(to, dial, Rc::clone(&connection), reporter, closed);
         (connection, driver)
     }
 
@@ -89,11 +91,12 @@
 
 async fn drive(
     to: NodeAddress,
+    dial: SocketAddr,
     connection: Rc<PeerConnection>,
     reporter: oneshot::Sender<Result<SendRequest<Bytes>>>,
     mut closed: oneshot::Receiver<()>,
 ) {
-    let opening = time::timeout(CONNECT_TIMEOUT, open(to, &connection)).await;
+    let opening = time::timeout(CONNECT_TIMEOUT, open(to, dial, &connection)).await;
     let (sender, mut channel, mut probe) = match opening {
         Ok(Ok(parts)) => parts,
         Ok(Err(error)) => {
@@ -132,9 +135,10 @@
 /// answers costs a call that is known not to have run.
 async fn open(
     to: NodeAddress,
+    dial: SocketAddr,
     connection: &PeerConnection,
 ) -> Result<(SendRequest<Bytes>, Channel, LinkProbe)> {
-    let stream = TcpStream::connect_addr(to.0)
+    let stream = TcpStream::connect_addr(dial)
         .await
         .map_err(|error| unreachable(to, error))?;
     let stream = CountedStream::new(stream, Rc::clone(&connection.counter));
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -1,6 +1,8 @@
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::fmt;
 use std::future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -37,6 +39,7 @@
     table: Rc<ConnectionTable>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
     closed: Cell<bool>,
+    dial_addresses: HashMap<NodeAddress, SocketAddr>,
 }
 
 impl PeerPool {
@@ -49,6 +52,7 @@
             table: Rc::new(ConnectionTable::new(MAX_CONNECTIONS)),
             tasks: RefCell::default(),
             closed: Cell::new(false),
+            dial_addresses: HashMap::new(),
         }
     }
 
@@ -59,6 +63,13 @@
         self
     }
 
+    /// Sets the addresses at which peers are reached that differ from their own.
+    #[must_use]
+    pub fn with_dial_addresses(mut self, addresses: HashMap<NodeAddress, SocketAddr>) -> Self {
+        self.dial_addresses = addresses;
+        self
+    }
+
     /// Returns the number of call connections that are open or being opened.
     #[must_use]
     pub fn connection_count(&self) -> usize {
@@ -78,6 +89,10 @@
         }
     }
 
+    fn dial(&self, to: NodeAddress) -> SocketAddr {
+        self.dial_addresses.get(&to).copied().unwrap_or(to.0)
+    }
+
     fn spawn<Driver>(&self, driver: Driver)
     where
         Driver: Future<Output = ()> + 'static,
@@ -105,7 +120,7 @@
                 "all connections are in use",
             ));
         }
-        let (connection, driver) = PeerConnection::new(to, self.clock.now());
+        let (connection, driver) = PeerConnection::new(to, self.dial(to), self.clock.now());
         self.table.insert(to, Rc::clone(&connection));
         let table = Rc::clone(&self.table);
         let own = Rc::clone(&connection);
@@ -206,7 +221,7 @@
         if self.closed.get() {
             return Err(peer_connection::unreachable(to, "the pool is closed"));
         }
-        let (connection, driver) = PeerConnection::new(to, self.clock.now());
+        let (connection, driver) = PeerConnection::new(to, self.dial(to), self.clock.now());
         self.spawn(driver);
         // Dropping this handle, with the link or on an error, ends the driver.
         let closer = connection.take_closer().map(Rc::new);
--- a/src/settings/node_settings.rs
+++ b/src/settings/node_settings.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -24,6 +25,8 @@
     pub platform: PlatformSettings,
     /// Peer addresses of the first peers.
     pub seeds: Vec<NodeAddress>,
+    /// Addresses at which peers are reached that differ from the ones in the instance list.
+    pub dial: HashMap<NodeAddress, SocketAddr>,
     /// Limits on calls.
     pub call: CallSettings,
     /// Windows of the burn report.
@@ -64,6 +67,7 @@
             backend: BackendSettings::read(root.table("backend")?)?,
             platform: PlatformSettings::read(root.table("platform")?)?,
             seeds: root.list("seeds", "numeric addresses and ports")?,
+            dial: root.table("dial")?.entries("a numeric address and port")?,
             call: CallSettings::read(root.table("call")?)?,
             burn: BurnSettings::read(root.table("burn")?)?,
             log_level: root
--- a/src/settings/setting_table.rs
+++ b/src/settings/setting_table.rs
@@ -1,4 +1,6 @@
+use std::collections::HashMap;
 use std::fmt::Display;
+use std::hash::Hash;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
@@ -84,6 +86,24 @@
         }
     }
 
+    /// Takes every entry of this table as a pair of texts.
+    pub(crate) fn entries<Key, Parsed>(mut self, allowed: &str) -> Result<HashMap<Key, Parsed>>
+    where
+        Key: FromStr + Eq + Hash,
+        Parsed: FromStr,
+    {
+        let table = std::mem::take(&mut self.table);
+        table
+            .iter()
+            .map(|(key, value)| {
+                let name = key
+                    .parse()
+                    .map_err(|_| self.out_of_range(key, format!("named by {allowed}")))?;
+                Ok((name, self.parse_text(key, value, allowed)?))
+            })
+            .collect()
+    }
+
     /// Takes an optional integer within `range`.
     pub(crate) fn integer(&mut self, key: &str, range: RangeInclusive<u64>) -> Result<Option<u64>> {
         let Some(value) = self.table.remove(key) else {
--- a/tests/settings_rules.rs
+++ b/tests/settings_rules.rs
@@ -103,6 +103,12 @@
             106,
             "key `seeds` repeats the address 127.0.0.1:7100",
         ),
+        (
+            "[listen]",
+            "[dial]\n\"127.0.0.1:7102\" = \"tunnel\"\n[listen]",
+            105,
+            "key `dial.127.0.0.1:7102` must be a numeric address",
+        ),
         ("[listen]", "[listen", 102, "not valid TOML"),
     ];
     for (from, to, code, message) in cases {
