Send each applied report once per link in either direction

Two peers sent each other ids that the other had just sent, and nodes that started together flushed in step, so reports took a second a hop.

--- a/src/distribution/applied_set.rs
+++ b/src/distribution/applied_set.rs
@@ -1,4 +1,6 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
 
 use crate::id::NodeAddress;
 use crate::version::VersionStamp;
@@ -17,12 +19,12 @@
     cursors: BTreeMap<NodeAddress, usize>,
 }
 
-/// Holds ids in order of arrival, each with the peer that sent it.
+/// Holds ids in order of arrival, each with the peers that sent it.
 #[derive(Debug, Clone, Default)]
 struct AppliedList {
     stamp: VersionStamp,
-    order: Vec<(NodeAddress, NodeAddress)>,
-    known: BTreeSet<NodeAddress>,
+    order: Vec<NodeAddress>,
+    known: BTreeMap<NodeAddress, SmallVec<[NodeAddress; 2]>>,
 }
 
 impl AppliedSet {
@@ -64,21 +66,29 @@
     pub fn unsent(&mut self, peer: NodeAddress) -> Vec<NodeAddress> {
         let cursor = self.cursors.entry(peer).or_default();
         let mut nodes = Vec::new();
-        while let Some((node, source)) = self.current.order.get(*cursor) {
+        while let Some(node) = self.current.order.get(*cursor) {
             if nodes.len() == MAX_IDS {
                 break;
             }
             *cursor += 1;
-            if *source != peer && *node != peer {
+            let sources = self.current.known.get(node);
+            let heard = sources.is_some_and(|sources| sources.contains(&peer));
+            if !heard && *node != peer {
                 nodes.push(*node);
             }
         }
         nodes
     }
 
-    /// Forgets what was sent on a link that closed.
+    /// Forgets what was sent and heard on a link that closed.
     pub fn forget(&mut self, peer: &NodeAddress) {
         self.cursors.remove(peer);
+        // The peer may have restarted and lost what it sent.
+        for list in [&mut self.current, &mut self.next] {
+            for sources in list.known.values_mut() {
+                sources.retain(|source| source != peer);
+            }
+        }
     }
 
     /// Returns the version that the ids are about.
@@ -89,14 +99,19 @@
 
     /// Returns the nodes of the zone known to have the version in force, in order of address.
     pub fn nodes(&self) -> impl Iterator<Item = &NodeAddress> {
-        self.current.known.iter()
+        self.current.known.keys()
     }
 }
 
 impl AppliedList {
     fn add(&mut self, node: NodeAddress, source: NodeAddress) {
-        if self.known.insert(node) {
-            self.order.push((node, source));
+        let order = &mut self.order;
+        let sources = self.known.entry(node).or_insert_with(|| {
+            order.push(node);
+            SmallVec::new()
+        });
+        if !sources.contains(&source) {
+            sources.push(source);
         }
     }
 }
--- a/src/distribution/control_state.rs
+++ b/src/distribution/control_state.rs
@@ -51,6 +51,7 @@
     pub(super) next_members_request: ClockTime,
     pub(super) members_dirty: bool,
     pub(super) next_beat: ClockTime,
+    pub(super) next_report: ClockTime,
     pub(super) next_plan: ClockTime,
     pub(super) next_view: ClockTime,
     pub(super) next_snapshot: ClockTime,
@@ -63,6 +64,10 @@
     pub fn new(settings: ControlSettings, now: ClockTime) -> Self {
         let mut settings = settings;
         let own = settings.member.address;
+        // Nodes that start together beat at different times, so that two of them rarely send the
+        // same ids to each other at once.
+        let digest = ContentDigest::of(own.to_string().as_bytes()).0;
+        let phase = ClockTime(u64::from(u16::from_le_bytes([digest[0], digest[1]])) % 1_000);
         settings.seeds.retain(|seed| *seed != own);
         Self {
             members: MemberTable::new(settings.member.clone()),
@@ -86,7 +91,8 @@
             members_since: None,
             next_members_request: now,
             members_dirty: true,
-            next_beat: now,
+            next_beat: now + phase,
+            next_report: now + phase,
             next_plan: now,
             next_view: now,
             next_snapshot: now,
--- a/src/distribution/control_tick.rs
+++ b/src/distribution/control_tick.rs
@@ -16,6 +16,8 @@
 /// Time from the first message of the first member table until all of it counts as received; the
 /// rank in a partial table would make too many nodes watch.
 const TABLE_TIME: ClockTime = ClockTime(2_000);
+/// Time between two reports of nodes that have a version in force; one report covers many nodes.
+const REPORT_INTERVAL: ClockTime = ClockTime(500);
 /// Time between two decisions about links.
 const PLAN_INTERVAL: ClockTime = ClockTime(250);
 /// Time after which a link on which nothing was heard is replaced.
@@ -59,6 +61,10 @@
             self.next_beat = now + BEAT_INTERVAL;
             self.send_beats(now, &mut actions);
         }
+        if now >= self.next_report {
+            self.next_report = now + REPORT_INTERVAL;
+            self.send_reports(&mut actions);
+        }
         if self.members_dirty && now >= self.next_snapshot {
             self.members_dirty = false;
             self.next_snapshot = now + PLAN_INTERVAL;
@@ -220,7 +226,6 @@
                 .map_or(ClockTime(u64::MAX), |age| age + HOP_ALLOWANCE),
             member_digest: self.members.digest(),
         };
-        let zone = self.settings.member.zone.clone();
         for to in peers {
             if !self.sync.ready() {
                 // A peer that is ready answers it, which verifies the version held here.
@@ -230,16 +235,22 @@
                 to,
                 message: heartbeat.clone(),
             });
-            let link = self.links.get(&to);
-            let near = link.is_some_and(|link| link.zone.as_ref() == Some(&zone));
-            let reports = link.is_some_and(|link| link.reports);
-            if near && (reports || self.neighbors.reports_to(&to)) {
-                let nodes = self.applied.unsent(to);
-                if !nodes.is_empty() {
-                    let stamp = self.applied.stamp();
-                    let message = ControlMessage::Applied { stamp, nodes };
-                    actions.push(ControlAction::Send { to, message });
-                }
+        }
+    }
+
+    /// Tells peers of the zone which nodes have the version in force.
+    fn send_reports(&mut self, actions: &mut Actions) {
+        let zone = &self.settings.member.zone;
+        let stamp = self.applied.stamp();
+        for (to, link) in &self.links {
+            let near = link.zone.as_ref() == Some(zone);
+            if !near || !(link.reports || self.neighbors.reports_to(to)) {
+                continue;
+            }
+            let nodes = self.applied.unsent(*to);
+            if !nodes.is_empty() {
+                let message = ControlMessage::Applied { stamp, nodes };
+                actions.push(ControlAction::Send { to: *to, message });
             }
         }
     }
