Add the operators' tool endivectl

Operators had no way to see whether a manifest is in force. The module tool and the program endivectl read the admin pages of at most three nodes of each zone and implement check-manifest, check-settings, status, wait, explain and burn. The explain page decodes its query, which the client percent-encodes, because a path may contain characters that end a query.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod settings;
 pub mod size;
 pub mod status;
+pub mod tool;
 pub mod version;
 
 pub use crate::error::{Error, Result, ResultCode};
--- a/src/node/admin_pages.rs
+++ b/src/node/admin_pages.rs
@@ -3,7 +3,7 @@
 
 use serde::Serialize;
 
-use crate::admin::{AdminHandler, AdminPage};
+use crate::admin::{AdminHandler, AdminPage, PageQuery};
 use crate::burn::BurnLedger;
 use crate::clock::{ClockTime, SystemClock};
 use crate::distribution::ControlState;
@@ -108,15 +108,9 @@
     }
 
     fn explain(&self, query: &str) -> CallExplanation {
-        let field = |name: &str| {
-            query
-                .split('&')
-                .filter_map(|pair| pair.split_once('='))
-                .find(|(key, _)| *key == name)
-                .map(|(_, value)| value)
-        };
-        let method = field("method").unwrap_or("GET");
-        let path = field("path").unwrap_or("/");
+        let query = PageQuery::decode(query);
+        let method = query.get("method").unwrap_or("GET");
+        let path = query.get("path").unwrap_or("/");
         let manifest = self.view.manifest();
         let found = manifest
             .as_ref()
--- /dev/null
+++ b/src/tool/address_check.rs
@@ -0,0 +1,73 @@
+use std::fmt::Write;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+use crate::error::{Error, ResultCode};
+use crate::settings::NodeSettings;
+use crate::tool::ToolOutput;
+
+/// Checks settings files, and that no two of them use one address.
+#[must_use]
+pub fn check_settings(paths: &[PathBuf]) -> ToolOutput {
+    let mut output = ToolOutput::default();
+    let mut valid = Vec::new();
+    for path in paths {
+        match NodeSettings::load(path) {
+            Ok(settings) => valid.push((path.as_path(), settings)),
+            Err(error) => output.errors.push(error),
+        }
+    }
+    for (index, (path, settings)) in valid.iter().enumerate() {
+        let mut clean = true;
+        for (other_path, other) in &valid[..index] {
+            let errors = shared_addresses(path, settings, other_path, other);
+            clean &= errors.is_empty();
+            output.errors.extend(errors);
+        }
+        if clean {
+            // Writing to a string does not fail.
+            let _ = writeln!(output.text, "{}: valid", path.display());
+        }
+    }
+    output
+}
+
+fn shared_addresses(
+    path: &Path,
+    settings: &NodeSettings,
+    other_path: &Path,
+    other: &NodeSettings,
+) -> Vec<Error> {
+    // Loopback and unspecified addresses are local to a machine, and the peer address tells the
+    // machine.
+    let same_machine = settings.listen.peer.ip() == other.listen.peer.ip();
+    let mut errors = Vec::new();
+    for (key, address) in own_addresses(settings) {
+        for (other_key, other_address) in own_addresses(other) {
+            if address == other_address && (same_machine || !is_local(address.ip())) {
+                errors.push(Error::new(
+                    ResultCode::SettingsDuplicateAddress,
+                    format!(
+                        "{}: key `{key}` repeats the address {address} of key `{other_key}` in {}",
+                        path.display(),
+                        other_path.display()
+                    ),
+                ));
+            }
+        }
+    }
+    errors
+}
+
+fn own_addresses(settings: &NodeSettings) -> [(&'static str, SocketAddr); 4] {
+    [
+        ("listen.caller", settings.listen.caller),
+        ("listen.peer", settings.listen.peer),
+        ("listen.admin", settings.listen.admin),
+        ("backend.address", settings.backend.address),
+    ]
+}
+
+fn is_local(address: IpAddr) -> bool {
+    address.is_loopback() || address.is_unspecified()
+}
--- /dev/null
+++ b/src/tool/call_view.rs
@@ -0,0 +1,66 @@
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use crate::admin::PageQuery;
+use crate::error::ResultCode;
+use crate::status::CallExplanation;
+use crate::tool::{FleetReader, ToolOutput};
+
+/// Shows where a call would go from the node at an admin address and why.
+pub async fn explain(
+    reader: &FleetReader,
+    admin: SocketAddr,
+    method: &str,
+    path: &str,
+    json: bool,
+) -> ToolOutput {
+    let query = PageQuery::default()
+        .with("method", method)
+        .with("path", path);
+    let page = format!("/v1/explain?{}", query.encode());
+    match reader.page::<CallExplanation>(admin, &page).await {
+        Ok(view) if json => {
+            let mut page = serde_json::json!(view);
+            page["stamp"] = view.stamp.to_string().into();
+            ToolOutput::json(&page)
+        }
+        Ok(view) => ToolOutput::done(text(method, path, &view)),
+        Err(error) => ToolOutput::from(error),
+    }
+}
+
+fn text(method: &str, path: &str, view: &CallExplanation) -> String {
+    let mut text = format!("{method} {path} by version {}\n", view.stamp);
+    let (Some(prefix), Some(service), Some(kind)) = (&view.prefix, &view.service, &view.kind)
+    else {
+        let code = ResultCode::NoRoute;
+        text += &format!("{} (code {})\n", code.meaning(), code.number());
+        return text;
+    };
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "route {prefix} to service {service}, kind {kind}");
+    if view.endpoints.is_empty() {
+        let code = ResultCode::NoEndpoint;
+        let _ = writeln!(text, "{} (code {})", code.meaning(), code.number());
+        return text;
+    }
+    let _ = writeln!(
+        text,
+        "{:<22} {:<16} {:>9} {:>6} {:>8}  state",
+        "endpoint", "zone", "in flight", "load", "slowness"
+    );
+    for endpoint in &view.endpoints {
+        let zone = endpoint.zone.as_ref().map_or("-", |zone| zone.as_str());
+        let _ = writeln!(
+            text,
+            "{:<22} {:<16} {:>9} {:>6.2} {:>8.2}  {}",
+            endpoint.address.to_string(),
+            zone,
+            endpoint.in_flight,
+            f64::from(endpoint.load) / 1_000.0,
+            endpoint.slowness,
+            endpoint.state
+        );
+    }
+    text
+}
--- /dev/null
+++ b/src/tool/fleet_reader.rs
@@ -0,0 +1,191 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use futures_util::future::{self, FutureExt};
+use rand::Rng;
+use rand::seq::SliceRandom;
+use serde::de::DeserializeOwned;
+
+use crate::admin::AdminClient;
+use crate::clock::ClockTime;
+use crate::error::{Error, Result, ResultCode};
+use crate::id::ZoneName;
+use crate::membership::{MemberEntry, MemberState};
+use crate::size::ByteSize;
+use crate::status::NodeStatus;
+use crate::tool::FleetSurvey;
+
+/// Time to connect to a node, and again for its answer.
+const NODE_TIMEOUT: ClockTime = ClockTime(1_000);
+/// Largest page: a list of 5,500 members has about 1.5 MB.
+const PAGE_LIMIT: ByteSize = ByteSize(8 << 20);
+/// Nodes of a zone that are asked; each knows which nodes of its zone applied a version.
+const ASKED_PER_ZONE: usize = 3;
+/// Nodes of a zone that are tried until enough have answered.
+const TRIED_PER_ZONE: usize = 6;
+
+/// Reads the admin pages of a bounded number of nodes of the fleet.
+#[derive(Debug, Clone)]
+pub struct FleetReader {
+    client: AdminClient,
+    admins: Vec<SocketAddr>,
+    learned: Vec<SocketAddr>,
+}
+
+impl FleetReader {
+    /// Creates a reader that learns the members from any of the given admin addresses.
+    #[must_use]
+    pub fn new(admins: Vec<SocketAddr>) -> Self {
+        Self {
+            client: AdminClient::new(NODE_TIMEOUT, PAGE_LIMIT),
+            admins,
+            learned: Vec::new(),
+        }
+    }
+
+    /// Reads a JSON page of one node.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` without an answer, `PeerProtocol` if it is not the expected page.
+    pub async fn page<Page>(&self, admin: SocketAddr, path: &str) -> Result<Page>
+    where
+        Page: DeserializeOwned,
+    {
+        let page = self.client.get(admin, path).await?;
+        if page.status != 200 {
+            return Err(Error::new(
+                ResultCode::PeerProtocol,
+                format!(
+                    "node at {admin} answered {path} with status {}",
+                    page.status
+                ),
+            ));
+        }
+        serde_json::from_slice(&page.body).map_err(|error| {
+            Error::new(
+                ResultCode::PeerProtocol,
+                format!("node at {admin} sent an invalid page {path}: {error}"),
+            )
+        })
+    }
+
+    /// Reads the members from the given nodes or, if none answers, from those learned earlier.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` if no node answers.
+    pub async fn members(&mut self) -> Result<Vec<MemberEntry>> {
+        let mut last = None;
+        let known: Vec<_> = self.admins.iter().chain(&self.learned).copied().collect();
+        // Groups bound the time that silent addresses take.
+        for group in known.chunks(ASKED_PER_ZONE) {
+            let reads = group.iter().map(|admin| {
+                self.page::<Vec<MemberEntry>>(*admin, "/v1/members")
+                    .boxed_local()
+            });
+            let read = future::select_ok(reads).await.map(|(members, _)| members);
+            match read {
+                Ok(members) => {
+                    // The next survey asks another node, whose list may be more complete.
+                    self.admins.rotate_left(1);
+                    return Ok(members);
+                }
+                Err(error) => last = Some(error),
+            }
+        }
+        let cause = last.map_or_else(String::new, |error| format!(", last: {}", error.message()));
+        Err(Error::new(
+            ResultCode::PeerUnreachable,
+            format!("none of {} nodes answered{cause}", known.len()),
+        ))
+    }
+
+    /// Reads the members and the status of up to three nodes of each zone.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` if no node answers.
+    pub async fn survey<Random>(&mut self, rng: &mut Random) -> Result<FleetSurvey>
+    where
+        Random: Rng + ?Sized,
+    {
+        let members = self.members().await?;
+        let (pairs, silent) = self
+            .ask_zones::<NodeStatus, _>(&members, "/v1/status", rng)
+            .await;
+        let mut survey = FleetSurvey {
+            members,
+            answers: Vec::new(),
+            silent: silent.iter().map(|entry| entry.address).collect(),
+        };
+        for (entry, status) in pairs {
+            // Another node may have taken over the admin address of a member that is gone.
+            if status.member.address == entry.address {
+                survey.answers.push(status);
+            } else {
+                survey.silent.push(entry.address);
+            }
+        }
+        self.learned = survey.answers.iter().map(|it| it.member.admin.0).collect();
+        Ok(survey)
+    }
+
+    /// Reads one page of up to three live nodes of each zone; returns the pages and the nodes
+    /// that gave none.
+    pub(crate) async fn ask_zones<Page, Random>(
+        &self,
+        members: &[MemberEntry],
+        path: &str,
+        rng: &mut Random,
+    ) -> (Vec<(MemberEntry, Page)>, Vec<MemberEntry>)
+    where
+        Page: DeserializeOwned,
+        Random: Rng + ?Sized,
+    {
+        let mut zones = BTreeMap::<&ZoneName, Vec<&MemberEntry>>::new();
+        for entry in members.iter().filter(|it| it.state == MemberState::Live) {
+            zones.entry(&entry.zone).or_default().push(entry);
+        }
+        for entries in zones.values_mut() {
+            entries.shuffle(rng);
+            entries.truncate(TRIED_PER_ZONE);
+        }
+        let zones = zones.into_values();
+        let asked = zones.map(|entries| self.ask(entries, path, ASKED_PER_ZONE));
+        let mut pages = Vec::new();
+        let mut silent = Vec::new();
+        for (zone_pages, zone_silent) in future::join_all(asked).await {
+            pages.extend(zone_pages);
+            silent.extend(zone_silent);
+        }
+        (pages, silent)
+    }
+
+    /// Reads a page of the first `wanted` entries at once, then of others for each that failed.
+    pub(crate) async fn ask<Page>(
+        &self,
+        entries: Vec<&MemberEntry>,
+        path: &str,
+        wanted: usize,
+    ) -> (Vec<(MemberEntry, Page)>, Vec<MemberEntry>)
+    where
+        Page: DeserializeOwned,
+    {
+        let mut pages = Vec::new();
+        let mut silent = Vec::new();
+        let mut rest = entries.as_slice();
+        while pages.len() < wanted && !rest.is_empty() {
+            let (group, later) = rest.split_at(rest.len().min(wanted - pages.len()));
+            rest = later;
+            let reads = group.iter().map(|entry| self.page(entry.admin.0, path));
+            for (entry, page) in group.iter().zip(future::join_all(reads).await) {
+                match page {
+                    Ok(page) => pages.push(((*entry).clone(), page)),
+                    Err(_) => silent.push((*entry).clone()),
+                }
+            }
+        }
+        (pages, silent)
+    }
+}
--- /dev/null
+++ b/src/tool/fleet_survey.rs
@@ -0,0 +1,51 @@
+use std::collections::BTreeMap;
+
+use crate::id::NodeAddress;
+use crate::membership::{MemberEntry, MemberState};
+use crate::status::NodeStatus;
+use crate::version::VersionStamp;
+
+/// Holds the members and the answers of the nodes that were asked.
+#[derive(Debug, Clone, Default)]
+pub struct FleetSurvey {
+    /// Members as one node lists them.
+    pub members: Vec<MemberEntry>,
+    /// Status of each node that answered.
+    pub answers: Vec<NodeStatus>,
+    /// Nodes that were asked and gave no usable answer.
+    pub silent: Vec<NodeAddress>,
+}
+
+impl FleetSurvey {
+    /// Returns the live members.
+    pub fn live(&self) -> impl Iterator<Item = &MemberEntry> {
+        let members = self.members.iter();
+        members.filter(|entry| entry.state == MemberState::Live)
+    }
+
+    /// Returns the newest version that each node is known to have in force.
+    ///
+    /// A node counts only if an asked node names it; for a stamp the sets of all asked nodes that
+    /// report this stamp are joined.
+    #[must_use]
+    pub fn held(&self) -> BTreeMap<NodeAddress, VersionStamp> {
+        let mut held = BTreeMap::<NodeAddress, VersionStamp>::new();
+        let published = |status: &&NodeStatus| status.stamp != VersionStamp::default();
+        for status in self.answers.iter().filter(published) {
+            for node in status.applied.iter().chain([&status.member.address]) {
+                let stamp = held.entry(*node).or_default();
+                *stamp = status.stamp.max(*stamp);
+            }
+        }
+        held
+    }
+
+    /// Returns the number of live members that an asked node knows of beyond the member list.
+    ///
+    /// The list comes from one node, which may be cut off from a part of the fleet.
+    #[must_use]
+    pub fn unlisted(&self) -> usize {
+        let known = self.answers.iter().map(|status| status.live_members).max();
+        known.unwrap_or(0).saturating_sub(self.live().count())
+    }
+}
--- /dev/null
+++ b/src/tool/manifest_check.rs
@@ -0,0 +1,77 @@
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::error::{Error, Result, ResultCode};
+use crate::manifest::{MAX_MANIFEST_BYTES, Manifest};
+use crate::tool::ToolOutput;
+use crate::version::VersionStamp;
+
+/// Holds the fields of the JSON form.
+#[derive(Debug, Serialize)]
+struct CheckPage {
+    valid: bool,
+    stamp: Option<String>,
+    code: ResultCode,
+    message: String,
+}
+
+/// Checks a manifest file with the code of the nodes and reports its stamp.
+#[must_use]
+pub fn check_manifest(path: &Path, json: bool) -> ToolOutput {
+    let checked = read_manifest(path).and_then(|bytes| {
+        let manifest = Manifest::decode(&bytes).map_err(|error| named(path, &error))?;
+        Ok(manifest.stamp())
+    });
+    let mut output = match &checked {
+        _ if json => ToolOutput::json(&page(&checked)),
+        Ok(stamp) => ToolOutput::done(format!("{}: valid, version {stamp}\n", path.display())),
+        Err(_) => ToolOutput::default(),
+    };
+    output.errors.extend(checked.err());
+    output
+}
+
+/// Reads a manifest file.
+///
+/// # Errors
+///
+/// `SettingsUnreadable` or, for a file larger than any manifest, `ManifestTooLarge`.
+pub(crate) fn read_manifest(path: &Path) -> Result<Vec<u8>> {
+    let unreadable = |error: std::io::Error| {
+        Error::new(
+            ResultCode::SettingsUnreadable,
+            format!("{}: cannot be read: {error}", path.display()),
+        )
+    };
+    let size = fs::metadata(path).map_err(unreadable)?.len();
+    if size > MAX_MANIFEST_BYTES as u64 {
+        return Err(Error::new(
+            ResultCode::ManifestTooLarge,
+            format!(
+                "{}: has {size} bytes, allowed are {MAX_MANIFEST_BYTES}",
+                path.display()
+            ),
+        ));
+    }
+    fs::read(path).map_err(unreadable)
+}
+
+/// Puts the name of the file before the message of an error.
+pub(crate) fn named(path: &Path, error: &Error) -> Error {
+    Error::new(
+        error.code(),
+        format!("{}: {}", path.display(), error.message()),
+    )
+}
+
+fn page(checked: &Result<VersionStamp>) -> CheckPage {
+    let error = checked.as_ref().err();
+    CheckPage {
+        valid: error.is_none(),
+        stamp: checked.as_ref().ok().map(ToString::to_string),
+        code: error.map_or(ResultCode::Ok, Error::code),
+        message: error.map_or_else(String::new, |error| error.message().to_owned()),
+    }
+}
--- /dev/null
+++ b/src/tool/wait_target.rs
@@ -0,0 +1,141 @@
+use std::collections::BTreeSet;
+use std::fmt;
+use std::path::Path;
+
+use crate::error::Result;
+use crate::manifest::Manifest;
+use crate::status::RefusedVersion;
+use crate::tool::{FleetSurvey, WaitVerdict, manifest_check};
+use crate::version::{ContentDigest, VersionStamp};
+
+/// Names the version that a wait is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaitTarget {
+    number: u64,
+    content: Option<TargetContent>,
+}
+
+/// Holds the digests of a manifest file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct TargetContent {
+    /// Digest in the stamp.
+    index: ContentDigest,
+    /// Digest of the bytes, which a refusal of a published value names.
+    bytes: ContentDigest,
+}
+
+impl WaitTarget {
+    /// Creates a target of a number with any content.
+    #[must_use]
+    pub fn number(number: u64) -> Self {
+        Self {
+            number,
+            content: None,
+        }
+    }
+
+    /// Creates a target of exactly this manifest.
+    ///
+    /// # Errors
+    ///
+    /// As [`Manifest::decode`].
+    pub fn manifest(bytes: &[u8]) -> Result<Self> {
+        let stamp = Manifest::decode(bytes)?.stamp();
+        Ok(Self {
+            number: stamp.number,
+            content: Some(TargetContent {
+                index: stamp.digest,
+                bytes: ContentDigest::of(bytes),
+            }),
+        })
+    }
+
+    /// Creates a target of the manifest in a file.
+    ///
+    /// # Errors
+    ///
+    /// `SettingsUnreadable`, else as [`Manifest::decode`], with the name of the file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let bytes = manifest_check::read_manifest(path)?;
+        Self::manifest(&bytes).map_err(|error| manifest_check::named(path, &error))
+    }
+
+    /// Decides whether the version is in force at every live member.
+    #[must_use]
+    pub fn judge(&self, survey: &FleetSurvey) -> WaitVerdict {
+        if let Some(winner) = self.conflict_winner(survey) {
+            return WaitVerdict::Conflict(winner);
+        }
+        let held = survey.held();
+        let live = survey.live().count();
+        let stamps: Vec<_> = survey
+            .live()
+            .filter_map(|entry| held.get(&entry.address).copied())
+            .filter(|stamp| self.is_reached(*stamp))
+            .collect();
+        let exact: BTreeSet<_> = stamps
+            .iter()
+            .filter(|stamp| stamp.number == self.number)
+            .collect();
+        let have = stamps.len();
+        // Two contents under the number are held until the higher digest has spread.
+        if live > 0 && have == live && exact.len() <= 1 && survey.unlisted() == 0 {
+            let newest = stamps.iter().max().copied();
+            return WaitVerdict::InForce {
+                live,
+                stamp: exact.first().map(|stamp| **stamp),
+                superseded_by: newest.filter(|stamp| stamp.number > self.number),
+            };
+        }
+        let refusals = survey.answers.iter().flat_map(|status| &status.refused);
+        let matching = refusals.filter(|refused| self.is_refused(refused));
+        // The node that refused gives the reason in words; others pass on only its code.
+        match matching.max_by_key(|refused| refused.message.len()) {
+            Some(refused) => WaitVerdict::Refused(refused.clone()),
+            None => WaitVerdict::Pending {
+                have,
+                live: live + survey.unlisted(),
+            },
+        }
+    }
+
+    fn is_reached(&self, stamp: VersionStamp) -> bool {
+        let same = |content: &TargetContent| content.index == stamp.digest;
+        stamp.number > self.number
+            || stamp.number == self.number && self.content.as_ref().is_none_or(same)
+    }
+
+    fn is_refused(&self, refused: &RefusedVersion) -> bool {
+        match &self.content {
+            // The number of a refused value is unknown if it could not be read.
+            Some(content) => [content.index, content.bytes].contains(&refused.digest),
+            None => refused.number == self.number,
+        }
+    }
+
+    /// Returns the digest that won over the content of this target, if one did.
+    fn conflict_winner(&self, survey: &FleetSurvey) -> Option<ContentDigest> {
+        let own = self.content.as_ref()?.index;
+        let number = self.number;
+        let reported = survey
+            .answers
+            .iter()
+            .flat_map(|status| &status.conflicts)
+            .filter(|conflict| conflict.number == number && conflict.loser == own)
+            .map(|conflict| conflict.winner);
+        let stamps = survey.answers.iter().map(|status| status.stamp);
+        let held = stamps
+            .filter(|stamp| stamp.number == number && stamp.digest > own)
+            .map(|stamp| stamp.digest);
+        reported.chain(held).max()
+    }
+}
+
+impl fmt::Display for WaitTarget {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.content {
+            Some(content) => write!(formatter, "{}-{}", self.number, content.index),
+            None => write!(formatter, "{}", self.number),
+        }
+    }
+}
--- /dev/null
+++ b/src/tool/zone_report.rs
@@ -0,0 +1,89 @@
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::id::{NodeAddress, ZoneName};
+use crate::membership::MemberEntry;
+use crate::tool;
+use crate::version::VersionStamp;
+
+/// Most nodes that are named in one list.
+pub(crate) const MAX_NAMED: usize = 20;
+
+/// Reports the newest version in force in one zone and the nodes that have it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ZoneReport {
+    /// Zone.
+    pub zone: ZoneName,
+    /// Newest version that a node of the zone is known to have in force.
+    #[serde(serialize_with = "tool::as_text")]
+    pub stamp: VersionStamp,
+    /// Live nodes known to have this version.
+    pub have: usize,
+    /// Live nodes.
+    pub live: usize,
+    /// Nodes that answered.
+    pub asked: usize,
+    /// Live nodes not known to have this version, at most 20.
+    pub unknown: Vec<NodeAddress>,
+    /// Further such nodes that are not named.
+    pub unknown_more: usize,
+}
+
+impl ZoneReport {
+    /// Compares the live nodes of a zone with the versions that nodes are known to have.
+    pub(crate) fn new(
+        zone: ZoneName,
+        nodes: &[&MemberEntry],
+        held: &BTreeMap<NodeAddress, VersionStamp>,
+        asked: usize,
+    ) -> Self {
+        let stamp_of = |entry: &MemberEntry| held.get(&entry.address).copied();
+        let stamps = nodes.iter().filter_map(|entry| stamp_of(entry));
+        let stamp = stamps.max().unwrap_or_default();
+        let is_unknown = |entry: &MemberEntry| stamp_of(entry) != Some(stamp);
+        let unknown: Vec<_> = nodes
+            .iter()
+            .filter(|entry| is_unknown(entry))
+            .map(|entry| entry.address)
+            .collect();
+        Self {
+            zone,
+            stamp,
+            have: nodes.len() - unknown.len(),
+            live: nodes.len(),
+            asked,
+            unknown_more: unknown.len().saturating_sub(MAX_NAMED),
+            unknown: unknown.into_iter().take(MAX_NAMED).collect(),
+        }
+    }
+}
+
+impl fmt::Display for ZoneReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "zone {}: version {} at {} of {} live nodes, {} asked",
+            self.zone, self.stamp, self.have, self.live, self.asked
+        )?;
+        if !self.unknown.is_empty() {
+            write!(formatter, "\n  not known to have it:")?;
+            write_nodes(formatter, &self.unknown)?;
+            if self.unknown_more > 0 {
+                write!(formatter, " and {} more", self.unknown_more)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Writes each node after a space.
+pub(crate) fn write_nodes(
+    formatter: &mut fmt::Formatter<'_>,
+    nodes: &[NodeAddress],
+) -> fmt::Result {
+    nodes
+        .iter()
+        .try_for_each(|node| write!(formatter, " {node}"))
+}
