Test the operators' tool and show leaving nodes

A fleet whose nodes are all leaving gave an empty status and an unclear time-out. Leaving nodes are now counted and asked where no live one is left. The tests use admin servers with canned pages and the program itself.

--- a/src/tool/fleet_reader.rs
+++ b/src/tool/fleet_reader.rs
@@ -127,11 +127,14 @@
                 survey.silent.push(entry.address);
             }
         }
-        self.learned = survey.answers.iter().map(|it| it.member.admin.0).collect();
+        if !survey.answers.is_empty() {
+            let answers = survey.answers.iter();
+            self.learned = answers.map(|status| status.member.admin.0).collect();
+        }
         Ok(survey)
     }
 
-    /// Reads one page of up to three live nodes of each zone; returns the pages and the nodes
+    /// Reads one page of up to three nodes of each zone, live ones first; returns the pages and the nodes
     /// that gave none.
     pub(crate) async fn ask_zones<Page, Random>(
         &self,
@@ -144,11 +147,13 @@
         Random: Rng + ?Sized,
     {
         let mut zones = BTreeMap::<&ZoneName, Vec<&MemberEntry>>::new();
-        for entry in members.iter().filter(|it| it.state == MemberState::Live) {
+        for entry in members.iter().filter(|it| it.state != MemberState::Gone) {
             zones.entry(&entry.zone).or_default().push(entry);
         }
         for entries in zones.values_mut() {
             entries.shuffle(rng);
+            // Leaving nodes are asked only where too few live ones are left.
+            entries.sort_by_key(|entry| entry.state);
             entries.truncate(TRIED_PER_ZONE);
         }
         let zones = zones.into_values();
--- a/src/tool/fleet_report.rs
+++ b/src/tool/fleet_report.rs
@@ -24,6 +24,8 @@
     pub stale_reads: u64,
     /// Age of the freshest read of the configuration service; absent if no asked node knows one.
     pub read_age: Option<ClockTime>,
+    /// Members that finish what they hold and take no new work.
+    pub leaving: usize,
     /// Asked nodes that are not ready.
     pub not_ready: Vec<NodeAddress>,
     /// Asked nodes that gave no usable answer, at most 20.
@@ -66,6 +68,7 @@
             conflicts: conflicts(survey),
             stale_reads: survey.answers.iter().map(|status| status.stale_reads).sum(),
             read_age: ages.min().filter(|age| *age != ClockTime(u64::MAX)),
+            leaving: survey.members.len() - survey.live().count(),
             not_ready: not_ready.map(|status| status.member.address).collect(),
             silent: survey.silent.iter().copied().take(MAX_NAMED).collect(),
             unlisted: survey.unlisted(),
@@ -139,6 +142,9 @@
                 self.stale_reads
             )?,
         }
+        if self.leaving > 0 {
+            writeln!(formatter, "leaving nodes: {}", self.leaving)?;
+        }
         for line in &self.refused {
             let reason = if line.message.is_empty() {
                 line.code.meaning()
--- a/src/tool/version_wait.rs
+++ b/src/tool/version_wait.rs
@@ -101,6 +101,10 @@
             let message = format!("no node answered within {timeout}");
             return Error::new(ResultCode::PeerUnreachable, message);
         };
+        if *live == 0 {
+            let message = format!("no member is live after {timeout}, all are leaving");
+            return Error::new(ResultCode::WaitTimeout, message);
+        }
         Error::new(
             ResultCode::WaitTimeout,
             format!("version {target} is known at {have} of {live} live nodes after {timeout}"),
--- /dev/null
+++ b/tests/operators_tool.rs
@@ -0,0 +1,369 @@
+//! The operators' tool against admin servers with canned pages.
+
+use std::cell::{Cell, RefCell};
+use std::fs;
+use std::future::Future;
+use std::path::PathBuf;
+use std::process::Command;
+use std::rc::Rc;
+
+use endivelanding::admin::{AdminHandler, AdminPage, AdminServer, PageQuery};
+use endivelanding::caller::{ServerLimits, StopSignal};
+use endivelanding::clock::ClockTime;
+use endivelanding::error::ResultCode;
+use endivelanding::id::{NodeAddress, NodeIncarnation};
+use endivelanding::membership::{MemberEntry, MemberState};
+use endivelanding::status::{NodeStatus, RefusedVersion, VersionConflict};
+use endivelanding::tool::{
+    self, FleetReader, FleetReport, FleetSurvey, ToolExit, VersionWait, WaitTarget, WaitVerdict,
+};
+use endivelanding::version::{ContentDigest, VersionStamp};
+use futures_channel::oneshot;
+use monoio::net::TcpListener;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const MANIFEST: &str = include_str!("../examples/siam-markwell/manifest.json");
+
+fn block_on<Test>(test: Test) -> Test::Output
+where
+    Test: Future,
+{
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    let mut runtime = builder.build().unwrap();
+    runtime.block_on(test)
+}
+
+fn address(port: usize) -> NodeAddress {
+    format!("127.0.0.1:{port}").parse().unwrap()
+}
+
+fn stamp(number: u64, digest: u8) -> VersionStamp {
+    VersionStamp {
+        number,
+        digest: ContentDigest([digest; 16]),
+    }
+}
+
+fn member(index: usize, zone: &str) -> MemberEntry {
+    MemberEntry {
+        address: address(7100 + index),
+        admin: address(1),
+        incarnation: NodeIncarnation(1),
+        service: "ratecard".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        region: "central".parse().unwrap(),
+        state: MemberState::Live,
+    }
+}
+
+fn status(member: &MemberEntry, stamp: VersionStamp, applied: &[usize], live: usize) -> NodeStatus {
+    NodeStatus {
+        member: member.clone(),
+        ready: true,
+        uptime: ClockTime(1),
+        stamp,
+        applied: applied.iter().map(|index| address(7100 + index)).collect(),
+        read_age: ClockTime(40),
+        stale_reads: 1,
+        refused: Vec::new(),
+        conflicts: Vec::new(),
+        live_members: live,
+        links: 2,
+    }
+}
+
+/// Two zones with three nodes; one node of each is asked and names the given nodes.
+fn survey(stamps: [VersionStamp; 2], applied: [&[usize]; 2]) -> FleetSurvey {
+    let members = vec![member(0, "a"), member(1, "a"), member(2, "b")];
+    FleetSurvey {
+        answers: vec![
+            status(&members[0], stamps[0], applied[0], 3),
+            status(&members[2], stamps[1], applied[1], 3),
+        ],
+        members,
+        silent: Vec::new(),
+    }
+}
+
+/// Guards against a version reported in force while a live node is unknown, behind, on another
+/// content, or missing in the member list, and against a newer version that never counts.
+#[test]
+fn in_force_needs_every_live_node() {
+    type Case<'a> = (&'a str, [VersionStamp; 2], [&'a [usize]; 2], Option<u64>);
+    let (seven, eight) = (stamp(7, 1), stamp(8, 0));
+    let cases: [Case<'_>; 7] = [
+        ("all", [seven, seven], [&[0, 1], &[2]], Some(0)),
+        ("one not named", [seven, seven], [&[0], &[2]], None),
+        ("older", [seven, stamp(6, 9)], [&[0, 1], &[2]], None),
+        ("two contents", [seven, stamp(7, 2)], [&[0, 1], &[2]], None),
+        ("newer", [eight, eight], [&[0, 1], &[2]], Some(8)),
+        ("newer in part", [seven, eight], [&[0, 1], &[2]], Some(8)),
+        ("newer, one not named", [eight, eight], [&[0], &[2]], None),
+    ];
+    for (name, stamps, applied, expected) in cases {
+        let verdict = WaitTarget::number(7).judge(&survey(stamps, applied));
+        let found = match verdict {
+            WaitVerdict::InForce { superseded_by, .. } => {
+                Some(superseded_by.map_or(0, |newer| newer.number))
+            }
+            WaitVerdict::Pending { .. } => None,
+            other => panic!("{name}: {other:?}"),
+        };
+        assert_eq!(found, expected, "{name}");
+    }
+    let mut behind = survey([seven, seven], [&[0, 1], &[2]]);
+    behind.answers[0].live_members = 4;
+    let pending = WaitVerdict::Pending { have: 3, live: 4 };
+    assert_eq!(WaitTarget::number(7).judge(&behind), pending);
+    let empty = WaitTarget::number(7).judge(&FleetSurvey::default());
+    assert_eq!(empty, WaitVerdict::Pending { have: 0, live: 0 });
+}
+
+/// Guards against a wait that ends for the refusal of another version, or goes on after its own.
+#[test]
+fn only_refusal_of_the_version_ends_the_wait() {
+    let target = WaitTarget::manifest(MANIFEST.as_bytes()).unwrap();
+    let bytes = ContentDigest::of(MANIFEST.as_bytes());
+    let cases = [
+        (WaitTarget::number(7), 7, ContentDigest([9; 16]), true),
+        (WaitTarget::number(7), 8, ContentDigest([9; 16]), false),
+        (target.clone(), 0, bytes, true),
+        (target, 1, ContentDigest([9; 16]), false),
+    ];
+    for (target, number, digest, expected) in cases {
+        let mut survey = survey([stamp(0, 0); 2], [&[], &[]]);
+        survey.answers[0].refused.push(RefusedVersion {
+            number,
+            digest,
+            node: address(7101),
+            code: ResultCode::ManifestMissingService,
+            message: String::new(),
+        });
+        let verdict = target.judge(&survey);
+        let refused = matches!(verdict, WaitVerdict::Refused(_));
+        assert_eq!(refused, expected, "{target} by {number}");
+    }
+}
+
+/// Guards against a lost conflict that is reported as in force because the number matches.
+#[test]
+fn lost_content_is_a_conflict() {
+    let target = WaitTarget::manifest(MANIFEST.as_bytes()).unwrap();
+    let winner = stamp(1, 255);
+    let held = survey([winner; 2], [&[0, 1], &[2]]);
+    assert_eq!(target.judge(&held), WaitVerdict::Conflict(winner.digest));
+    let lower = survey([stamp(1, 0); 2], [&[0, 1], &[2]]);
+    assert_eq!(
+        target.judge(&lower),
+        WaitVerdict::Pending { have: 0, live: 3 }
+    );
+    let mut newer = survey([stamp(2, 0); 2], [&[0, 1], &[2]]);
+    let stamp_text = target.to_string();
+    newer.answers[1].conflicts.push(VersionConflict {
+        number: 1,
+        winner: winner.digest,
+        loser: stamp_text.split_once('-').unwrap().1.parse().unwrap(),
+    });
+    assert_eq!(target.judge(&newer), WaitVerdict::Conflict(winner.digest));
+}
+
+/// Guards against a status that hides nodes without the version, or names thousands of them.
+#[test]
+fn status_names_some_unknown_nodes_and_counts_the_rest() {
+    let mut survey = survey([stamp(7, 1); 2], [&[0, 1], &[2]]);
+    survey
+        .members
+        .extend((3..28).map(|index| member(index, "b")));
+    survey.answers[1].ready = false;
+    let report = FleetReport::new(&survey);
+    let zone = &report.zones[1];
+    assert_eq!((zone.have, zone.live), (1, 26));
+    assert_eq!((zone.unknown.len(), zone.unknown_more), (20, 5));
+    assert_eq!(report.not_ready, [address(7102)]);
+    assert_eq!(report.stale_reads, 2);
+    let text = report.to_string();
+    assert!(text.contains("at 1 of 26 live nodes"), "{text}");
+    assert!(text.contains("and 5 more"), "{text}");
+    let page = serde_json::to_value(&report).unwrap();
+    assert_eq!(page["zones"][0]["stamp"], stamp(7, 1).to_string());
+}
+
+/// Answers with the list of members and the status of one node, and counts the reads.
+struct CannedNode {
+    members: Rc<RefCell<Vec<MemberEntry>>>,
+    index: usize,
+    reads: Rc<Cell<usize>>,
+}
+
+impl AdminHandler for CannedNode {
+    fn get(&self, path: &str, _query: &str) -> AdminPage {
+        let members = self.members.borrow();
+        let text = if path == "/v1/members" {
+            serde_json::to_string(&*members)
+        } else {
+            self.reads.set(self.reads.get() + 1);
+            let all: Vec<_> = (0..members.len()).collect();
+            let entry = &members[self.index];
+            serde_json::to_string(&status(entry, stamp(7, 1), &all, members.len()))
+        };
+        AdminPage::json(200, text.unwrap())
+    }
+}
+
+/// Guards against a zone that is given up, or asked without bound, when nodes do not answer.
+#[test]
+fn silent_nodes_are_replaced_within_a_bound() {
+    // Nodes of one zone, those of them that answer, and the answers expected.
+    for (nodes, answering, least) in [(5, 3, 3), (8, 8, 3), (30, 1, 0)] {
+        block_on(async {
+            let members = Rc::new(RefCell::new(Vec::new()));
+            let reads = Rc::new(Cell::new(0));
+            let mut stops: Vec<oneshot::Sender<()>> = Vec::new();
+            let mut servers = Vec::new();
+            for index in 0..nodes {
+                let mut entry = member(index, "a");
+                if index < answering {
+                    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+                    entry.admin = NodeAddress(listener.local_addr().unwrap());
+                    let (sender, stop) = StopSignal::new();
+                    stops.push(sender);
+                    let handler = Rc::new(CannedNode {
+                        members: Rc::clone(&members),
+                        index,
+                        reads: Rc::clone(&reads),
+                    });
+                    let server = AdminServer::new(handler, ServerLimits::default());
+                    servers.push(monoio::spawn(async move {
+                        server.serve(listener, stop).await;
+                    }));
+                }
+                members.borrow_mut().push(entry);
+            }
+            let first = members.borrow()[0].admin.0;
+            // The first address does not answer; the second one must be used.
+            let mut reader = FleetReader::new(vec![address(1).0, first]);
+            let mut rng = StdRng::seed_from_u64(5);
+            let survey = reader.survey(&mut rng).await.unwrap();
+            assert_eq!(survey.answers.len(), reads.get());
+            assert!(reads.get() >= least && reads.get() <= 3, "{}", reads.get());
+            assert!(reads.get() + survey.silent.len() <= 6);
+            if least > 0 {
+                let wait = VersionWait {
+                    target: WaitTarget::number(7),
+                    timeout: ClockTime(2_000),
+                };
+                let result = wait.run(&mut reader, &mut rng, |_, _| {}).await;
+                assert_eq!(result.output(&wait.target, false).exit(), ToolExit::Done);
+                let later = WaitTarget::number(9);
+                let wait = VersionWait {
+                    target: later,
+                    timeout: ClockTime(300),
+                };
+                let result = wait.run(&mut reader, &mut rng, |_, _| {}).await;
+                let output = result.output(&wait.target, false);
+                assert_eq!(output.errors[0].code(), ResultCode::WaitTimeout);
+                assert_eq!(output.exit(), ToolExit::TimedOut);
+            }
+            stops.clear();
+            for server in servers {
+                server.await;
+            }
+        });
+    }
+}
+
+/// Guards against a path that loses its own query, or a page that trips over a broken escape.
+#[test]
+fn query_survives_encoding() {
+    for path in ["/a?b=c&method=PUT", "/100%", "/a%2Fb", "/ก ข", "%zz%4", ""] {
+        let query = PageQuery::default()
+            .with("method", "GET")
+            .with("path", path);
+        let text = query.encode();
+        assert!(text.bytes().all(|byte| byte.is_ascii_graphic()), "{text}");
+        let decoded = PageQuery::decode(&text);
+        assert_eq!(decoded.get("path"), Some(path));
+        assert_eq!(decoded.get("method"), Some("GET"));
+    }
+    assert_eq!(PageQuery::decode("path=%zz%4").get("path"), Some("%zz%4"));
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let name = format!("operators-tool-{}-{name}", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+/// Guards against two nodes that are rolled out with one address, and against a complaint about
+/// the loopback address of backend servers on different machines.
+#[test]
+fn shared_addresses_are_reported() {
+    let write = |name: &str, host: &str, port: u16| {
+        let listen = ["caller", "peer", "admin"].into_iter().zip(port..);
+        let listen: String = listen
+            .map(|(key, port)| format!("{key} = \"{host}:{port}\"\n"))
+            .collect();
+        let text = format!(
+            "[placement]\nservice = \"ratecard\"\nzone = \"a\"\nregion = \"central\"\n\
+             [listen]\n{listen}[backend]\naddress = \"127.0.0.1:9\"\n\
+             [platform]\nconfig = \"10.0.9.1:1\"\ninstances = \"10.0.9.1:2\"\n\
+             region = \"central\"\n"
+        );
+        file(name, &text)
+    };
+    let first = write("1", "10.0.0.1", 7000);
+    let other = write("2", "10.0.0.2", 7000);
+    let same = write("3", "10.0.0.1", 7000);
+    let clean = tool::check_settings(&[first.clone(), other.clone()]);
+    assert_eq!(clean.exit(), ToolExit::Done, "{:?}", clean.errors);
+    let output = tool::check_settings(&[first.clone(), same.clone()]);
+    assert_eq!(output.errors.len(), 4, "{:?}", output.errors);
+    assert!(
+        output
+            .errors
+            .iter()
+            .all(|error| error.code().number() == 106)
+    );
+    assert_eq!(output.exit(), ToolExit::Invalid);
+    for path in [first, other, same] {
+        fs::remove_file(path).unwrap();
+    }
+}
+
+/// Guards against exit codes that a pipeline would misread, and against hanging without a node.
+#[test]
+fn exit_codes_and_error_lines() {
+    let good = file("good.json", MANIFEST);
+    let bad = file(
+        "bad.json",
+        &MANIFEST.replacen("\"number\"", "\"nummer\"", 1),
+    );
+    let (good_path, bad_path) = (good.to_str().unwrap(), bad.to_str().unwrap());
+    let admin = "--admin=127.0.0.1:1";
+    let cases: [(&[&str], i32, &str); 9] = [
+        (&["check-manifest", good_path], 0, ""),
+        (&["check-manifest", bad_path], 2, "(code 203)"),
+        (&["check-manifest", "/absent.json"], 2, "(code 101)"),
+        (&["check-settings", "/absent.toml"], 2, "(code 101)"),
+        (&["wait", admin], 2, "--number"),
+        (&["wait", "--manifest", bad_path, admin], 2, "(code 203)"),
+        (&["wait", "--number=1", admin], 5, "(code 313)"),
+        (&["status", admin], 5, "(code 313)"),
+        (&["explain", admin, "GET", "/price"], 5, "(code 313)"),
+    ];
+    for (arguments, code, text) in cases {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_endivectl"));
+        let output = command.args(arguments).output().unwrap();
+        let errors = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {errors}");
+        assert!(errors.contains(text), "{arguments:?}: {errors}");
+        if text.starts_with("(code") {
+            assert_eq!(errors.lines().count(), 1, "{arguments:?}: {errors}");
+        }
+    }
+    fs::remove_file(good).unwrap();
+    fs::remove_file(bad).unwrap();
+}
