--- a/src/node/endpoint_service.rs
+++ b/src/node/endpoint_service.rs
@@ -169,7 +169,13 @@
         let Ok(placed) = key.as_str().parse::<PlacedKey>() else {
             return Ok(());
         };
-        if placed.address() == self.address && placed.incarnation() == self.incarnation {
+        // A node that others hold for gone raises its incarnation; the process stays the same.
+        let members = self.view.members();
+        let current = members
+            .member(&self.address)
+            .map_or(self.incarnation, |view| view.entry.incarnation);
+        let process = self.incarnation..=current.max(self.incarnation);
+        if placed.address() == self.address && process.contains(&placed.incarnation()) {
             return Ok(());
         }
         let age = if token == 0 {
