--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -3,6 +3,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::burn::BurnReport;
 use crate::error::{Error, Result, ResultCode};
 use crate::id::{KindName, ServiceName};
 
@@ -45,6 +46,9 @@
     version_events: Counter<u64>,
     pauses: Counter<u64>,
     version_number: Gauge<u64>,
+    version_installed: Gauge<f64>,
+    burn_rate: Gauge<f64>,
+    budget_left: Gauge<f64>,
     ready: Gauge<u64>,
     members: Gauge<u64>,
     links: Gauge<u64>,
@@ -94,6 +98,19 @@
                 "endive_version_number",
                 "Number of the version in force",
             ),
+            version_installed: meter
+                .f64_gauge("endive_version_installed_timestamp")
+                .with_description("Wall-clock time at which the version came in force here")
+                .with_unit("s")
+                .build(),
+            burn_rate: meter
+                .f64_gauge("endive_burn_rate")
+                .with_description("Share of bad calls over the share that the objective allows")
+                .build(),
+            budget_left: meter
+                .f64_gauge("endive_error_budget_left")
+                .with_description("Share of the error budget of the long window that is left")
+                .build(),
             ready: gauge(&meter, "endive_ready", "1 if the node serves calls"),
             members: gauge(&meter, "endive_members", "Live members known"),
             links: gauge(&meter, "endive_links", "Control links open"),
@@ -159,9 +176,24 @@
         self.pauses.add(1, &[]);
     }
 
-    /// Sets the number of the version in force.
-    pub fn set_version(&self, number: u64) {
+    /// Sets the number of the version in force and when it was installed, in ms of wall-clock time.
+    pub fn set_version(&self, number: u64, wall_ms: u64) {
         self.version_number.record(number, &[]);
+        self.version_installed.record(wall_ms as f64 / 1_000.0, &[]);
+    }
+
+    /// Sets burn rates and budgets from a report.
+    pub fn set_burn(&self, report: &BurnReport) {
+        for row in &report.rows {
+            let service = KeyValue::new("service", row.service.to_string());
+            let kind = KeyValue::new("kind", row.kind.to_string());
+            for (window, rate) in [("short", row.short_burn()), ("long", row.long_burn())] {
+                let window = KeyValue::new("window", window);
+                self.burn_rate
+                    .record(rate, &[service.clone(), kind.clone(), window]);
+            }
+            self.budget_left.record(row.budget_left(), &[service, kind]);
+        }
     }
 
     /// Sets whether the node serves calls.
--- a/src/node/admin_pages.rs
+++ b/src/node/admin_pages.rs
@@ -27,10 +27,7 @@
         match path {
             "/healthz" => AdminPage::text(200, "ok\n"),
             "/readyz" => self.readiness(),
-            "/metrics" => match self.metrics.exposition() {
-                Ok(text) => AdminPage::text(200, text),
-                Err(error) => AdminPage::text(500, format!("{error}\n")),
-            },
+            "/metrics" => self.metrics(),
             "/v1/status" => json(&self.status()),
             "/v1/members" => {
                 let state = self.state.borrow();
@@ -56,6 +53,15 @@
         }
     }
 
+    fn metrics(&self) -> AdminPage {
+        let report = self.burn.borrow().report(self.clock.now());
+        self.metrics.set_burn(&report);
+        match self.metrics.exposition() {
+            Ok(text) => AdminPage::text(200, text),
+            Err(error) => AdminPage::text(500, format!("{error}\n")),
+        }
+    }
+
     fn status(&self) -> NodeStatus {
         let now = self.view.observe();
         let state = self.state.borrow();
--- a/src/node/control_task.rs
+++ b/src/node/control_task.rs
@@ -197,7 +197,8 @@
                         stamp.number,
                         stamp.digest
                     );
-                    self.metrics.set_version(stamp.number);
+                    self.metrics
+                        .set_version(stamp.number, self.clock.wall_now());
                     self.metrics.record_version_event("installed");
                     if let Some(service) = manifest.service(&self.service) {
                         self.gate.resize(service.slots);
