--- a/src/tool/fleet_report.rs
+++ b/src/tool/fleet_report.rs
@@ -8,8 +8,7 @@
 use crate::id::{NodeAddress, ZoneName};
 use crate::membership::MemberEntry;
 use crate::tool::zone_report::{MAX_NAMED, write_nodes};
-use crate::tool::{self, FleetSurvey, ZoneReport};
-use crate::version::ContentDigest;
+use crate::tool::{ConflictLine, FleetSurvey, RefusalLine, ZoneReport};
 
 /// Reports versions and faults as the asked nodes know them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
@@ -34,28 +33,6 @@
     pub unlisted: usize,
 }
 
-/// Reports who refused which version.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct RefusalLine {
-    number: u64,
-    #[serde(serialize_with = "tool::as_text")]
-    digest: ContentDigest,
-    node: NodeAddress,
-    code: ResultCode,
-    message: String,
-}
-
-/// Reports two contents of one number.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct ConflictLine {
-    number: u64,
-    #[serde(serialize_with = "tool::as_text")]
-    winner: ContentDigest,
-    #[serde(serialize_with = "tool::as_text")]
-    loser: ContentDigest,
-    code: ResultCode,
-}
-
 impl FleetReport {
     /// Makes the report of a survey.
     #[must_use]
