Let a node announce itself as live again

Cause: states of one incarnation only move towards gone, so a node whose backend server recovered stayed leaving at all others until a restart. Ruled out: a fault of the health task, which sent the event. The node now raises its incarnation by 1; a shutdown of the node itself is not called back. The new test failed before (announce returned false) and passes.

--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -46,15 +46,21 @@
         self.get(&self.own)
     }
 
-    /// Announces the node's own state; it never moves back.
+    /// Announces the node's own state; returns whether it changed.
+    ///
+    /// States of one incarnation only move towards gone, so a node that takes work again, because
+    /// its backend server recovered, raises its incarnation by 1.
     pub fn announce(&mut self, state: MemberState, now: ClockTime) -> bool {
         let Some(record) = self.records.get(&self.own) else {
             return false;
         };
-        if state <= record.entry.state {
+        if state == record.entry.state {
             return false;
         }
         let mut record = record.clone();
+        if state < record.entry.state {
+            record.entry.incarnation.0 += 1;
+        }
         record.entry.state = state;
         record.source = None;
         self.store(record, now);
--- a/src/node/control_task.rs
+++ b/src/node/control_task.rs
@@ -44,6 +44,8 @@
     pub(crate) rng: StdRng,
     pub(crate) links: LinkTable,
     pub(crate) log_gate: EventGate,
+    /// Whether the node itself is shutting down.
+    pub(crate) departing: bool,
 }
 
 /// Numbers the links of a node.
@@ -115,18 +117,19 @@
         let actions = match event {
             ControlEvent::StampSeen { from, stamp } => state.on_stamp_seen(from, stamp, now),
             ControlEvent::Unreachable { peer } => state.on_unreachable(peer, now),
+            // A backend server that recovers does not call back the shutdown of its node.
+            ControlEvent::BackendUsable { .. } if self.departing => Actions::new(),
             ControlEvent::BackendUsable { usable } => {
                 self.view.set_leaving(!usable);
-                state.on_own_state(
-                    if usable {
-                        MemberState::Live
-                    } else {
-                        MemberState::Leaving
-                    },
-                    now,
-                )
+                let own = if usable {
+                    MemberState::Live
+                } else {
+                    MemberState::Leaving
+                };
+                state.on_own_state(own, now)
             }
             ControlEvent::Leave => {
+                self.departing = true;
                 self.view.set_leaving(true);
                 state.on_own_state(MemberState::Leaving, now)
             }
--- a/src/node/node_runtime.rs
+++ b/src/node/node_runtime.rs
@@ -179,6 +179,7 @@
             rng,
             links: LinkTable::default(),
             log_gate: EventGate::new(LOG_INTERVAL),
+            departing: false,
         };
         control.spawn(control_task.run(inbox));
 
--- a/tests/membership_rules.rs
+++ b/tests/membership_rules.rs
@@ -205,3 +205,16 @@
         assert!(!members.is_suspected(&address(4), ClockTime(*time)));
     }
 }
+
+/// Guards against a node that stays out of use after its backend server has recovered.
+#[test]
+fn recovered_node_overrides_its_own_leaving() {
+    let mut own = table();
+    assert!(own.announce(Leaving, ClockTime(0)));
+    let mut other = MemberTable::new(entry(2, 10, "bangna", Live));
+    other.merge(own.own().unwrap(), address(1), true, ClockTime(0));
+    assert!(own.announce(Live, ClockTime(1)));
+    assert!(!own.announce(Live, ClockTime(2)));
+    other.merge(own.own().unwrap(), address(1), false, ClockTime(2));
+    assert_eq!(other.get(&address(1)).unwrap().state, Live);
+}
