Send traffic between nodes through the fault proxy

Cause: the fault proxy reached callers and the platform only, so cuts and silent connections between nodes could not be produced by processes. Faults are set by pair. Ruled out: one mapping per node for all peers, because a fault of one pair would then hit every pair of the target.

--- a/testkit/src/fleet/endpoint_plan.rs
+++ b/testkit/src/fleet/endpoint_plan.rs
@@ -29,6 +29,8 @@
     pub config: SocketAddr,
     /// Address at which the node reaches the instance list.
     pub instances: SocketAddr,
+    /// Peer addresses with the addresses at which the node reaches them instead.
+    pub dial: Vec<(SocketAddr, SocketAddr)>,
 }
 
 impl EndpointPlan {
--- a/testkit/src/fleet/fleet_plan.rs
+++ b/testkit/src/fleet/fleet_plan.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Value, json};
 
-use crate::fleet::{DeploymentPlan, EndpointPlan, LatencyPlan, SettingsText};
+use crate::fleet::{DeploymentPlan, EndpointPlan, LatencyPlan, PairScope, SettingsText};
 use crate::port_range::PortRange;
 
 /// Seeds that a node gets from each zone; two keep one dead seed from cutting a zone off.
@@ -62,6 +62,7 @@
                     entry: caller,
                     config,
                     instances,
+                    dial: Vec::new(),
                 });
             }
         }
@@ -90,6 +91,35 @@
         Ok(())
     }
 
+    /// Sends the traffic between nodes of different places through the fault proxy, with the
+    /// latencies of the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    pub fn apply_peer_links(&mut self, scope: PairScope) -> io::Result<()> {
+        if self.latencies.is_none() {
+            self.apply_latencies()?;
+        }
+        if let Some(plan) = &mut self.latencies {
+            plan.add_peers(
+                &self.deployment,
+                &mut self.endpoints,
+                scope,
+                &mut self.ports,
+            )?;
+        }
+        Ok(())
+    }
+
+    /// Puts the first endpoint's backend server behind every node, for runs without calls.
+    pub fn share_backend(&mut self) {
+        let first = self.endpoints.first().map(|entry| entry.backend);
+        for (endpoint, backend) in self.endpoints.iter_mut().skip(1).zip(first.iter().cycle()) {
+            endpoint.backend = *backend;
+        }
+    }
+
     /// Returns the instance list with every endpoint live.
     #[must_use]
     pub fn instance_list(&self) -> Value {
@@ -121,6 +151,9 @@
         text.set_text("platform", "config", endpoint.config);
         text.set_text("platform", "instances", endpoint.instances);
         text.set_text("platform", "region", &self.deployment.platform_region);
+        for (peer, address) in &endpoint.dial {
+            text.set_text("dial", &format!("\"{peer}\""), address);
+        }
         text.merge(&self.common);
         text
     }
--- /dev/null
+++ b/testkit/src/fleet/pair_scope.rs
@@ -0,0 +1,24 @@
+use crate::fleet::EndpointPlan;
+
+/// States which places have mappings of their own for the traffic between nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PairScope {
+    /// Each pair of regions.
+    Regions,
+    /// Each pair of availability zones.
+    Zones,
+    /// Each pair of nodes.
+    Nodes,
+}
+
+impl PairScope {
+    /// Returns the name of the place of an endpoint.
+    #[must_use]
+    pub fn place(self, endpoint: &EndpointPlan) -> &str {
+        match self {
+            PairScope::Regions => &endpoint.region,
+            PairScope::Zones => &endpoint.zone,
+            PairScope::Nodes => &endpoint.name,
+        }
+    }
+}
--- a/testkit/src/fleet/running_fleet.rs
+++ b/testkit/src/fleet/running_fleet.rs
@@ -47,7 +47,11 @@
             fleet.proxy = Some(proxy);
         }
         for index in 0..fleet.backends.len() {
-            fleet.start_backend(index)?;
+            let shared =
+                index > 0 && fleet.plan.endpoints[index].backend == fleet.plan.endpoints[0].backend;
+            if !shared {
+                fleet.start_backend(index)?;
+            }
         }
         Ok(fleet)
     }
@@ -125,6 +129,57 @@
         expect_ok(&self.control().put("/instances", text.as_bytes())?)
     }
 
+    /// Sets a fault of the platform, given as the body of its `POST /fault` request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform refuses it.
+    pub fn platform_fault(&self, fault: &Value) -> io::Result<()> {
+        let text = fault.to_string();
+        expect_ok(&self.control().post("/fault", text.as_bytes())?)
+    }
+
+    /// Sets a fault of the fault proxy, given as the body of its `POST /fault` request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no proxy runs or it refuses the fault.
+    pub fn proxy_fault(&self, fault: &Value) -> io::Result<()> {
+        let text = fault.to_string();
+        expect_ok(&self.proxy_control()?.post("/fault", text.as_bytes())?)
+    }
+
+    /// Sets a fault of the traffic between two places, in both directions.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the places have no mappings of their own.
+    pub fn fault_between(&self, mode: &str, first: &str, second: &str) -> io::Result<()> {
+        let plan = self.plan.latencies.iter();
+        let names = plan.flat_map(|plan| {
+            let mut names = plan.peer_mappings(first, second);
+            names.extend(plan.peer_mappings(second, first));
+            names
+        });
+        let names: Vec<String> = names.collect();
+        if names.is_empty() {
+            let text = format!("no mappings between {first} and {second}");
+            return Err(io::Error::other(text));
+        }
+        self.proxy_fault(&serde_json::json!({ "mode": mode, "mappings": names }))
+    }
+
+    /// Returns a probe of the fault proxy's control port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no proxy runs.
+    pub fn proxy_control(&self) -> io::Result<HttpProbe> {
+        let proxy = self.proxy.as_ref();
+        let proxy = proxy.ok_or_else(|| io::Error::other("no fault proxy"))?;
+        Ok(HttpProbe::new(proxy.address("control")?))
+    }
+
     /// Returns a probe of the platform's control port.
     #[must_use]
     pub fn control(&self) -> HttpProbe {
