Let a live node contradict a list that lacks it

Cause: a reader of the instance list removed a live node at once if it had not heard it directly, and spread that it is gone; nodes that hear it refused the removal, so the claim never reached the node and the fleet stayed split. Seen with 12 processes: 3 nodes lost the instance at once and for ever, 4 more when their direct knowledge was 30 s old. A restarted instance was never removed if the list dropped it before it changed otherwise. Ruled out: ignoring removals of nodes that spoke once, because dead nodes would stay for ever; a longer lifetime of direct knowledge, because most nodes never hear most others. Conclusion: neighbours tell the node, over a new link if there is none, and it contradicts with a higher incarnation, which spares it for 120 s.

--- a/src/distribution/control_messages.rs
+++ b/src/distribution/control_messages.rs
@@ -77,7 +77,9 @@
                 let entries: Vec<_> = self.members.entries().cloned().collect();
                 send_members(from, &entries, &mut actions);
             }
-            ControlMessage::Members(entries) => self.on_members(from, &entries, now),
+            ControlMessage::Members(entries) => {
+                self.on_members(from, &entries, now, &mut actions);
+            }
             ControlMessage::Suspicion {
                 subject,
                 incarnation,
@@ -144,10 +146,20 @@
         self.on_peer_stamp(from, hello.stamp, now, actions);
     }
 
-    fn on_members(&mut self, from: NodeAddress, entries: &[MemberEntry], now: ClockTime) {
+    fn on_members(
+        &mut self,
+        from: NodeAddress,
+        entries: &[MemberEntry],
+        now: ClockTime,
+        actions: &mut Actions,
+    ) {
         let since = *self.members_since.get_or_insert(now);
         let first = now - since < FIRST_TABLE_TIME;
         for entry in entries {
+            if self.members.disputes(entry, now) && self.links.contains_key(&entry.address) {
+                // Only the node itself can contradict, with a higher incarnation.
+                send_members(entry.address, std::slice::from_ref(entry), actions);
+            }
             self.members_dirty |= self.members.merge(entry, from, first, now);
         }
     }
@@ -190,6 +202,19 @@
         }
     }
 
+    /// Tells linked nodes that the list has them removed, and asks for a link to one that is not
+    /// linked, so that a live node that a stale list lacks can contradict.
+    pub(super) fn challenge_members(&mut self, now: ClockTime, actions: &mut Actions) {
+        for to in self.links.keys() {
+            if let Some(entry) = self.members.challenge(to, now) {
+                send_members(*to, &[entry], actions);
+            }
+        }
+        if let Some(peer) = self.members.doubted(now) {
+            self.neighbors.probe(peer, now);
+        }
+    }
+
     fn break_link(&mut self, peer: NodeAddress, reason: &str, actions: &mut Actions) {
         self.broken.push(peer);
         let error = Error::new(
--- a/src/distribution/control_tick.rs
+++ b/src/distribution/control_tick.rs
@@ -60,6 +60,7 @@
         if beat {
             self.next_beat = now + BEAT_INTERVAL;
             self.send_beats(now, &mut actions);
+            self.challenge_members(now, &mut actions);
         }
         if now >= self.next_report {
             self.next_report = now + REPORT_INTERVAL;
--- a/src/distribution/neighbor_set.rs
+++ b/src/distribution/neighbor_set.rs
@@ -131,6 +131,13 @@
         self.fetch = Some((peer, now + FETCH_TIME));
     }
 
+    /// Asks for a link to a peer to learn whether it lives, unless one is held to fetch a version.
+    pub fn probe(&mut self, peer: NodeAddress, now: ClockTime) {
+        if self.fetch.is_none_or(|(_, until)| now >= until) {
+            self.want(peer, now);
+        }
+    }
+
     /// Records a link and returns whether there is room for it.
     pub fn on_link_up(&mut self, peer: NodeAddress, now: ClockTime) -> bool {
         let own = self.links.get(&peer).is_some_and(|link| link.own);
--- a/src/membership/list_merge.rs
+++ b/src/membership/list_merge.rs
@@ -1,19 +1,26 @@
 use std::collections::HashSet;
 
 use crate::clock::ClockTime;
-use crate::id::NodeIncarnation;
+use crate::id::{NodeAddress, NodeIncarnation};
 use crate::membership::member_record::MemberRecord;
 use crate::membership::{MemberEntry, MemberState, MemberTable};
 use crate::platform::{InstanceEntry, InstanceList, InstanceState};
 
 /// Lifetime of a tombstone; a key may be asked for this long after the call that used it.
 const TOMBSTONE_LIFETIME: ClockTime = ClockTime(600_000);
+/// Time for which a node that left the list and was not heard lately is kept, so that it can be
+/// asked; only its neighbours hear it.
+const ASK_TIME: ClockTime = ClockTime(30_000);
+/// Time before the removal from which a node that is not linked is asked over a new link.
+const PROBE_TIME: ClockTime = ClockTime(20_000);
+/// Time before the removal from which a linked node is asked again whether it lives.
+const CHALLENGE_TIME: ClockTime = ClockTime(60_000);
 
 impl MemberTable {
     /// Merges the platform's list and returns whether the table changed.
     ///
     /// A list that is not newer than the last one is ignored. A node that a list no longer has is
-    /// removed by [`MemberTable::expire`] once it was not heard for 30 s.
+    /// removed by [`MemberTable::expire`] once it was not heard for 30 s and did not contradict.
     pub fn apply_list(&mut self, list: &InstanceList, now: ClockTime) -> bool {
         if self.revision.is_some_and(|held| list.revision <= held) {
             return false;
@@ -29,7 +36,10 @@
             let known = record.listed || record.entry.incarnation.0 == 0;
             if !present.contains(&record.entry.address) && known {
                 record.listed = false;
-                record.unlisted = true;
+                let first = !std::mem::replace(&mut record.unlisted, true);
+                if first && record.entry.incarnation.0 > 0 && !record.is_heard(now) {
+                    record.spared = record.spared.max(now + ASK_TIME);
+                }
             }
         }
         self.expire(now);
@@ -42,7 +52,7 @@
     pub fn expire(&mut self, now: ClockTime) -> bool {
         let mut changed = self.witnesses.expire(now);
         let due = |record: &&MemberRecord| {
-            record.unlisted && record.gone_at.is_none() && !record.is_heard(now)
+            record.is_missing() && !record.is_heard(now) && now >= record.spared
         };
         let removed: Vec<_> = self.records.values().filter(due).cloned().collect();
         for mut record in removed {
@@ -72,6 +82,27 @@
         changed
     }
 
+    /// Returns what the list says of a linked node, if the node should be told: one that lives
+    /// contradicts with a higher incarnation, which spares it at every node that read the list.
+    #[must_use]
+    pub fn challenge(&self, peer: &NodeAddress, now: ClockTime) -> Option<MemberEntry> {
+        let record = self.records.get(peer)?;
+        let asked = record.is_missing() && now + CHALLENGE_TIME >= record.spared;
+        let state = MemberState::Gone;
+        let entry = record.entry.clone();
+        (asked || entry.state == state).then_some(MemberEntry { state, ..entry })
+    }
+
+    /// Returns a node that the list is about to remove and that should be asked over a new link.
+    #[must_use]
+    pub fn doubted(&self, now: ClockTime) -> Option<NodeAddress> {
+        let due = |record: &&MemberRecord| {
+            record.is_missing() && !record.is_heard(now) && now + PROBE_TIME >= record.spared
+        };
+        let mut records = self.records.values();
+        records.find(due).map(|record| record.entry.address)
+    }
+
     fn apply_instance(&mut self, instance: &InstanceEntry, now: ClockTime) {
         let state = match instance.state {
             InstanceState::Live => MemberState::Live,
--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -19,6 +19,8 @@
     pub(crate) listed: bool,
     /// Whether a list that had the instance was followed by one that does not.
     pub(crate) unlisted: bool,
+    /// Time before which the list does not remove the node, because it may yet answer.
+    pub(crate) spared: ClockTime,
     /// Time when the entry became a tombstone.
     pub(crate) gone_at: Option<ClockTime>,
     /// Position in the order of changes.
@@ -33,6 +35,7 @@
             heard: None,
             listed: false,
             unlisted: false,
+            spared: ClockTime(0),
             gone_at: None,
             sequence: 0,
         }
@@ -42,6 +45,11 @@
         self.heard.is_some_and(|at| now - at < DIRECT_LIFETIME)
     }
 
+    /// Returns whether the list asks for the removal of the node.
+    pub(crate) fn is_missing(&self) -> bool {
+        self.unlisted && self.gone_at.is_none()
+    }
+
     /// Returns this entry's share of the table digest; tombstones have none.
     ///
     /// Tombstones expire at different times at different nodes, so counting them would make equal
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -6,6 +6,9 @@
 use crate::membership::member_record::MemberRecord;
 use crate::membership::{MemberEntry, MemberSnapshot, MemberState, MemberView, WitnessSet};
 
+/// Time for which the list does not remove a node that contradicted it or started anew.
+const SPARE_TIME: ClockTime = ClockTime(120_000);
+
 /// Merges what is known of every node.
 ///
 /// Per address the higher incarnation wins; at the same incarnation the state moves only from
@@ -97,8 +100,9 @@
             return false;
         }
         if order.is_gt() {
-            record.listed = false;
-            record.unlisted = false;
+            // The list may lag behind a restart, but an entry that the list never removed again
+            // would stay for ever, so the new process is only spared for a time.
+            record.spared = now + SPARE_TIME;
             record.entry = entry.clone();
         } else {
             record.entry.state = entry.state;
@@ -108,6 +112,17 @@
         true
     }
 
+    /// Returns whether this node hears a node that the entry says is gone.
+    #[must_use]
+    pub fn disputes(&self, entry: &MemberEntry, now: ClockTime) -> bool {
+        self.records.get(&entry.address).is_some_and(|held| {
+            entry.state == MemberState::Gone
+                && held.entry.state < MemberState::Gone
+                && entry.incarnation == held.entry.incarnation
+                && held.is_heard(now)
+        })
+    }
+
     /// Records that the node itself was heard on a link; returns whether a suspicion was cleared.
     pub fn hear(&mut self, address: &NodeAddress, now: ClockTime) -> bool {
         if let Some(record) = self.records.get_mut(address) {
--- a/tests/membership_rules.rs
+++ b/tests/membership_rules.rs
@@ -104,6 +104,32 @@
     assert_ne!(forward.digest(), backward.digest());
 }
 
+/// Guards against an instance that restarted, died and left the list, but is kept for ever, and
+/// against a live one that a stale list lacks and that cannot contradict.
+#[test]
+fn restarted_instances_are_removed_unless_they_contradict() {
+    let mut members = table();
+    let at = ClockTime;
+    let state = |members: &MemberTable| members.get(&address(3)).map(|entry| entry.state);
+    members.merge(&entry(3, 7, "bangna", Live), address(9), false, at(0));
+    members.apply_list(&list(5, &[1, 3]), at(0));
+    members.merge(&entry(3, 8, "bangna", Live), address(9), false, at(1_000));
+    members.apply_list(&list(6, &[1]), at(100_000));
+    assert_eq!(state(&members), Some(Live), "removed before it was asked");
+    assert_eq!(members.doubted(at(111_000)), Some(address(3)));
+    let claim = members.challenge(&address(3), at(111_000)).unwrap();
+    assert_eq!((claim.incarnation.0, claim.state), (8, Gone));
+    members.merge(&entry(3, 9, "bangna", Live), address(3), false, at(112_000));
+    members.expire(at(231_999));
+    assert_eq!(
+        state(&members),
+        Some(Live),
+        "removed although it contradicted"
+    );
+    members.expire(at(232_000));
+    assert_eq!(state(&members), Some(Gone));
+}
+
 /// Guards against a lagging list that removes a live node or brings back a removed one.
 #[test]
 fn list_adds_and_removes() {
