Take key lifetime and settle time from settings

Cause: call.key_lifetime_ms and call.key_settle_ms were read but not used, so process tests of keys would have needed to wait for 30 s and 600 s. KeyLimits is passed into KeyLedger, KeyAge, FenceRound and the node; the defaults stay.

--- a/src/node/endpoint_service.rs
+++ b/src/node/endpoint_service.rs
@@ -12,7 +12,7 @@
 use crate::id::{NodeAddress, NodeIncarnation, RequestKey, ServiceName};
 use crate::membership::MemberEntry;
 use crate::node::{NodeView, SlotGate, SlotGuard, TaskGroup};
-use crate::once::{KeyAge, KeyEnd, KeyLedger, KeyOrigin, KeyStart, PlacedKey, SETTLE_TIME};
+use crate::once::{KeyAge, KeyEnd, KeyLedger, KeyLimits, KeyOrigin, KeyStart, PlacedKey};
 use crate::peer::{CallHeader, CallReply, FenceReply, FenceRequest};
 
 /// Time for which a slot stays taken after a call was given up, so that the cancellation arrives
@@ -29,6 +29,7 @@
     pub(crate) gate: SlotGate,
     pub(crate) backend: Rc<dyn BackendServer>,
     pub(crate) ledger: Rc<RefCell<KeyLedger>>,
+    pub(crate) key_limits: KeyLimits,
     pub(crate) tasks: Rc<TaskGroup>,
 }
 
@@ -60,7 +61,8 @@
         let members = self.view.members();
         let wall = self.clock.wall_now();
         let settled = members.live(&self.service).any(|view| {
-            view.entry.address != self.address && uptime_of(&view.entry, wall) >= SETTLE_TIME
+            view.entry.address != self.address
+                && uptime_of(&view.entry, wall) >= self.key_limits.settle
         });
         if settled {
             let now = self.clock.now();
--- a/src/node/node_runtime.rs
+++ b/src/node/node_runtime.rs
@@ -26,7 +26,7 @@
     AdminPages, CallSender, ControlEvent, EndpointService, EndpointSet, EntryService, NodeExit,
     NodeView, PeerService, SlotGate, StopWatch, TaskGroup, health_task,
 };
-use crate::once::KeyLedger;
+use crate::once::{KeyLedger, KeyLimits};
 use crate::peer::{PeerCaller, PeerPool, PeerServer};
 use crate::platform::HttpPlatform;
 use crate::retry::{HedgePolicy, RetryBudget};
@@ -95,7 +95,11 @@
             BACKEND_CONNECTIONS,
             settings.call.body_limit,
         ));
-        let ledger = KeyLedger::new(clock.now(), KEY_LIMIT, KEY_BYTES);
+        let key_limits = KeyLimits {
+            lifetime: settings.call.key_lifetime,
+            settle: settings.call.key_settle,
+        };
+        let ledger = KeyLedger::new(clock.now(), key_limits, KEY_LIMIT, KEY_BYTES);
         let endpoint = Rc::new(EndpointService {
             clock,
             address,
@@ -105,6 +109,7 @@
             gate: gate.clone(),
             backend: Rc::clone(&backend) as Rc<dyn BackendServer>,
             ledger: Rc::new(RefCell::new(ledger)),
+            key_limits,
             tasks: Rc::clone(&tasks),
         });
         let link_ids = Rc::new(LinkIds::default());
--- a/src/node/once_call.rs
+++ b/src/node/once_call.rs
@@ -10,7 +10,7 @@
 use crate::id::{NodeAddress, RequestKey};
 use crate::membership::MemberState;
 use crate::node::{AttemptKey, EntryService, ResolvedCall, endpoint_service};
-use crate::once::{FenceDecision, FenceRound, KeyAge, PlacedKey, SETTLE_TIME};
+use crate::once::{FenceDecision, FenceRound, KeyAge, PlacedKey};
 use crate::peer::{FenceReply, FenceRequest};
 
 /// Allowance for the time that an attempt takes to arrive at an endpoint.
@@ -27,7 +27,8 @@
             };
         };
         let wall = self.clock.wall_now();
-        let age = KeyAge::resolve(&key, call.request.first_attempt_age, wall);
+        let limits = self.sender.own.key_limits;
+        let age = KeyAge::resolve(&key, call.request.first_attempt_age, wall, limits);
         if let Ok(placed) = key.as_str().parse::<PlacedKey>() {
             return self.run_placed(call, key, &placed, age).await;
         }
@@ -160,7 +161,8 @@
             .unwrap_or_default();
         let live: Vec<NodeAddress> = live.iter().map(|entry| entry.address).collect();
         let gone: Vec<NodeAddress> = gone.iter().map(|entry| entry.address).collect();
-        let mut round = FenceRound::new(self.clock.now(), age, &live, &gone, oldest);
+        let limits = self.sender.own.key_limits;
+        let mut round = FenceRound::new(self.clock.now(), age, &live, &gone, oldest, limits);
         let request = FenceRequest {
             service: call.service.clone(),
             key: key.clone(),
@@ -216,10 +218,11 @@
     fn unsettled_endpoints(&self, call: &ResolvedCall) -> SmallVec<[NodeAddress; 4]> {
         let members = self.view.members();
         let wall = self.clock.wall_now();
+        let settle = self.sender.own.key_limits.settle;
         let mut young = SmallVec::new();
         let mut settled = false;
         for view in members.live(&call.service) {
-            if endpoint_service::uptime_of(&view.entry, wall) < SETTLE_TIME + SETTLE_MARGIN {
+            if endpoint_service::uptime_of(&view.entry, wall) < settle + SETTLE_MARGIN {
                 young.push(view.entry.address);
             } else {
                 settled = true;
--- a/src/once.rs
+++ b/src/once.rs
@@ -2,7 +2,7 @@
 //!
 //! A key runs at most once under these assumptions, which the wiring provides:
 //!
-//! - Every ready node knows all endpoints that have been up for [`SETTLE_TIME`], also those that
+//! - Every ready node knows all endpoints that have been up for the settle time of [`KeyLimits`], also those that
 //!   have gone since, as tombstones.
 //! - A request is not written after its deadline, and not through a connection to a later process
 //!   than the one that was chosen without stating the time elapsed since its arrival.
@@ -11,6 +11,7 @@
 mod fence_round;
 mod key_age;
 mod key_ledger;
+mod key_limits;
 mod key_origin;
 mod key_record;
 mod key_start;
@@ -21,13 +22,10 @@
 pub use fence_round::{FenceDecision, FenceRound};
 pub use key_age::KeyAge;
 pub use key_ledger::{KeyEnd, KeyLedger};
+pub use key_limits::KeyLimits;
 pub use key_origin::KeyOrigin;
 pub use key_start::KeyStart;
 pub use placed_key::PlacedKey;
 
-/// Age from which a key is never run.
-pub const KEY_LIFETIME: ClockTime = ClockTime(600_000);
-/// Uptime of an endpoint after which every node that may ask about a key knows of it.
-pub const SETTLE_TIME: ClockTime = ClockTime(30_000);
 /// Time for which replies to a fence count.
 pub const FENCE_TIMEOUT: ClockTime = ClockTime(1_000);
--- a/src/once/fence_round.rs
+++ b/src/once/fence_round.rs
@@ -3,7 +3,7 @@
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::id::NodeAddress;
-use crate::once::{FENCE_TIMEOUT, KEY_LIFETIME, KeyAge, SETTLE_TIME};
+use crate::once::{FENCE_TIMEOUT, KeyAge, KeyLimits};
 use crate::peer::FenceReply;
 
 /// States what follows from a fence.
@@ -39,11 +39,12 @@
         live: &[NodeAddress],
         gone: &[NodeAddress],
         oldest_uptime: ClockTime,
+        limits: KeyLimits,
     ) -> Self {
         let age = match age {
             KeyAge::First => ClockTime(0),
             KeyAge::AtMost(age) => age,
-            KeyAge::Past => KEY_LIFETIME,
+            KeyAge::Past => limits.lifetime,
         };
         // An address with a tombstone and a successor is asked; the successor is too young.
         let gone = gone.iter().filter(|address| !live.contains(address));
@@ -56,7 +57,7 @@
                 .map(|address| (*address, None))
                 .chain(gone)
                 .collect(),
-            settled: oldest_uptime >= age + SETTLE_TIME,
+            settled: oldest_uptime >= age + limits.settle,
         }
     }
 
--- a/src/once/key_age.rs
+++ b/src/once/key_age.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::ClockTime;
 use crate::id::RequestKey;
-use crate::once::{KEY_LIFETIME, PlacedKey};
+use crate::once::{KeyLimits, PlacedKey};
 
 /// Allowance for the difference of wall clocks.
 const SKEW_ALLOWANCE: ClockTime = ClockTime(5_000);
@@ -24,26 +24,33 @@
     /// `header` is the age that the caller states; `wall_ms` is the time since the Unix epoch. A
     /// placed key carries its time of issue, which also bounds a declared first attempt.
     #[must_use]
-    pub fn resolve(key: &RequestKey, header: Option<ClockTime>, wall_ms: u64) -> Self {
+    pub fn resolve(
+        key: &RequestKey,
+        header: Option<ClockTime>,
+        wall_ms: u64,
+        limits: KeyLimits,
+    ) -> Self {
         let stamped = |stamp| ClockTime(wall_ms) - ClockTime(stamp) + SKEW_ALLOWANCE;
         if let Ok(placed) = key.as_str().parse::<PlacedKey>() {
-            return match Self::of(stamped(placed.issued_ms())) {
+            return match Self::of(stamped(placed.issued_ms()), limits) {
                 Self::AtMost(_) if header == Some(ClockTime(0)) => Self::First,
                 age => age,
             };
         }
         match header {
             Some(ClockTime(0)) => Self::First,
-            Some(age) => Self::of(age),
+            Some(age) => Self::of(age, limits),
             None => match Uuid::parse_str(key.as_str()) {
-                Ok(uuid) if uuid.get_version_num() == 7 => Self::of(stamped(stamp_of(uuid))),
+                Ok(uuid) if uuid.get_version_num() == 7 => {
+                    Self::of(stamped(stamp_of(uuid)), limits)
+                }
                 _ => Self::Past,
             },
         }
     }
 
-    fn of(age: ClockTime) -> Self {
-        if age < KEY_LIFETIME {
+    fn of(age: ClockTime, limits: KeyLimits) -> Self {
+        if age < limits.lifetime {
             Self::AtMost(age)
         } else {
             Self::Past
--- a/src/once/key_ledger.rs
+++ b/src/once/key_ledger.rs
@@ -4,7 +4,7 @@
 use crate::clock::ClockTime;
 use crate::id::RequestKey;
 use crate::once::key_record::{self, KeyRecord, RecordState};
-use crate::once::{KEY_LIFETIME, KeyOrigin, KeyStart, SETTLE_TIME};
+use crate::once::{KeyLimits, KeyOrigin, KeyStart};
 use crate::peer::{FenceReply, FenceRequest};
 use crate::size::ByteSize;
 
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub struct KeyLedger {
     started: ClockTime,
+    limits: KeyLimits,
     settled_seen: Option<ClockTime>,
     records: HashMap<RequestKey, KeyRecord>,
     entry_limit: usize,
@@ -43,9 +44,15 @@
 impl KeyLedger {
     /// Creates an empty ledger of a process that started at `started`.
     #[must_use]
-    pub fn new(started: ClockTime, entry_limit: usize, byte_limit: ByteSize) -> Self {
+    pub fn new(
+        started: ClockTime,
+        limits: KeyLimits,
+        entry_limit: usize,
+        byte_limit: ByteSize,
+    ) -> Self {
         Self {
             started,
+            limits,
             settled_seen: None,
             records: HashMap::new(),
             entry_limit,
@@ -106,7 +113,7 @@
             state: RecordState::Running,
             token,
             private: origin == KeyOrigin::Private,
-            expires: expiry(now),
+            expires: self.expiry(now),
         };
         self.records.insert(key.clone(), record);
         KeyStart::Run
@@ -127,8 +134,8 @@
             .settled_seen
             .is_none_or(|seen| seen + OBSERVE_MARGIN + elapsed < now);
         let exempt = token == 0 && was_young && uptime > elapsed;
-        let settled = uptime >= SETTLE_TIME + elapsed;
-        (!exempt && !settled).then(|| SETTLE_TIME + elapsed - uptime)
+        let settled = uptime >= self.limits.settle + elapsed;
+        (!exempt && !settled).then(|| self.limits.settle + elapsed - uptime)
     }
 
     /// Records the whole answer of a key that runs.
@@ -157,6 +164,7 @@
     }
 
     fn end(&mut self, now: ClockTime, key: &RequestKey, state: RecordState) {
+        let expires = self.expiry(now);
         let Some(record) = self.records.get_mut(key) else {
             return;
         };
@@ -169,7 +177,7 @@
             return;
         }
         record.state = state;
-        record.expires = expiry(now);
+        record.expires = expires;
         self.answer_bytes += record.answer_bytes();
     }
 
@@ -188,7 +196,7 @@
         if token.is_some_and(|token| token > request.token) {
             return FenceReply::Superseded;
         }
-        let seen_all = now - self.started > request.age && request.age < KEY_LIFETIME;
+        let seen_all = now - self.started > request.age && request.age < self.limits.lifetime;
         let has_place = token.is_some() || self.records.len() < self.entry_limit;
         if !seen_all || !has_place || request.token == 0 {
             return FenceReply::CannotTell;
@@ -197,7 +205,7 @@
             state: RecordState::Fenced,
             token: request.token,
             private: false,
-            expires: expiry(now),
+            expires: self.expiry(now),
         };
         self.records.insert(request.key.clone(), record);
         FenceReply::Fenced
@@ -210,6 +218,10 @@
         self.answer_bytes = records.map(KeyRecord::answer_bytes).sum();
     }
 
+    fn expiry(&self, now: ClockTime) -> ClockTime {
+        now + self.limits.lifetime + RECORD_MARGIN
+    }
+
     fn drop_expired(&mut self, now: ClockTime, key: &RequestKey) {
         if self
             .records
@@ -221,7 +233,3 @@
         }
     }
 }
-
-fn expiry(now: ClockTime) -> ClockTime {
-    now + KEY_LIFETIME + RECORD_MARGIN
-}
--- a/tests/once_rules.rs
+++ b/tests/once_rules.rs
@@ -9,7 +9,7 @@
 use endivelanding::error::CallOutcome;
 use endivelanding::id::{NodeAddress, NodeIncarnation, RequestKey};
 use endivelanding::once::{
-    FenceDecision, FenceRound, KeyAge, KeyEnd, KeyLedger, KeyOrigin, KeyStart, PlacedKey,
+    FenceDecision, FenceRound, KeyAge, KeyEnd, KeyLedger, KeyLimits, KeyOrigin, KeyStart, PlacedKey,
 };
 use endivelanding::peer::{FenceReply, FenceRequest};
 use endivelanding::size::ByteSize;
@@ -48,7 +48,7 @@
 }
 
 fn ledger() -> KeyLedger {
-    KeyLedger::new(ClockTime(0), 2, ByteSize(20_000))
+    KeyLedger::new(ClockTime(0), KeyLimits::default(), 2, ByteSize(20_000))
 }
 
 fn same(start: &KeyStart, wanted: &KeyStart) -> bool {
@@ -187,7 +187,12 @@
         (&placed, Some(0), 600_000, KeyAge::Past),
     ] {
         let key: RequestKey = key.parse().unwrap();
-        let age = KeyAge::resolve(&key, header.map(ClockTime), wall + later);
+        let age = KeyAge::resolve(
+            &key,
+            header.map(ClockTime),
+            wall + later,
+            KeyLimits::default(),
+        );
         assert_eq!(age, expected, "{key} {header:?} {later}");
     }
     for (age, outcome) in [
@@ -221,7 +226,14 @@
         let live = [address(0), address(1)];
         let gone: Vec<_> = (0..gone).map(|_| address(9)).collect();
         let age = KeyAge::AtMost(ClockTime(2_000));
-        let mut round = FenceRound::new(ClockTime(0), age, &live, &gone, ClockTime(uptime));
+        let mut round = FenceRound::new(
+            ClockTime(0),
+            age,
+            &live,
+            &gone,
+            ClockTime(uptime),
+            KeyLimits::default(),
+        );
         for (number, reply) in replies.iter().enumerate() {
             round.reply(ClockTime(10), address(number), *reply);
         }
@@ -242,7 +254,7 @@
 impl Place {
     fn start(now: u64, known: bool) -> Self {
         Self {
-            ledger: KeyLedger::new(ClockTime(now), 10, ByteSize(1_000)),
+            ledger: KeyLedger::new(ClockTime(now), KeyLimits::default(), 10, ByteSize(1_000)),
             started: now,
             live: true,
             known,
@@ -299,8 +311,20 @@
                 let uptime = live.iter().map(|at| now - places[*at].started).max();
                 let name = |list: &[usize]| list.iter().map(|at| address(*at)).collect::<Vec<_>>();
                 let oldest = ClockTime(uptime.unwrap_or(0));
-                let age = KeyAge::resolve(&key(), Some(ClockTime((now - first).max(1))), 0);
-                let round = FenceRound::new(time, age, &name(&live), &name(&gone), oldest);
+                let age = KeyAge::resolve(
+                    &key(),
+                    Some(ClockTime((now - first).max(1))),
+                    0,
+                    KeyLimits::default(),
+                );
+                let round = FenceRound::new(
+                    time,
+                    age,
+                    &name(&live),
+                    &name(&gone),
+                    oldest,
+                    KeyLimits::default(),
+                );
                 let token = rng.random_range(1..100_000);
                 messages.extend(live.iter().map(|at| (*at, token, now, Some(rounds.len()))));
                 rounds.push((round, token, now, live));
