Fence the services that a moved route led to before

Cause: a retry fenced only the endpoints of the service that its route names now. After a version that moves the route, the endpoints of the new service vouched for a key that had run at the old one, and the work ran twice. Ruled out: asking every endpoint of the fleet (5,500 requests for each retry); relying on equal kind names alone, because a change may drop the kind from the old service. An answer recorded at the old service is replayed. Not covered: an entry node that still holds the old version for longer than the asking node has been up plus the settle time.

--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -1,4 +1,4 @@
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::sync::Arc;
 
 use futures_channel::mpsc;
@@ -9,6 +9,7 @@
 use crate::manifest::Manifest;
 use crate::membership::MemberSnapshot;
 use crate::node::ControlEvent;
+use crate::once::RouteHistory;
 use crate::version::VersionStamp;
 
 /// Gap between two readings of the clock that counts as a pause of the process.
@@ -20,6 +21,7 @@
     address: NodeAddress,
     manifest: RefCell<Option<Arc<Manifest>>>,
     members: RefCell<Arc<MemberSnapshot>>,
+    routes: RefCell<RouteHistory>,
     ready: Cell<bool>,
     leaving: Cell<bool>,
     closed: Cell<bool>,
@@ -39,6 +41,7 @@
             address,
             manifest: RefCell::default(),
             members: RefCell::default(),
+            routes: RefCell::default(),
             ready: Cell::new(false),
             leaving: Cell::new(false),
             closed: Cell::new(false),
@@ -132,7 +135,14 @@
     }
 
     pub(crate) fn install(&self, manifest: Arc<Manifest>) {
-        *self.manifest.borrow_mut() = Some(manifest);
+        let old = self.manifest.replace(Some(Arc::clone(&manifest)));
+        let mut routes = self.routes.borrow_mut();
+        routes.change(self.clock.now(), old.as_deref(), &manifest);
+    }
+
+    /// Returns the services that paths led to before.
+    pub(crate) fn routes(&self) -> Ref<'_, RouteHistory> {
+        self.routes.borrow()
     }
 
     pub(crate) fn set_members(&self, members: Arc<MemberSnapshot>) {
--- a/src/node/once_call.rs
+++ b/src/node/once_call.rs
@@ -7,10 +7,10 @@
 use crate::call::CallAnswer;
 use crate::clock::ClockTime;
 use crate::error::{CallOutcome, Error, Result, ResultCode};
-use crate::id::{NodeAddress, RequestKey};
+use crate::id::{NodeAddress, RequestKey, ServiceName};
 use crate::membership::MemberState;
 use crate::node::{AttemptKey, EntryService, ResolvedCall, endpoint_service};
-use crate::once::{FenceDecision, FenceRound, KeyAge, PlacedKey};
+use crate::once::{FenceDecision, FenceRound, KeyAge, MOVED_TOKEN, PlacedKey};
 use crate::peer::{FenceReply, FenceRequest};
 
 /// Allowance for the time that an attempt takes to arrive at an endpoint.
@@ -109,7 +109,7 @@
 
     /// Asks every endpoint about a key and runs it only if all vouch that it has not run.
     async fn run_fenced(&self, call: &ResolvedCall, key: RequestKey, age: KeyAge) -> CallAnswer {
-        let token = self.rng.borrow_mut().random_range(1..=u64::MAX);
+        let token = self.rng.borrow_mut().random_range(1..MOVED_TOKEN);
         let decision = self.fence(call, &key, token, age).await;
         let replay = matches!(decision, FenceDecision::Replay(_));
         let (to, token) = match decision {
@@ -132,12 +132,16 @@
             token,
         };
         let attempt = call.request.attempt;
-        let answer = self.sender.send(call, to, attempt, Some(&key)).await.answer;
-        if replay {
-            without_not_run(answer)
-        } else {
-            answer
+        if !replay {
+            return self.sender.send(call, to, attempt, Some(&key)).await.answer;
         }
+        // The key may have run at a service that the route led to before.
+        let mut call = call.clone();
+        if let Some(member) = self.view.members().member(&to) {
+            call.service = member.entry.service.clone();
+        }
+        let answer = self.sender.send(&call, to, attempt, Some(&key)).await;
+        without_not_run(answer.answer)
     }
 
     async fn fence(
@@ -147,32 +151,39 @@
         token: u64,
         age: KeyAge,
     ) -> FenceDecision {
+        let now = self.clock.now();
         let members = self.view.members();
-        let (gone, live): (Vec<_>, Vec<_>) = members
-            .members(&call.service)
-            .iter()
-            .map(|view| &view.entry)
-            .partition(|entry| entry.state == MemberState::Gone);
         let wall = self.clock.wall_now();
-        let oldest = live
-            .iter()
-            .map(|entry| endpoint_service::uptime_of(entry, wall))
-            .max()
-            .unwrap_or_default();
-        let live: Vec<NodeAddress> = live.iter().map(|entry| entry.address).collect();
-        let gone: Vec<NodeAddress> = gone.iter().map(|entry| entry.address).collect();
+        let (mut live, mut gone) = (Vec::new(), Vec::new());
+        // A node vouches for no longer than it has known the routes.
+        let mut oldest = self.view.routes().span(now);
+        for service in self.services_of(call, now) {
+            let entries = members.members(&service).iter().map(|view| &view.entry);
+            let (ended, running): (Vec<_>, Vec<_>) =
+                entries.partition(|entry| entry.state == MemberState::Gone);
+            let uptimes = running.iter();
+            let uptimes = uptimes.map(|entry| endpoint_service::uptime_of(entry, wall));
+            oldest = oldest.min(uptimes.max().unwrap_or_default());
+            live.extend(running.iter().map(|entry| entry.address));
+            gone.extend(ended.iter().map(|entry| entry.address));
+        }
         let limits = self.sender.own.key_limits;
-        let mut round = FenceRound::new(self.clock.now(), age, &live, &gone, oldest, limits);
-        let request = FenceRequest {
-            service: call.service.clone(),
-            key: key.clone(),
-            token,
-            age: round.request_age(),
-        };
+        let mut round = FenceRound::new(now, age, &live, &gone, oldest, limits);
         let end = round.deadline().min(call.deadline);
         let mut replies: FuturesUnordered<_> = live
             .iter()
-            .map(|address| self.ask_fence(*address, &request, end))
+            .map(|address| {
+                let member = members.member(address);
+                let service = member.map_or(&call.service, |view| &view.entry.service);
+                let moved = *service != call.service;
+                let request = FenceRequest {
+                    service: service.clone(),
+                    key: key.clone(),
+                    token: if moved { MOVED_TOKEN } else { token },
+                    age: round.request_age(),
+                };
+                self.ask_fence(*address, request, end)
+            })
             .collect();
         loop {
             let now = self.view.observe();
@@ -199,21 +210,26 @@
     async fn ask_fence(
         &self,
         address: NodeAddress,
-        request: &FenceRequest,
+        request: FenceRequest,
         end: ClockTime,
     ) -> (NodeAddress, Option<FenceReply>) {
         if address == self.address {
-            return (address, Some(self.sender.own.fence(request)));
+            return (address, Some(self.sender.own.fence(&request)));
         }
         let timeout = end - self.clock.now();
-        let reply = self
-            .sender
-            .peers
-            .fence(address, request.clone(), timeout)
-            .await;
+        let reply = self.sender.peers.fence(address, request, timeout).await;
         (address, reply.ok())
     }
 
+    /// Returns the service of a call and those that its path led to before.
+    fn services_of(&self, call: &ResolvedCall, now: ClockTime) -> SmallVec<[ServiceName; 2]> {
+        let request = &call.request;
+        let routes = self.view.routes();
+        let mut services = routes.services(now, &request.method, &request.path, &call.service);
+        services.push(call.service.clone());
+        services
+    }
+
     /// Returns the endpoints that do not accept keys made by callers yet; none if all are young.
     fn unsettled_endpoints(&self, call: &ResolvedCall) -> SmallVec<[NodeAddress; 4]> {
         let members = self.view.members();
--- a/src/once.rs
+++ b/src/once.rs
@@ -16,6 +16,7 @@
 mod key_record;
 mod key_start;
 mod placed_key;
+mod route_history;
 
 use crate::clock::ClockTime;
 
@@ -26,6 +27,9 @@
 pub use key_origin::KeyOrigin;
 pub use key_start::KeyStart;
 pub use placed_key::PlacedKey;
+pub use route_history::RouteHistory;
 
+/// Token that fences a key for good at a service that its route no longer leads to.
+pub const MOVED_TOKEN: u64 = u64::MAX;
 /// Time for which replies to a fence count.
 pub const FENCE_TIMEOUT: ClockTime = ClockTime(1_000);
--- /dev/null
+++ b/tests/call_process/main.rs
@@ -0,0 +1,5 @@
+//! The call path under faults, with real processes on small fleets.
+
+mod answers;
+mod call_fleet;
+mod keys;
