Order the tokens of later attempts after earlier ones

Cause: tokens were wholly random, so after a fence round that nobody completed (an endpoint was silent or killed) the next attempt was superseded (503) until it happened to draw the largest token of all. The upper half of a token now holds seconds of the wall clock; the lower half stays random, so attempts within a second still are in random order.

--- a/src/node/once_call.rs
+++ b/src/node/once_call.rs
@@ -109,7 +109,7 @@
 
     /// Asks every endpoint about a key and runs it only if all vouch that it has not run.
     async fn run_fenced(&self, call: &ResolvedCall, key: RequestKey, age: KeyAge) -> CallAnswer {
-        let token = self.rng.borrow_mut().random_range(1..MOVED_TOKEN);
+        let token = self.new_token();
         let decision = self.fence(call, &key, token, age).await;
         let replay = matches!(decision, FenceDecision::Replay(_));
         let (to, token) = match decision {
@@ -221,6 +221,16 @@
         (address, reply.ok())
     }
 
+    /// Draws a token that is larger than those of earlier seconds.
+    ///
+    /// A later attempt thereby replaces the fences of one that nobody vouched for. Wholly random
+    /// tokens left it superseded until a draw happened to be the largest of all.
+    fn new_token(&self) -> u64 {
+        let seconds = self.clock.wall_now() / 1_000;
+        let random: u32 = self.rng.borrow_mut().random();
+        (seconds << u32::BITS | u64::from(random)).clamp(1, MOVED_TOKEN - 1)
+    }
+
     /// Returns the service of a call and those that its path led to before.
     fn services_of(&self, call: &ResolvedCall, now: ClockTime) -> SmallVec<[ServiceName; 2]> {
         let request = &call.request;
