Test the call path under faults with real processes

Covers whole answers (late, cut, interleaved, reused connections), the truth of refusals against the run counters of the backend stand-ins, shutdown and draining under load, slots with cancellations and hedges, and depth, budget and deadlines of nested calls.

--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -135,9 +135,10 @@
     }
 
     pub(crate) fn install(&self, manifest: Arc<Manifest>) {
-        let old = self.manifest.replace(Some(Arc::clone(&manifest)));
         let mut routes = self.routes.borrow_mut();
+        let old = self.manifest.borrow().clone();
         routes.change(self.clock.now(), old.as_deref(), &manifest);
+        *self.manifest.borrow_mut() = Some(manifest);
     }
 
     /// Returns the services that paths led to before.
--- a/tests/call_process/answers.rs
+++ b/tests/call_process/answers.rs
@@ -189,7 +189,7 @@
         match outcome.as_str() {
             "not-run" => assert_eq!(count, 0, "{key} refused with {code} ran {count} times"),
             "ran" if *status == Some(200) => {
-                assert_eq!(count, 1, "{key} answered, ran {count} times")
+                assert_eq!(count, 1, "{key} answered, ran {count} times");
             }
             _ => assert!(
                 count <= 1,
--- a/tests/call_process/call_fleet.rs
+++ b/tests/call_process/call_fleet.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::thread;
@@ -176,9 +177,17 @@
     path: &str,
     headers: &[(&str, String)],
 ) -> Option<WireAnswer> {
-    HttpProbe::with_timeout(address, 8_000)
-        .call(method, path, headers, &[])
-        .ok()
+    try_call(address, method, path, headers).ok()
+}
+
+/// Sends one call on its own connection and says why there is no answer.
+pub fn try_call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+) -> io::Result<WireAnswer> {
+    HttpProbe::with_timeout(address, 8_000).call(method, path, headers, &[])
 }
 
 /// Returns outcome and result code of an answer, `none` if there is no answer.
--- a/tests/call_process/main.rs
+++ b/tests/call_process/main.rs
@@ -3,3 +3,5 @@
 mod answers;
 mod call_fleet;
 mod keys;
+mod limits;
+mod shutdown;
