Measure the distribution of versions in whole fleets

Cause: convergence, control bytes, platform calls, processor time and memory of real fleets were not measured. Change: fleet-bench starts fleets of given sizes with one shared backend server behind the fault proxy, publishes versions at seeded times, and prints JSON lines; every_node_watches is the plain way to compare.

--- /dev/null
+++ b/testkit/src/bin/fleet-bench.rs
@@ -0,0 +1,119 @@
+//! Measures the distribution of versions in fleets on loopback and prints one JSON line each.
+
+use std::error::Error;
+use std::fs;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, value_parser};
+use serde_json::{Value, json};
+use testkit::measure::{ChangePlan, FleetFault, FleetMeter};
+use testkit::{DeploymentPlan, FleetPlan, PairScope, RunningFleet, process};
+
+/// Time for all nodes to become ready, in ms.
+const READY_LIMIT_MS: u64 = 90_000;
+/// Most nodes of one fleet; tests and measurements stay under a few hundred processes.
+const MOST_NODES: u64 = 200;
+
+type BenchResult<T> = Result<T, Box<dyn Error>>;
+
+fn number(name: &'static str, default: &'static str, most: u64) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64).range(0..=most))
+}
+
+fn list(name: &'static str, default: &'static str, most: u64) -> Arg {
+    number(name, default, most).value_delimiter(',')
+}
+
+fn main() -> BenchResult<()> {
+    let names: Vec<&str> = FleetFault::ALL.iter().map(|(name, _)| *name).collect();
+    let matches = clap::Command::new("fleet-bench")
+        .about("Measures the distribution of versions in fleets on loopback")
+        .arg(list("nodes", "17", MOST_NODES).help("Sizes of the fleets"))
+        .arg(list("services", "4", 400).help("Services of the manifests"))
+        .arg(number("changes", "10", 1_000).help("Changes measured without faults"))
+        .arg(number("idle-s", "10", 300).help("Time without changes"))
+        .arg(number("seed", "1", u64::MAX - 1).help("Seed of the times between changes"))
+        .arg(
+            Arg::new("plain")
+                .long("plain")
+                .action(ArgAction::SetTrue)
+                .help("Every node watches the configuration service"),
+        )
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .value_delimiter(',')
+                .value_parser(value_parser!(FleetFault))
+                .help(format!(
+                    "Faults, measured after the rest: {}",
+                    names.join(", ")
+                )),
+        )
+        .get_matches();
+    process::kill_all_on_term()?;
+    println!("ready");
+    for nodes in matches.get_many::<u64>("nodes").into_iter().flatten() {
+        for services in matches.get_many::<u64>("services").into_iter().flatten() {
+            let folder = std::env::temp_dir().join(format!("fleet-bench-{}", std::process::id()));
+            let result = measure(&matches, *nodes as usize, *services as usize, &folder);
+            let _ = fs::remove_dir_all(&folder);
+            result?;
+        }
+    }
+    Ok(())
+}
+
+fn measure(matches: &ArgMatches, nodes: usize, services: usize, folder: &Path) -> BenchResult<()> {
+    let get = |name: &str| *matches.get_one::<u64>(name).expect("has a default");
+    let plain = matches.get_flag("plain");
+    let mut deployment = DeploymentPlan::example("siam-markwell")?;
+    let kinds = deployment.services.len();
+    for (index, service) in deployment.services.iter_mut().enumerate() {
+        service.endpoints = nodes / kinds + usize::from(index < nodes % kinds);
+    }
+    let mut plan = FleetPlan::new(deployment, folder)?;
+    plan.share_backend();
+    plan.apply_peer_links(PairScope::Regions)?;
+    plan.common.set_text("", "log_level", "off");
+    plan.common
+        .set("platform", "every_node_watches", plain.to_string());
+    let mut changes = ChangePlan::new(services);
+    let text = changes.next_text();
+    let start = Instant::now();
+    let fleet = RunningFleet::start(plan, text.as_bytes(), READY_LIMIT_MS)?;
+    let counts = fleet.control().get("/counts")?.value();
+    let mut meter = FleetMeter::new(fleet, changes, get("seed"));
+    let print = |part: &str, value: Value| {
+        let line = json!({
+            "part": part,
+            "nodes": nodes,
+            "services": services,
+            "manifest_bytes": text.len(),
+            "plain": plain,
+            "seed": get("seed"),
+            "result": value,
+        });
+        println!("{line}");
+    };
+    print(
+        "start",
+        json!({
+            "all_ready_ms": start.elapsed().as_millis() as u64,
+            "platform_calls": counts["calls_total"],
+            "platform_calls_peak_second": counts["peak_calls_per_second"],
+        }),
+    );
+    // Start-up traffic ends: member tables are exchanged and links of the start are closed.
+    std::thread::sleep(Duration::from_secs(8));
+    print("idle", meter.idle(Duration::from_secs(get("idle-s")))?);
+    print("changes", meter.changes(get("changes") as usize)?);
+    let faults = matches.get_many::<FleetFault>("faults");
+    for fault in faults.into_iter().flatten() {
+        print("fault", meter.fault(*fault)?);
+    }
+    Ok(())
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod port_range;
 pub mod process;
--- /dev/null
+++ b/testkit/src/measure/fleet_meter.rs
@@ -0,0 +1,180 @@
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::fleet::RunningFleet;
+use crate::measure::{ChangePlan, ConvergenceWatch, FleetFault, FleetUsage, SampleSet};
+
+/// Longest time that the convergence of one version is watched, in ms.
+const WATCH_LIMIT_MS: u64 = 60_000;
+/// Time that a fault of the platform or the link lasts.
+const FAULT_TIME: Duration = Duration::from_secs(5);
+/// Time that nodes are paused; a pause above 2 s takes a node out of service.
+const PAUSE_TIME: Duration = Duration::from_secs(4);
+
+/// Measures a running fleet.
+#[derive(Debug)]
+pub struct FleetMeter {
+    /// The fleet.
+    pub fleet: RunningFleet,
+    /// Manifests that are published one after the other.
+    pub plan: ChangePlan,
+    rng: StdRng,
+}
+
+impl FleetMeter {
+    /// Makes a meter of a fleet; the seed decides the times between changes.
+    #[must_use]
+    pub fn new(fleet: RunningFleet, plan: ChangePlan, seed: u64) -> FleetMeter {
+        let rng = StdRng::seed_from_u64(seed);
+        FleetMeter { fleet, plan, rng }
+    }
+
+    /// Measures what the fleet uses for the given time while nothing changes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not answer.
+    pub fn idle(&self, time: Duration) -> io::Result<Value> {
+        let before = FleetUsage::take(&self.fleet)?;
+        thread::sleep(time);
+        Ok(FleetUsage::take(&self.fleet)?.report(&before))
+    }
+
+    /// Publishes versions with a random time of 0.5 to 1.5 s between them, and measures their
+    /// convergence and what the fleet uses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not answer.
+    pub fn changes(&mut self, count: usize) -> io::Result<Value> {
+        let before = FleetUsage::take(&self.fleet)?;
+        let mut samples = SampleSet::default();
+        let mut missing = 0;
+        let watch = ConvergenceWatch::new(self.admins(), WATCH_LIMIT_MS);
+        for _ in 0..count {
+            thread::sleep(Duration::from_millis(self.rng.random_range(500..1_500)));
+            let start = self.publish()?;
+            let (times, late) = watch.run(self.plan.number(), start);
+            missing += late;
+            samples.extend(&times);
+        }
+        // The byte counters of nodes are updated once a second.
+        thread::sleep(Duration::from_millis(1_500));
+        let after = FleetUsage::take(&self.fleet)?;
+        Ok(json!({
+            "changes": count,
+            "convergence_ms": samples.report(),
+            "missing": missing,
+            "usage": after.report(&before),
+        }))
+    }
+
+    /// Publishes a version during a fault and measures its convergence at the running nodes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not answer or start.
+    pub fn fault(&mut self, fault: FleetFault) -> io::Result<Value> {
+        let half: Vec<usize> = (0..self.fleet.nodes.len()).step_by(2).collect();
+        let first = self.fleet.plan.endpoints[0].zone.clone();
+        let endpoints = self.fleet.plan.endpoints.iter().enumerate();
+        let zone = endpoints.filter(|(_, entry)| entry.zone == first);
+        let zone: Vec<usize> = zone.map(|(index, _)| index).collect();
+        let link = |mode: &str| json!({ "mode": mode, "groups": ["link"] });
+        let mut start;
+        match fault {
+            FleetFault::HalfRestarted => {
+                self.kill(&half)?;
+                start = self.publish()?;
+                self.restart(&half)?;
+            }
+            FleetFault::ZoneLost => {
+                self.kill(&zone)?;
+                start = self.publish()?;
+            }
+            FleetFault::RegionsCut => {
+                self.fleet.proxy_fault(&link("cut"))?;
+                self.publish()?;
+                thread::sleep(FAULT_TIME);
+                self.fleet.proxy_fault(&link("none"))?;
+                start = Instant::now();
+            }
+            FleetFault::LinkSilent => {
+                self.fleet.proxy_fault(&link("silent_open"))?;
+                start = self.publish()?;
+            }
+            FleetFault::PlatformDown | FleetFault::PlatformSilent => {
+                let down = fault == FleetFault::PlatformDown;
+                let mode = if down { "down" } else { "silent" };
+                self.fleet.platform_fault(&json!({ "mode": mode }))?;
+                self.publish()?;
+                thread::sleep(FAULT_TIME);
+                self.fleet.platform_fault(&json!({ "mode": "none" }))?;
+                start = Instant::now();
+            }
+            FleetFault::HalfPaused => {
+                for index in &half {
+                    if let Some(node) = &mut self.fleet.nodes[*index] {
+                        node.pause()?;
+                    }
+                }
+                self.publish()?;
+                thread::sleep(PAUSE_TIME);
+                start = Instant::now();
+                for index in &half {
+                    if let Some(node) = &mut self.fleet.nodes[*index] {
+                        node.resume()?;
+                    }
+                }
+            }
+        }
+        let watch = ConvergenceWatch::new(self.admins(), WATCH_LIMIT_MS);
+        let (times, missing) = watch.run(self.plan.number(), start);
+        if fault == FleetFault::ZoneLost {
+            self.restart(&zone)?;
+        }
+        start = Instant::now();
+        self.fleet.wait_ready(WATCH_LIMIT_MS)?;
+        Ok(json!({
+            "fault": fault.name(),
+            "convergence_ms": times.report(),
+            "missing": missing,
+            "all_ready_after_ms": start.elapsed().as_millis() as u64,
+        }))
+    }
+
+    fn publish(&mut self) -> io::Result<Instant> {
+        let text = self.plan.next_text();
+        let start = Instant::now();
+        self.fleet.publish(text.as_bytes())?;
+        Ok(start)
+    }
+
+    fn admins(&self) -> Vec<SocketAddr> {
+        let endpoints = self.fleet.plan.endpoints.iter().zip(&self.fleet.nodes);
+        let running = endpoints.filter(|(_, node)| node.is_some());
+        running.map(|(endpoint, _)| endpoint.admin).collect()
+    }
+
+    fn kill(&mut self, nodes: &[usize]) -> io::Result<()> {
+        for index in nodes {
+            if let Some(mut node) = self.fleet.nodes[*index].take() {
+                node.kill()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn restart(&mut self, nodes: &[usize]) -> io::Result<()> {
+        for index in nodes {
+            self.fleet.start_node(*index)?;
+        }
+        Ok(())
+    }
+}
--- a/tests/support/watched_fleet.rs
+++ b/tests/support/watched_fleet.rs
@@ -38,10 +38,9 @@
     value
 }
 
-pub fn status(admin: SocketAddr) -> Option<NodeStatus> {
-    let answer = HttpProbe::with_timeout(admin, 1_000)
-        .get("/v1/status")
-        .ok()?;
+/// Returns the status of a node; a paused one does not answer and must not hold up the samples.
+fn read_status(admin: SocketAddr) -> Option<NodeStatus> {
+    let answer = HttpProbe::with_timeout(admin, 300).get("/v1/status").ok()?;
     serde_json::from_slice(&answer.body).ok()
 }
 
@@ -121,7 +120,7 @@
     }
 
     pub fn status(&self, index: usize) -> Option<NodeStatus> {
-        status(self.fleet.plan.endpoints[index].admin)
+        read_status(self.fleet.plan.endpoints[index].admin)
     }
 
     /// Waits until the nodes are ready on one stamp with the number.
@@ -208,7 +207,7 @@
         let mut highest = BTreeMap::<SocketAddr, NodeStatus>::new();
         while !stopped.load(Ordering::Relaxed) {
             for admin in &admins {
-                let Some(seen) = status(*admin) else {
+                let Some(seen) = read_status(*admin) else {
                     continue;
                 };
                 samples += 1;
