--- /dev/null
+++ b/testkit/src/bench/bench_plan.rs
@@ -0,0 +1,95 @@
+use std::fs;
+use std::io;
+
+use serde_json::Value;
+
+use crate::fleet::DeploymentPlan;
+use crate::load::LoadProfile;
+
+/// Describes the fleet of one measurement.
+#[derive(Debug, Clone)]
+pub struct BenchPlan {
+    /// Folder in `examples/`.
+    pub example: String,
+    /// Whether the nodes use the plain policy.
+    pub plain: bool,
+    /// Endpoints of each service; an example's own number if absent.
+    pub endpoints: Option<usize>,
+    /// Services that get another number of endpoints.
+    pub exceptions: Vec<(String, usize)>,
+    /// Factor on all service times, so that the capacity fits the machine.
+    pub time_factor: f64,
+    /// Slots of each endpoint; those of the example if absent.
+    pub slots: Option<usize>,
+    /// Largest deviation of service times, as a fraction.
+    pub spread: f64,
+    /// Whether the latency between callers and nodes is applied through the fault proxy.
+    pub latencies: bool,
+}
+
+impl BenchPlan {
+    /// Makes a plan of an example with two endpoints for each service.
+    #[must_use]
+    pub fn new(example: &str, plain: bool) -> BenchPlan {
+        BenchPlan {
+            example: example.to_owned(),
+            plain,
+            endpoints: Some(2),
+            exceptions: Vec::new(),
+            time_factor: 1.0,
+            slots: None,
+            spread: 0.2,
+            latencies: false,
+        }
+    }
+
+    /// Returns the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the example cannot be read.
+    pub fn deployment(&self) -> io::Result<DeploymentPlan> {
+        let mut deployment = DeploymentPlan::example(&self.example)?;
+        for service in &mut deployment.services {
+            service.endpoints = self.endpoints.unwrap_or(service.endpoints);
+            let mut exceptions = self.exceptions.iter();
+            if let Some((_, count)) = exceptions.find(|(name, _)| *name == service.name) {
+                service.endpoints = *count;
+            }
+            service.slots = self.slots.unwrap_or(service.slots);
+            for work in &mut service.work {
+                work.time_ms *= self.time_factor;
+            }
+        }
+        Ok(deployment)
+    }
+
+    /// Returns the manifest of the example with the slots of the plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the example cannot be read.
+    pub fn manifest(&self) -> io::Result<Value> {
+        let path = DeploymentPlan::example_path(&self.example, "manifest.json");
+        let mut value: Value = serde_json::from_slice(&fs::read(path)?)?;
+        if let (Some(slots), Some(services)) = (self.slots, value["services"].as_array_mut()) {
+            for service in services {
+                service["slots"] = slots.into();
+            }
+        }
+        Ok(value)
+    }
+
+    /// Returns the load of the example without steps.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the example cannot be read.
+    pub fn profile(&self, seed: u64) -> io::Result<LoadProfile> {
+        let path = DeploymentPlan::example_path(&self.example, "load.toml");
+        let mut profile = LoadProfile::load(&path)?;
+        profile.seed = seed;
+        profile.steps.clear();
+        Ok(profile)
+    }
+}
--- /dev/null
+++ b/testkit/src/bench/leave_part.rs
@@ -0,0 +1,146 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::bench::{BenchFleet, BenchPlan};
+use crate::load::StepLoad;
+use crate::wire::HttpProbe;
+
+/// Time between two looks at an entry node.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Measures the time until an endpoint that fails or leaves gets no work.
+#[derive(Debug, Clone, Copy)]
+pub struct LeavePart {
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+impl LeavePart {
+    /// Makes one endpoint leave, die or go silent under load.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process fails or the end is unknown.
+    pub fn measure(
+        &self,
+        plan: &BenchPlan,
+        service: &str,
+        (kind, request): (&str, &str),
+        end: &str,
+    ) -> io::Result<Value> {
+        let mut fleet = BenchFleet::start(plan)?;
+        let endpoints = &fleet.fleet.plan.endpoints;
+        let place = endpoints
+            .iter()
+            .position(|endpoint| endpoint.service == service);
+        let place = place.ok_or_else(|| io::Error::other("no endpoint"))?;
+        let address = endpoints[place].peer.to_string();
+        let control = HttpProbe::new(endpoints[place].control);
+        let others = endpoints
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != place);
+        let admins: Vec<_> = others.map(|(_, endpoint)| endpoint.admin).collect();
+        let targets = endpoints
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != place);
+        let targets: Vec<_> = targets
+            .map(|(_, endpoint)| crate::load::TargetAddress {
+                kind: None,
+                address: endpoint.entry,
+            })
+            .collect();
+        let mut profile = plan.profile(self.seed)?;
+        profile.kinds.retain(|entry| entry.name == kind);
+        profile.steps.push(StepLoad {
+            rate: 0.0,
+            rates: BTreeMap::from([(kind.to_owned(), 200.0)]),
+            seconds: 10.0,
+        });
+        let run = crate::load::LoadRun::new(profile, targets)?;
+        let (report, times) = thread::scope(|scope| -> io::Result<_> {
+            let load = scope.spawn(|| run.execute());
+            thread::sleep(Duration::from_secs(2));
+            let mut node = fleet.fleet.nodes[place]
+                .take()
+                .ok_or_else(|| io::Error::other("no node"))?;
+            let start = Instant::now();
+            match end {
+                "leaving" => node.terminate()?,
+                "killed" => node.kill()?,
+                "silent" => node.pause()?,
+                "draining" => {
+                    control.post("/fault", br#"{"mode": "drain"}"#).map(drop)?;
+                }
+                _ => return Err(io::Error::other(format!("unknown end {end}"))),
+            }
+            let times = watch(start, &address, request, &admins, control);
+            let report = load
+                .join()
+                .map_err(|_| io::Error::other("the load failed"))?;
+            if end == "silent" {
+                node.resume()?;
+            }
+            Ok((report, times))
+        })?;
+        fleet.stop()?;
+        let mut kind = report["kinds"][kind].clone();
+        if let Some(fields) = kind.as_object_mut() {
+            fields.remove("instances");
+        }
+        let (avoided, last) = times;
+        Ok(json!({
+            "end": end,
+            "plain": plan.plain,
+            "avoided_by_all_ms": avoided,
+            "last_request_at_backend_ms": last,
+            "load": kind,
+        }))
+    }
+}
+
+/// Watches for 6 s until every other node avoids the endpoint, and when its backend server got its
+/// last request; both in ms.
+fn watch(
+    start: Instant,
+    address: &str,
+    request: &str,
+    admins: &[std::net::SocketAddr],
+    control: HttpProbe,
+) -> (Option<u128>, u128) {
+    let count = || {
+        control
+            .get("/counts")
+            .map(|answer| answer.value()["requests"].clone())
+    };
+    let mut seen = count().unwrap_or_default();
+    let (mut avoided, mut last) = (None, 0);
+    let target = format!("/v1/explain?{request}");
+    while start.elapsed() < Duration::from_secs(6) {
+        if let Ok(now) = count()
+            && now != seen
+        {
+            seen = now;
+            last = start.elapsed().as_millis();
+        }
+        if avoided.is_none() {
+            let uses = |admin: &std::net::SocketAddr| {
+                let probe = HttpProbe::with_timeout(*admin, 1_000);
+                let page = probe.get(&target).map(|answer| answer.value());
+                let page = page.unwrap_or_default();
+                let mut rows = page["endpoints"].as_array().into_iter().flatten();
+                rows.any(|row| row["address"] == address && row["state"] == "live")
+            };
+            if !admins.iter().any(uses) {
+                avoided = Some(start.elapsed().as_millis());
+            }
+        }
+        thread::sleep(POLL);
+    }
+    (avoided, last)
+}
--- /dev/null
+++ b/testkit/src/bench/load_part.rs
@@ -0,0 +1,140 @@
+use std::collections::BTreeMap;
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::bench::{BenchFleet, BenchPlan, CapacityBound};
+use crate::load::StepLoad;
+use crate::wire::HttpProbe;
+
+/// Time between two loads, for queues to empty.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Measures goodput and latencies under load.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadPart {
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Length of each load in seconds.
+    pub seconds: f64,
+}
+
+impl LoadPart {
+    /// Measures weighted goodput at multiples of the capacity.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process fails.
+    pub fn goodput(&self, plan: &BenchPlan, scales: &[f64]) -> io::Result<Value> {
+        let profile = plan.profile(self.seed)?;
+        let bound = CapacityBound::new(&plan.deployment()?, &plan.manifest()?, &profile);
+        let fleet = BenchFleet::start(plan)?;
+        let mut rows = Vec::new();
+        // The first load lets the nodes learn service times.
+        self.run(&fleet, plan, &BTreeMap::new(), bound.rate() * 0.3, 2.0)?;
+        for scale in scales {
+            thread::sleep(PAUSE);
+            let rate = bound.rate() * scale;
+            let report = self.run(&fleet, plan, &BTreeMap::new(), rate, self.seconds)?;
+            rows.push(json!({
+                "scale": scale,
+                "rate": rate,
+                "bound": bound.goodput(&report, self.seconds),
+                "weighted_goodput": report["weighted_goodput_per_second"],
+                "wrong": report["wrong"],
+                "kinds": report["kinds"],
+            }));
+        }
+        let (repeated, violations) = fleet.faults()?;
+        fleet.stop()?;
+        Ok(json!({
+            "plain": plan.plain,
+            "capacity_rate": bound.rate(),
+            "rows": rows,
+            "repeated_keys": repeated,
+            "slot_violations": violations,
+        }))
+    }
+
+    /// Measures a short kind while a long kind of the same service gets a rate.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process fails.
+    pub fn blocking(&self, plan: &BenchPlan, short: &str, long: &str) -> io::Result<Value> {
+        let fleet = BenchFleet::start(plan)?;
+        let mut rows = Vec::new();
+        for rate in [0.0, 15.0, 36.0] {
+            let rates = BTreeMap::from([(short.to_owned(), 150.0), (long.to_owned(), rate)]);
+            let report = self.run(&fleet, plan, &rates, 0.0, self.seconds)?;
+            rows.push(json!({
+                "long_rate": rate,
+                "short": latencies(&report["kinds"][short]),
+                "long": latencies(&report["kinds"][long]),
+            }));
+            thread::sleep(PAUSE);
+        }
+        fleet.stop()?;
+        Ok(json!({ "plain": plan.plain, "rows": rows }))
+    }
+
+    /// Measures a kind while one of four endpoints of its service is ten times slower.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process fails.
+    pub fn slowed(&self, plan: &BenchPlan, service: &str, kind: &str) -> io::Result<Value> {
+        let fleet = BenchFleet::start(plan)?;
+        let rates = BTreeMap::from([(kind.to_owned(), 300.0)]);
+        let before = self.run(&fleet, plan, &rates, 0.0, self.seconds)?;
+        let slow = fleet.fleet.plan.endpoints_of(service).next();
+        let control = slow.map(|endpoint| HttpProbe::new(endpoint.control));
+        let during = thread::scope(|scope| {
+            let load = scope.spawn(|| self.run(&fleet, plan, &rates, 0.0, self.seconds));
+            thread::sleep(Duration::from_secs_f64(self.seconds / 4.0));
+            let time = (self.seconds * 500.0) as u64;
+            let fault = json!({"mode": "slow", "factor": 10.0, "for_ms": time}).to_string();
+            if let Some(control) = control {
+                control.post("/fault", fault.as_bytes())?;
+            }
+            load.join()
+                .map_err(|_| io::Error::other("the load failed"))?
+        })?;
+        let (_, violations) = fleet.faults()?;
+        fleet.stop()?;
+        Ok(json!({
+            "plain": plan.plain,
+            "before": latencies(&before["kinds"][kind]),
+            "slowed": latencies(&during["kinds"][kind]),
+            "slot_violations": violations,
+        }))
+    }
+
+    fn run(
+        &self,
+        fleet: &BenchFleet,
+        plan: &BenchPlan,
+        rates: &BTreeMap<String, f64>,
+        rate: f64,
+        seconds: f64,
+    ) -> io::Result<Value> {
+        let mut profile = plan.profile(self.seed)?;
+        profile.steps.push(StepLoad {
+            rate,
+            rates: rates.clone(),
+            seconds,
+        });
+        fleet.load(profile)
+    }
+}
+
+/// Returns the counts and latencies of a kind without its instances.
+fn latencies(kind: &Value) -> Value {
+    let mut kind = kind.clone();
+    if let Some(fields) = kind.as_object_mut() {
+        fields.remove("instances");
+    }
+    kind
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -2,6 +2,7 @@
 //! under test, and plans of whole deployments on loopback.
 
 pub mod backend;
+pub mod bench;
 pub mod fleet;
 pub mod load;
 pub mod platform;
