Hold a slot until the backend server has ended the work

Cause: the slot of a call that was given up was freed after 20 ms, before a loaded backend server had seen the cancellation or the deadline; the next call then found no free slot there. Ruled out: a longer fixed time, which a loaded machine exceeds too and an idle one wastes.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -7,8 +7,10 @@
 mod connection_pool;
 mod http_backend;
 mod http_client;
+mod stray_task;
 
 pub use backend_server::{BackendHealth, BackendServer};
 pub use http_backend::HttpBackend;
+pub use stray_task::WorkHold;
 
 pub(crate) use http_client::HttpClient;
--- a/src/backend/backend_server.rs
+++ b/src/backend/backend_server.rs
@@ -1,5 +1,6 @@
 use futures_util::future::LocalBoxFuture;
 
+use crate::backend::WorkHold;
 use crate::call::{CallAnswer, CallRequest};
 use crate::clock::ClockTime;
 use crate::error::Result;
@@ -8,7 +9,8 @@
 pub trait BackendServer {
     /// Runs one request and reads its whole answer within `remaining`.
     ///
-    /// Dropping the future cancels the request at the backend server.
+    /// Dropping the future cancels the request at the backend server. `hold` is dropped when the
+    /// work has ended there, as far as that can be seen, at the latest 1 s after the deadline.
     ///
     /// # Errors
     ///
@@ -18,6 +20,7 @@
         &self,
         request: CallRequest,
         remaining: ClockTime,
+        hold: WorkHold,
     ) -> LocalBoxFuture<'_, Result<CallAnswer>>;
 
     /// Asks for the state that the backend server reports, which may lag or mislead.
--- a/src/backend/http_backend.rs
+++ b/src/backend/http_backend.rs
@@ -9,7 +9,8 @@
 use crate::backend::client_connection::ClientConnection;
 use crate::backend::client_request::ClientRequest;
 use crate::backend::connection_pool::ConnectionPool;
-use crate::backend::{BackendHealth, BackendServer, HttpClient};
+use crate::backend::stray_task::StrayTask;
+use crate::backend::{BackendHealth, BackendServer, HttpClient, WorkHold};
 use crate::call::{CallAnswer, CallRequest};
 use crate::caller::{WireError, is_hop_header};
 use crate::clock::{ClockTime, SystemClock};
@@ -35,6 +36,7 @@
     clock: SystemClock,
     pool: ConnectionPool,
     cancels: CancelTask,
+    strays: StrayTask,
     id_prefix: u64,
     id_count: Cell<u64>,
 }
@@ -55,6 +57,7 @@
         };
         Self {
             cancels: CancelTask::start(client.clone()),
+            strays: StrayTask::start(),
             client,
             clock: SystemClock::new(),
             pool: ConnectionPool::new(connection_limit),
@@ -64,10 +67,11 @@
         }
     }
 
-    /// Closes idle connections, sends waiting cancellations and joins the task.
+    /// Closes idle connections, sends waiting cancellations and joins the tasks.
     pub async fn close(&self) {
         self.pool.clear();
         self.cancels.close().await;
+        self.strays.close().await;
     }
 
     fn next_id(&self) -> String {
@@ -76,7 +80,12 @@
         format!("{:016x}-{count}", self.id_prefix)
     }
 
-    async fn run_request(&self, request: &CallRequest, deadline: ClockTime) -> Result<CallAnswer> {
+    async fn run_request(
+        &self,
+        request: &CallRequest,
+        deadline: ClockTime,
+        hold: WorkHold,
+    ) -> Result<CallAnswer> {
         let permit = self.pool.acquire();
         let _permit = time::timeout(self.left(deadline)?.to_duration(), permit)
             .await
@@ -92,11 +101,17 @@
         };
         let message = encode(request, self.client.address, &id, left)?;
         let guard = self.cancels.guard(id);
-        let exchange = connection.exchange(message, self.client.body_limit);
+        let is_proven = connection.is_proven();
+        let body_limit = self.client.body_limit;
+        let exchange = async move {
+            let result = connection.exchange(message, body_limit).await;
+            result.map(|(response, reusable)| (response, reusable.then_some(connection)))
+        };
+        let exchange = self.strays.guard(exchange, left, hold);
         match time::timeout(left.to_duration(), exchange).await {
             Err(_) => {
                 // Open connections can go silent together while new ones work.
-                if connection.is_proven() {
+                if is_proven {
                     self.pool.clear();
                 }
                 Err(Error::new(
@@ -106,7 +121,7 @@
             }
             Ok(Ok((response, reusable))) => {
                 guard.disarm();
-                if reusable {
+                if let Some(connection) = reusable {
                     self.pool.put_idle(connection);
                 }
                 Ok(to_answer(response))
@@ -153,9 +168,10 @@
         &self,
         request: CallRequest,
         remaining: ClockTime,
+        hold: WorkHold,
     ) -> LocalBoxFuture<'_, Result<CallAnswer>> {
         let deadline = self.clock.now() + remaining;
-        async move { self.run_request(&request, deadline).await }.boxed_local()
+        async move { self.run_request(&request, deadline, hold).await }.boxed_local()
     }
 
     fn health(&self) -> LocalBoxFuture<'_, Result<BackendHealth>> {
--- a/src/node/endpoint_service.rs
+++ b/src/node/endpoint_service.rs
@@ -5,7 +5,7 @@
 use futures_channel::oneshot;
 use monoio::time;
 
-use crate::backend::BackendServer;
+use crate::backend::{BackendServer, WorkHold};
 use crate::call::{CallAnswer, CallRequest};
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::{CallOutcome, Error, Result, ResultCode};
@@ -15,8 +15,8 @@
 use crate::once::{KeyAge, KeyEnd, KeyLedger, KeyLimits, KeyOrigin, KeyStart, PlacedKey};
 use crate::peer::{CallHeader, CallReply, FenceReply, FenceRequest};
 
-/// Time for which a slot stays taken after a call was given up, so that the cancellation arrives
-/// at the backend server before the next call does.
+/// Least time for which a slot stays taken after a call was given up. It covers connections that
+/// broke, where no answer shows the end of the work.
 const CANCEL_GRACE: ClockTime = ClockTime(20);
 
 /// Runs calls on the backend server beside the node, within its slots.
@@ -108,8 +108,9 @@
                 let guard = self.acquire(&header, deadline).await?;
                 let request = backend_request(header, body);
                 let run = GracefulRun::new(guard, Rc::clone(&self.tasks));
-                run.complete(self.run_backend(request, deadline).await)
-                    .map_err(|error| (error, None))
+                let hold = run.hold();
+                let result = timed_run(&*self.backend, self.clock, request, deadline, hold).await;
+                run.complete(result).map_err(|error| (error, None))
             }
         }
     }
@@ -151,7 +152,9 @@
         // The work goes on when the caller gives up, so that its outcome can be recorded.
         self.tasks.spawn(async move {
             let run = GracefulRun::new(guard, tasks);
-            let result = run.complete(timed_run(&*backend, clock, request, deadline).await);
+            let hold = run.hold();
+            let result = timed_run(&*backend, clock, request, deadline, hold).await;
+            let result = run.complete(result);
             claim.settle(&result);
             let _ = sender.send(result);
         });
@@ -216,14 +219,6 @@
                 (error, Some(refusal.retry_after))
             })
     }
-
-    async fn run_backend(
-        &self,
-        request: CallRequest,
-        deadline: ClockTime,
-    ) -> (f64, Result<CallAnswer>) {
-        timed_run(&*self.backend, self.clock, request, deadline).await
-    }
 }
 
 async fn timed_run(
@@ -231,6 +226,7 @@
     clock: SystemClock,
     request: CallRequest,
     deadline: ClockTime,
+    hold: WorkHold,
 ) -> (f64, Result<CallAnswer>) {
     let started = clock.precise_now();
     let remaining = deadline - clock.now();
@@ -239,7 +235,7 @@
         return (0.0, Err(Error::new(ResultCode::DeadlineTooShort, message)));
     }
     let result = backend
-        .run(request, remaining)
+        .run(request, remaining, hold)
         .await
         .and_then(accept_answer);
     (clock.precise_now() - started, result)
@@ -286,25 +282,33 @@
 
 /// Holds the slot of a running call and, if the call is given up, a little longer.
 struct GracefulRun {
-    guard: Option<SlotGuard>,
+    guard: Option<Rc<SlotGuard>>,
     tasks: Rc<TaskGroup>,
 }
 
 impl GracefulRun {
     fn new(guard: SlotGuard, tasks: Rc<TaskGroup>) -> Self {
         Self {
-            guard: Some(guard),
+            guard: Some(Rc::new(guard)),
             tasks,
         }
     }
 
+    /// Returns a part of the guard; the slot is free when all parts are dropped.
+    fn hold(&self) -> WorkHold {
+        match &self.guard {
+            Some(guard) => Rc::clone(guard) as WorkHold,
+            None => Rc::new(()),
+        }
+    }
+
     fn complete(mut self, (slot_ms, result): (f64, Result<CallAnswer>)) -> Result<CallAnswer> {
         let given_up = matches!(&result, Err(error) if error.outcome() == CallOutcome::Unknown);
-        if !given_up && let Some(guard) = self.guard.take() {
-            match &result {
-                Ok(_) => guard.finish(slot_ms),
-                Err(_) => drop(guard),
-            }
+        if !given_up
+            && let Some(guard) = self.guard.take()
+            && result.is_ok()
+        {
+            guard.finish(slot_ms);
         }
         result
     }
--- a/src/node/slot_gate.rs
+++ b/src/node/slot_gate.rs
@@ -109,7 +109,7 @@
         SlotGuard {
             gate: self.clone(),
             id,
-            slot_ms: None,
+            slot_ms: Cell::new(None),
         }
     }
 
@@ -215,13 +215,13 @@
 pub(crate) struct SlotGuard {
     gate: SlotGate,
     id: u64,
-    slot_ms: Option<f64>,
+    slot_ms: Cell<Option<f64>>,
 }
 
 impl SlotGuard {
-    /// Frees the slot and records for how long the backend server was busy.
-    pub(crate) fn finish(mut self, slot_ms: f64) {
-        self.slot_ms = Some(slot_ms);
+    /// Records for how long the backend server was busy.
+    pub(crate) fn finish(&self, slot_ms: f64) {
+        self.slot_ms.set(Some(slot_ms));
     }
 }
 
@@ -229,6 +229,6 @@
     fn drop(&mut self) {
         let state = &self.gate.state;
         state.running.set(state.running.get() - 1);
-        state.release(self.id, self.slot_ms);
+        state.release(self.id, self.slot_ms.get());
     }
 }
--- a/tests/backend_http.rs
+++ b/tests/backend_http.rs
@@ -5,6 +5,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -50,7 +51,10 @@
 }
 
 async fn run(backend: &dyn BackendServer, path: &str) -> Result<String, ResultCode> {
-    match backend.run(request(path, "body"), ClockTime(2_000)).await {
+    match backend
+        .run(request(path, "body"), ClockTime(2_000), Rc::new(()))
+        .await
+    {
         Ok(answer) => Ok(String::from_utf8(answer.body.to_vec()).unwrap()),
         Err(error) => Err(error.code()),
     }
@@ -138,8 +142,8 @@
     }
 }
 
-/// Guards against a late answer being given to the next request, and checks that the timed-out
-/// request is cancelled.
+/// Guards against a late answer being given to the next request and against a slot that is free
+/// before the work has ended, and checks that the timed-out request is cancelled.
 #[test]
 fn late_answer_is_not_given_to_the_next_request() {
     let server = ScriptedServer::start(|_, request| {
@@ -158,9 +162,14 @@
     block_on(async {
         let backend = backend(server.address, 1);
         assert_eq!(run(&backend, "/first").await, Ok("next".to_owned()));
-        let late = backend.run(request("/late", ""), ClockTime(50)).await;
+        let hold = Rc::new(());
+        let late = backend
+            .run(request("/late", ""), ClockTime(50), Rc::clone(&hold) as _)
+            .await;
         assert_eq!(late.unwrap_err().code(), ResultCode::DeadlinePassed);
+        assert_eq!(Rc::strong_count(&hold), 2);
         time::sleep(Duration::from_millis(250)).await;
+        assert_eq!(Rc::strong_count(&hold), 1);
         assert_eq!(run(&backend, "/next").await, Ok("next".to_owned()));
         backend.close().await;
     });
@@ -262,7 +271,9 @@
         let backend = backend(server.address, 2);
         let pair = future::join(run(&backend, "/0"), run(&backend, "/1")).await;
         assert_eq!(pair, (Ok("ok".to_owned()), Ok("ok".to_owned())));
-        let silent = backend.run(request("/2", ""), ClockTime(50)).await;
+        let silent = backend
+            .run(request("/2", ""), ClockTime(50), Rc::new(()))
+            .await;
         assert_eq!(silent.unwrap_err().code(), ResultCode::DeadlinePassed);
         assert_eq!(run(&backend, "/3").await, Ok("ok".to_owned()));
         backend.close().await;
@@ -312,11 +323,13 @@
         absent.close().await;
 
         let backend = backend(server.address, 1);
-        let result = backend.run(request("/zero", ""), ClockTime(0)).await;
+        let result = backend
+            .run(request("/zero", ""), ClockTime(0), Rc::new(()))
+            .await;
         assert_eq!(result.unwrap_err().code(), ResultCode::DeadlineTooShort);
         // The second call waits for the only connection until its deadline.
         let first = run(&backend, "/first");
-        let second = backend.run(request("/second", ""), ClockTime(50));
+        let second = backend.run(request("/second", ""), ClockTime(50), Rc::new(()));
         let (first, second) = future::join(first, second).await;
         assert_eq!(first, Ok("ok".to_owned()));
         let error = second.unwrap_err();
