Announce a change on links that others chose

Cause: each node pushed every change on all links, so that each received about twice as many copies as it needs. Ruled out: pushing over random links only, because a node that nobody chose would always wait; asking at once for an announced version, because the change is usually under way.

--- a/src/distribution/control_messages.rs
+++ b/src/distribution/control_messages.rs
@@ -88,6 +88,7 @@
             } => {
                 actions = self.spread_suspicion(subject, incarnation, witness, Some(from), now);
             }
+            ControlMessage::Announce(stamp) => self.on_announce(from, stamp, now),
             ControlMessage::Applied { stamp, nodes } => {
                 link.reports = true;
                 self.applied.record(stamp, &nodes, from);
--- a/src/distribution/control_offer.rs
+++ b/src/distribution/control_offer.rs
@@ -76,7 +76,11 @@
         actions.push(ControlAction::Install(manifest));
         let peers: Vec<_> = self.links.keys().copied().collect();
         for peer in peers.into_iter().filter(|peer| Some(*peer) != source) {
-            self.push_version(peer, now, actions);
+            if self.neighbors.pushes_to(&peer) {
+                self.push_version(peer, now, actions);
+            } else {
+                self.announce_version(peer, actions);
+            }
         }
     }
 
--- a/src/distribution/control_state.rs
+++ b/src/distribution/control_state.rs
@@ -8,6 +8,7 @@
 use crate::distribution::fetch_state::FetchState;
 use crate::distribution::link_state::LinkState;
 use crate::distribution::read_slot::ReadSlot;
+use crate::distribution::version_transfer::AnnouncedVersion;
 use crate::distribution::{
     Actions, AppliedSet, ControlAction, ControlSettings, DeltaLog, FleetView, NeighborSet,
     ReadBudget, ReaderRank, SyncState, VersionKeeper,
@@ -42,6 +43,7 @@
     pub(super) links: BTreeMap<NodeAddress, LinkState>,
     pub(super) broken: Vec<NodeAddress>,
     pub(super) fetch: Option<FetchState>,
+    pub(super) announced: Option<AnnouncedVersion>,
     pub(super) start: ClockTime,
     pub(super) first_read: Option<ClockTime>,
     pub(super) freshest: Option<ClockTime>,
@@ -83,6 +85,7 @@
             links: BTreeMap::new(),
             broken: Vec::new(),
             fetch: None,
+            announced: None,
             start: now,
             first_read: None,
             freshest: None,
@@ -258,6 +261,7 @@
         self.manifest_read.pause();
         self.instances_read.pause();
         self.fetch = None;
+        self.announced = None;
         self.links.clear();
         self.next_plan = now;
         let mut actions = Actions::new();
--- a/src/distribution/control_tick.rs
+++ b/src/distribution/control_tick.rs
@@ -56,6 +56,7 @@
         }
         self.read_platform(now, rng, &mut actions);
         self.retry_fetch(now, &mut actions);
+        self.fetch_announced(now, &mut actions);
         self.gossip_members(&mut actions);
         if beat {
             self.next_beat = now + BEAT_INTERVAL;
--- a/src/distribution/neighbor_set.rs
+++ b/src/distribution/neighbor_set.rs
@@ -23,6 +23,8 @@
 const STABLE_TIME: ClockTime = ClockTime(10_000);
 /// Time that a link is held to fetch a version that a call named.
 const FETCH_TIME: ClockTime = ClockTime(10_000);
+/// Number of chosen links below which a change is sent on every link.
+const FEW_LINKS: usize = 3;
 /// Failed peers remembered.
 const MAX_FAILURES: usize = 256;
 
@@ -36,6 +38,7 @@
     /// Failures by purpose; they keep a node from trying every node of a part that is cut off.
     strikes: BTreeMap<LinkPurpose, FailureRecord>,
     fetch: Option<(NodeAddress, ClockTime)>,
+    wanted: BTreeSet<NodeAddress>,
 }
 
 /// States a change of the links.
@@ -102,6 +105,7 @@
                 changes.push(LinkChange::Close(peer));
             }
         }
+        self.wanted.clone_from(&wanted);
         for peer in wanted {
             if !self.links.contains_key(&peer) && self.usable(&peer, now) {
                 let link = LinkRecord {
@@ -126,6 +130,15 @@
         self.successor.as_ref() == Some(peer) || random == Some(peer)
     }
 
+    /// Returns whether a change is sent to the peer at once, instead of an announcement.
+    ///
+    /// Changes go over the links that this node chose. Those that others chose would bring each
+    /// node about twice as many copies.
+    #[must_use]
+    pub fn pushes_to(&self, peer: &NodeAddress) -> bool {
+        self.wanted.len() < FEW_LINKS || self.wanted.contains(peer)
+    }
+
     /// Asks for a link to a peer that has a version this node lacks.
     pub fn want(&mut self, peer: NodeAddress, now: ClockTime) {
         self.fetch = Some((peer, now + FETCH_TIME));
--- a/src/distribution/version_transfer.rs
+++ b/src/distribution/version_transfer.rs
@@ -12,6 +12,17 @@
 
 /// Bytes of pieces in one message; a larger change is fetched piece by piece instead.
 const BATCH_BYTES: usize = 256 * 1_024;
+/// Time that an announced version may take to arrive from another node before it is asked for; a
+/// change crosses a region in less.
+const ANNOUNCE_WAIT: ClockTime = ClockTime(100);
+
+/// Names a version that a peer announced.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AnnouncedVersion {
+    stamp: VersionStamp,
+    from: NodeAddress,
+    at: ClockTime,
+}
 
 impl ControlState {
     pub(super) fn on_peer_stamp(
@@ -100,6 +111,36 @@
         }
     }
 
+    /// Tells a peer that holds an older version which one is in force.
+    pub(super) fn announce_version(&self, to: NodeAddress, actions: &mut Actions) {
+        let stamp = self.keeper.stamp();
+        let link = self.links.get(&to);
+        if link.is_some_and(|link| link.zone.is_some() && link.stamp < stamp) {
+            let message = ControlMessage::Announce(stamp);
+            actions.push(ControlAction::Send { to, message });
+        }
+    }
+
+    /// Notes an announced version, which most often arrives from another node a moment later.
+    pub(super) fn on_announce(&mut self, from: NodeAddress, stamp: VersionStamp, now: ClockTime) {
+        if let Some(link) = self.links.get_mut(&from) {
+            link.stamp = link.stamp.max(stamp);
+        }
+        let newer = self.announced.is_none_or(|held| stamp > held.stamp);
+        if newer && self.keeper.see(stamp) {
+            let at = now;
+            self.announced = Some(AnnouncedVersion { stamp, from, at });
+        }
+    }
+
+    /// Asks for an announced version that did not arrive.
+    pub(super) fn fetch_announced(&mut self, now: ClockTime, actions: &mut Actions) {
+        let due = |held: &AnnouncedVersion| now - held.at >= ANNOUNCE_WAIT;
+        if let Some(held) = self.announced.take_if(|held| due(held)) {
+            self.see_stamp(held.from, held.stamp, now, actions);
+        }
+    }
+
     pub(super) fn on_index_request(
         &mut self,
         to: NodeAddress,
--- a/src/peer/control_message.rs
+++ b/src/peer/control_message.rs
@@ -68,6 +68,9 @@
         /// Reason.
         code: ResultCode,
     },
+    /// Names a version that was just put in force; a peer that does not get the change from
+    /// another node asks for it.
+    Announce(VersionStamp),
 }
 
 /// Introduces a node on a new control link.
--- a/tests/distribution_state.rs
+++ b/tests/distribution_state.rs
@@ -312,6 +312,45 @@
     assert_eq!(requests(&node.on_tick(at(1_000), &mut rng)), [address(3)]);
 }
 
+/// Guards against an announced version that is never fetched, and against fetching one that
+/// arrives from another node.
+#[test]
+fn announced_version_is_asked_for_only_if_it_does_not_arrive() {
+    let at = ClockTime;
+    let (old, new) = (manifest(1, &[1]), manifest(2, &[2]));
+    for arrives in [false, true] {
+        let mut rng = StdRng::seed_from_u64(5);
+        let mut node = control(1, "bangna", "central", &[]);
+        let (revision, bytes) = (1, published(1, &[1]).into());
+        node.on_manifest_read(Ok(ConfigRead::Value { revision, bytes }), at(0));
+        for port in [2, 3] {
+            node.on_link_up(address(port), at(0));
+            let hello = NodeHello {
+                member: member(port, "bangna", "central"),
+                stamp: old.stamp(),
+                ready: true,
+            };
+            node.on_message(address(port), ControlMessage::Hello(hello), at(0));
+        }
+        let announced = ControlMessage::Announce(new.stamp());
+        let asks = |action: &ControlAction| match action {
+            ControlAction::Send { to, message } => {
+                matches!(message, ControlMessage::IndexRequest(_)) && *to == address(2)
+            }
+            _ => false,
+        };
+        let actions = node.on_message(address(2), announced, at(100));
+        assert!(!actions.iter().any(asks), "asked at once");
+        if arrives {
+            let delta = ControlMessage::Delta(old.delta_to(&new));
+            node.on_message(address(3), delta, at(150));
+        }
+        let actions = node.on_tick(at(200), &mut rng);
+        assert_eq!(actions.iter().any(asks), !arrives);
+        assert_eq!(node.keeper().stamp() == new.stamp(), arrives);
+    }
+}
+
 /// Guards against a node that gets the same unusable change again after a lost one.
 #[test]
 fn lost_change_is_repaired_by_the_index() {
