Bound the first reads of a fleet whose nodes reach no peer

Cause: nodes that restart and reach only the configuration service assumed a fleet of 1,000 and spread their first reads over 5 s. 5,500 of them made 1,137 calls in one second, in a simulation of the state machines, and the same for as long as reads failed; a fifth of the budget is 400. Change: 5,500 nodes are assumed until the size is known, and first reads are spread over 20 s while no peer of the settings answers. Ruled out: 15 s, with a peak of exactly 400. A node that is alone gets its first version up to 20 s after its start instead of 5 s, and retries a failed read after 27 s instead of 5 s; nodes that hear a peer are not slower. Before: peak 1,137 calls a second. After: 312, all 5,500 nodes ready. Conclusion: the fleet stays within a fifth also in this case.

--- a/src/distribution/control_state.rs
+++ b/src/distribution/control_state.rs
@@ -19,10 +19,9 @@
 use crate::platform::{ConfigRead, InstanceList};
 use crate::version::{ContentDigest, VersionStamp};
 
-/// Fleet size assumed for the read budget while no other node is known.
-///
-/// A larger number would delay the first version of a small fleet by more than 5 s a try.
-const ASSUMED_FLEET: usize = 1_000;
+/// Fleet size assumed for the read budget while no other node is known: the largest one designed
+/// for, because a fleet that restarts as a whole may reach only the configuration service.
+const ASSUMED_FLEET: usize = 5_500;
 
 /// Decides everything that a node does for the distribution of versions and membership.
 ///
--- a/src/distribution/control_tick.rs
+++ b/src/distribution/control_tick.rs
@@ -26,10 +26,13 @@
 const FETCH_TIMEOUT: ClockTime = ClockTime(1_000);
 /// Time over which the first reads of a fleet that starts are spread.
 const FIRST_READ_SPREAD: ClockTime = ClockTime(5_000);
+/// Factor by which the first reads are spread wider while no peer of the settings answers: all
+/// 5,500 nodes may be alone, and over 20 s they read 275 times a second.
+const ALONE_SPREAD: u64 = 4;
 /// Additional wait of a node in another region that has peers, because its reads are paid for.
 const REMOTE_WAIT: ClockTime = ClockTime(10_000);
 /// Time after which a node that learned of no other node reads as if it were alone.
-const ALONE_TIME: ClockTime = ClockTime(10_000);
+const ALONE_TIME: ClockTime = ClockTime(FIRST_READ_SPREAD.0 * ALONE_SPREAD);
 /// Longest wait of a watch; the age of the last completed read must show that a reader works.
 const WATCH_LIMIT: ClockTime = ClockTime(3_000);
 
@@ -149,7 +152,7 @@
         let spread = FIRST_READ_SPREAD.0;
         let first = *self
             .first_read
-            .get_or_insert_with(|| self.start + ClockTime(rng.random_range(0..spread)));
+            .get_or_insert_with(|| ClockTime(rng.random_range(0..spread)));
         let wait = self.settings.watch_wait.min(WATCH_LIMIT);
         let known = self.members_since.is_some_and(|at| now - at >= TABLE_TIME);
         let age = now - self.freshest.unwrap_or(self.start);
@@ -171,7 +174,12 @@
         let greeted = self.links.values().any(|link| link.zone.is_some());
         let home = self.settings.member.region == self.settings.platform_region;
         let remote = greeted && !home;
-        let due = first + if remote { REMOTE_WAIT } else { ClockTime(0) };
+        let alone = !greeted && !self.settings.seeds.is_empty();
+        let due = match (alone, remote) {
+            (true, _) => self.start + ClockTime(first.0 * ALONE_SPREAD),
+            (_, true) => self.start + first + REMOTE_WAIT,
+            _ => self.start + first,
+        };
         let served = greeted && self.keeper.held().is_some();
         let patient = served && now - self.start < FIRST_READ_SPREAD;
         let starting = !self.sync.ready() && now >= due && !patient;
--- a/tests/read_budget.rs
+++ b/tests/read_budget.rs
@@ -1,9 +1,13 @@
 //! Reads of the configuration service by a whole fleet.
 
 use endivelanding::clock::ClockTime;
-use endivelanding::distribution::{FleetView, ReadBudget, ReaderRank, ReaderRole};
+use endivelanding::distribution::{
+    ControlAction, ControlSettings, ControlState, FleetView, ReadBudget, ReaderRank, ReaderRole,
+};
+use endivelanding::error::{Error, ResultCode};
 use endivelanding::id::{NodeAddress, NodeIncarnation};
 use endivelanding::membership::{MemberEntry, MemberState, MemberTable};
+use endivelanding::platform::ConfigRead;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -51,6 +55,70 @@
     assert!(*peak <= 400, "{peak} reads in one second");
 }
 
+/// Guards against a fleet that restarts as a whole, reaches only the configuration service, and
+/// overloads it before any node knows the size of the fleet; also while every read fails.
+#[test]
+fn restarted_fleet_of_single_nodes_stays_within_a_fifth() {
+    const FLEET: usize = 5_500;
+    for works in [true, false] {
+        let mut rng = StdRng::seed_from_u64(3);
+        let mut nodes: Vec<_> = (0..FLEET).map(|n| isolated(n, FLEET)).collect();
+        let mut seconds = vec![0; 60];
+        for now in (0..60_000).step_by(200).map(ClockTime) {
+            for node in &mut nodes {
+                for action in node.on_tick(now, &mut rng) {
+                    let calls = &mut seconds[now.0 as usize / 1_000];
+                    match action {
+                        ControlAction::Open { to } => node.on_link_down(to, now, &mut rng),
+                        ControlAction::ReadManifest { .. } => {
+                            *calls += 1;
+                            let bytes = br#"{"number":1,"services":[],"routes":[]}"#.as_slice();
+                            let (revision, bytes) = (1, bytes.into());
+                            let read = Ok(ConfigRead::Value { revision, bytes });
+                            node.on_manifest_read(if works { read } else { Err(down()) }, now);
+                        }
+                        ControlAction::ReadInstances { .. } => {
+                            *calls += 1;
+                            let read = if works { Ok(None) } else { Err(down()) };
+                            node.on_instances_read(read, now);
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        let ready = nodes.iter().filter(|node| node.ready()).count();
+        let peak = seconds.iter().max().unwrap();
+        println!("reads succeed: {works}, peak {peak} a second, {ready} nodes ready, {seconds:?}");
+        assert!(*peak <= 400, "{peak} reads in one second");
+        assert_eq!(ready, if works { FLEET } else { 0 });
+    }
+}
+
+fn down() -> Error {
+    Error::new(ResultCode::PlatformUnreachable, "down")
+}
+
+fn isolated(n: usize, fleet: usize) -> ControlState {
+    let settings = ControlSettings {
+        member: MemberEntry {
+            address: address(n),
+            admin: address(n + fleet),
+            incarnation: NodeIncarnation(1),
+            service: "s".parse().unwrap(),
+            zone: format!("z{}", n % 8).parse().unwrap(),
+            region: format!("r{}", n % 8 / 3).parse().unwrap(),
+            state: MemberState::Live,
+        },
+        platform_region: "r0".parse().unwrap(),
+        call_budget: 2_000,
+        watch_wait: ClockTime(3_000),
+        seeds: vec![address((n + 1) % fleet), address((n + 8) % fleet)],
+        every_node_watches: false,
+    };
+    ControlState::new(settings, ClockTime(0))
+}
+
 /// Guards against a small fleet that reads faster than two reads a second and node.
 #[test]
 fn rates_have_limits() {
