Measure the memory of a node that knows a large fleet

Cause: the fleets that fit on one machine do not show the memory of a node that knows thousands of members.

--- a/testkit/src/bin/fleet-bench.rs
+++ b/testkit/src/bin/fleet-bench.rs
@@ -37,6 +37,7 @@
         .arg(number("changes", "10", 1_000).help("Changes measured without faults"))
         .arg(number("idle-s", "10", 300).help("Time without changes"))
         .arg(number("seed", "1", u64::MAX - 1).help("Seed of the times between changes"))
+        .arg(number("listed", "0", 5_500).help("Instances that are only listed, for memory"))
         .arg(
             Arg::new("plain")
                 .long("plain")
@@ -107,6 +108,15 @@
             "platform_calls_peak_second": counts["peak_calls_per_second"],
         }),
     );
+    let listed = get("listed") as usize;
+    if listed > 0 {
+        let mut list = meter.fleet.plan.instance_list();
+        let entries = (0..listed).map(|index| listed_only(index, services));
+        if let Some(known) = list["instances"].as_array_mut() {
+            known.extend(entries);
+        }
+        meter.fleet.publish_instances(&list)?;
+    }
     // Start-up traffic ends: member tables are exchanged and links of the start are closed.
     std::thread::sleep(Duration::from_secs(8));
     print("idle", meter.idle(Duration::from_secs(get("idle-s")))?);
@@ -117,3 +127,16 @@
     }
     Ok(())
 }
+
+/// Returns the list entry of an instance that does not run, in a region of its own.
+fn listed_only(index: usize, services: usize) -> Value {
+    let host = format!("127.9.{}.{}", index / 250, index % 250 + 1);
+    json!({
+        "address": format!("{host}:9"),
+        "admin": format!("{host}:10"),
+        "service": format!("service-{}", index % services.max(1)),
+        "zone": format!("absent-{}", index % 4),
+        "region": "absent",
+        "state": "live",
+    })
+}
