--- a/src/distribution/control_state.rs
+++ b/src/distribution/control_state.rs
@@ -8,6 +8,7 @@
 use crate::distribution::fetch_state::FetchState;
 use crate::distribution::link_state::LinkState;
 use crate::distribution::read_slot::ReadSlot;
+use crate::distribution::version_transfer::AnnouncedVersion;
 use crate::distribution::{
     Actions, AppliedSet, ControlAction, ControlSettings, DeltaLog, FleetView, NeighborSet,
     ReadBudget, ReaderRank, SyncState, VersionKeeper,
@@ -18,10 +19,9 @@
 use crate::platform::{ConfigRead, InstanceList};
 use crate::version::{ContentDigest, VersionStamp};
 
-/// Fleet size assumed for the read budget while no other node is known.
-///
-/// A larger number would delay the first version of a small fleet by more than 5 s a try.
-const ASSUMED_FLEET: usize = 1_000;
+/// Fleet size assumed for the read budget while no other node is known: the largest one designed
+/// for, because a fleet that restarts as a whole may reach only the configuration service.
+const ASSUMED_FLEET: usize = 5_500;
 
 /// Decides everything that a node does for the distribution of versions and membership.
 ///
@@ -42,6 +42,7 @@
     pub(super) links: BTreeMap<NodeAddress, LinkState>,
     pub(super) broken: Vec<NodeAddress>,
     pub(super) fetch: Option<FetchState>,
+    pub(super) announced: Option<AnnouncedVersion>,
     pub(super) start: ClockTime,
     pub(super) first_read: Option<ClockTime>,
     pub(super) freshest: Option<ClockTime>,
@@ -83,6 +84,7 @@
             links: BTreeMap::new(),
             broken: Vec::new(),
             fetch: None,
+            announced: None,
             start: now,
             first_read: None,
             freshest: None,
@@ -258,6 +260,7 @@
         self.manifest_read.pause();
         self.instances_read.pause();
         self.fetch = None;
+        self.announced = None;
         self.links.clear();
         self.next_plan = now;
         let mut actions = Actions::new();
