Keep the highest version known of each node of a zone

Cause: the set of nodes that have a version in force started over with each version, and the tool compared only nodes with the same stamp at the moment of one poll. When the next version came before the reports had crossed the zone, what was learned was thrown away.

Now each node is known by the highest stamp that it reported. An entry gets a new sequence number when its stamp rises and is sent once over each link, not to a peer that sent it; messages are grouped by stamp and their format is unchanged. The status page reports groups of (stamp, nodes). The tool counts a node by the highest stamp that any asked node reports, and `wait` keeps what it learned until the incarnation in the member list changes.

A node ignores reports about itself, so only its own installs raise its entry. Others' entries are passed on even for versions that are not in force here yet: holding them back would hide what the asked node knows.

Ruled out: incarnations in the message, which double the 8 bytes of an entry. A restart is recognized in the member table by a rise above 1 s, because a node that contradicts a claim raises its incarnation by 1. Gone nodes are kept until their tombstone ends, because a node wrongly held for gone does not report again. A report sent from before a restart over a new link can still be taken for one of the new process; this is not prevented.

In tests/distribution_state.rs the count of reported nodes now needs the highest stamp of each, which is stricter. In tests/operators_tool.rs the canned status has one group and judge gets what earlier surveys reported; every case is kept.

--- a/src/distribution/control_messages.rs
+++ b/src/distribution/control_messages.rs
@@ -90,7 +90,8 @@
             }
             ControlMessage::Applied { stamp, nodes } => {
                 link.reports = true;
-                self.applied.record(stamp, &nodes, from);
+                let member = |node: &_| self.members.get(node).map(|entry| entry.incarnation);
+                self.applied.record(stamp, &nodes, from, member);
             }
             ControlMessage::Refused {
                 number,
--- a/src/distribution/control_offer.rs
+++ b/src/distribution/control_offer.rs
@@ -71,7 +71,7 @@
         if let Some(older) = older {
             self.log.record(&older.delta_to(&manifest));
         }
-        self.applied.install(stamp, self.settings.member.address);
+        self.applied.install(stamp);
         self.fetch = self.fetch.take().filter(|fetch| fetch.stamp > stamp);
         actions.push(ControlAction::Install(manifest));
         let peers: Vec<_> = self.links.keys().copied().collect();
--- a/src/distribution/control_state.rs
+++ b/src/distribution/control_state.rs
@@ -75,7 +75,7 @@
             log: DeltaLog::default(),
             neighbors: NeighborSet::default(),
             sync: SyncState::new(now),
-            applied: AppliedSet::default(),
+            applied: AppliedSet::new(own),
             budget: ReadBudget::new(settings.call_budget, 1, ASSUMED_FLEET, now),
             rank: None,
             view: FleetView::default(),
@@ -131,7 +131,7 @@
         self.members.snapshot(now)
     }
 
-    /// Returns which nodes of the zone have the version in force.
+    /// Returns which versions the nodes of the zone have put in force.
     #[must_use]
     pub fn applied(&self) -> &AppliedSet {
         &self.applied
--- a/src/distribution/control_tick.rs
+++ b/src/distribution/control_tick.rs
@@ -239,17 +239,17 @@
         }
     }
 
-    /// Tells peers of the zone which nodes have the version in force.
+    /// Tells peers of the zone which versions nodes have put in force.
     fn send_reports(&mut self, actions: &mut Actions) {
         let zone = &self.settings.member.zone;
-        let stamp = self.applied.stamp();
+        let member = |node: &_| self.members.get(node).map(|entry| entry.incarnation);
+        self.applied.prune(member);
         for (to, link) in &self.links {
             let near = link.zone.as_ref() == Some(zone);
             if !near || !(link.reports || self.neighbors.reports_to(to)) {
                 continue;
             }
-            let nodes = self.applied.unsent(*to);
-            if !nodes.is_empty() {
+            for (stamp, nodes) in self.applied.unsent(*to) {
                 let message = ControlMessage::Applied { stamp, nodes };
                 actions.push(ControlAction::Send { to: *to, message });
             }
--- a/src/node/admin_pages.rs
+++ b/src/node/admin_pages.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use serde::Serialize;
@@ -10,7 +11,7 @@
 use crate::membership::MemberState;
 use crate::metrics::NodeMetrics;
 use crate::node::{EndpointSet, NodeView};
-use crate::status::{CallExplanation, NodeStatus, RefusedVersion, VersionConflict};
+use crate::status::{AppliedGroup, CallExplanation, NodeStatus, RefusedVersion, VersionConflict};
 
 /// Makes the pages for operators; nothing in the node changes by them.
 pub(crate) struct AdminPages {
@@ -93,6 +94,11 @@
             winner: conflict.kept,
             loser: conflict.lost,
         });
+        let mut applied = BTreeMap::<_, Vec<_>>::new();
+        for (node, stamp) in state.applied().entries() {
+            applied.entry(stamp).or_default().push(node);
+        }
+        let groups = applied.into_iter();
         let present: Vec<_> = state.members().present().collect();
         let member = state.members().own().cloned();
         NodeStatus {
@@ -100,7 +106,9 @@
             ready: self.view.is_ready(),
             uptime: now,
             stamp: keeper.stamp(),
-            applied: state.applied().nodes().copied().collect(),
+            applied: groups
+                .map(|(stamp, nodes)| AppliedGroup { stamp, nodes })
+                .collect(),
             read_age: state.read_age(now).unwrap_or(ClockTime(u64::MAX)),
             stale_reads: keeper.stale_reads(),
             refused,
--- a/src/status/node_status.rs
+++ b/src/status/node_status.rs
@@ -1,9 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::ClockTime;
-use crate::id::NodeAddress;
 use crate::membership::MemberEntry;
-use crate::status::{RefusedVersion, VersionConflict};
+use crate::status::{AppliedGroup, RefusedVersion, VersionConflict};
 use crate::version::VersionStamp;
 
 /// Is the answer of `/v1/status`.
@@ -17,8 +16,9 @@
     pub uptime: ClockTime,
     /// Version in force here.
     pub stamp: VersionStamp,
-    /// Nodes of the zone known to have the same version in force, this one included.
-    pub applied: Vec<NodeAddress>,
+    /// Nodes of the zone, this one included, by the highest version that each is known to have
+    /// put in force; the newest version is last.
+    pub applied: Vec<AppliedGroup>,
     /// Age of the freshest read of the configuration service that the node knows of.
     pub read_age: ClockTime,
     /// Reads that gave an older version than the one held.
--- a/src/tool/fleet_report.rs
+++ b/src/tool/fleet_report.rs
@@ -8,7 +8,7 @@
 use crate::id::{NodeAddress, ZoneName};
 use crate::membership::MemberEntry;
 use crate::tool::zone_report::{MAX_NAMED, write_nodes};
-use crate::tool::{ConflictLine, FleetSurvey, RefusalLine, ZoneReport};
+use crate::tool::{ConflictLine, FleetSurvey, HeldVersions, RefusalLine, ZoneReport};
 
 /// Reports versions and faults as the asked nodes know them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
@@ -54,7 +54,7 @@
 }
 
 fn zones(survey: &FleetSurvey) -> Vec<ZoneReport> {
-    let held = survey.held();
+    let held = HeldVersions::from(survey);
     let mut nodes = BTreeMap::<&ZoneName, Vec<&MemberEntry>>::new();
     for entry in survey.live() {
         nodes.entry(&entry.zone).or_default().push(entry);
--- a/src/tool/fleet_survey.rs
+++ b/src/tool/fleet_survey.rs
@@ -1,9 +1,6 @@
-use std::collections::BTreeMap;
-
 use crate::id::NodeAddress;
 use crate::membership::{MemberEntry, MemberState};
 use crate::status::NodeStatus;
-use crate::version::VersionStamp;
 
 /// Holds the members and the answers of the nodes that were asked.
 #[derive(Debug, Clone, Default)]
@@ -23,23 +20,6 @@
         members.filter(|entry| entry.state == MemberState::Live)
     }
 
-    /// Returns the newest version that each node is known to have in force.
-    ///
-    /// A node counts only if an asked node names it; for a stamp the sets of all asked nodes that
-    /// report this stamp are joined.
-    #[must_use]
-    pub fn held(&self) -> BTreeMap<NodeAddress, VersionStamp> {
-        let mut held = BTreeMap::<NodeAddress, VersionStamp>::new();
-        let published = |status: &&NodeStatus| status.stamp != VersionStamp::default();
-        for status in self.answers.iter().filter(published) {
-            for node in status.applied.iter().chain([&status.member.address]) {
-                let stamp = held.entry(*node).or_default();
-                *stamp = status.stamp.max(*stamp);
-            }
-        }
-        held
-    }
-
     /// Returns the number of live members that an asked node knows of beyond the member list.
     ///
     /// The list comes from one node, which may be cut off from a part of the fleet.
--- a/src/tool/version_wait.rs
+++ b/src/tool/version_wait.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::{Error, ResultCode};
-use crate::tool::{FleetReader, WaitResult, WaitTarget, WaitVerdict};
+use crate::tool::{FleetReader, HeldVersions, WaitResult, WaitTarget, WaitVerdict};
 
 /// Pause after the first survey.
 const FIRST_PAUSE: ClockTime = ClockTime(200);
@@ -37,6 +37,7 @@
         let clock = SystemClock::new();
         let end = clock.now() + self.timeout;
         let mut pause = FIRST_PAUSE;
+        let mut held = HeldVersions::default();
         let mut verdict = None;
         let mut failure = None;
         loop {
@@ -47,7 +48,8 @@
                 Ok(Err(error)) => failure = Some(error),
                 Ok(Ok(survey)) => {
                     failure = None;
-                    let found = self.target.judge(&survey);
+                    held.add(&survey);
+                    let found = self.target.judge(&survey, &held);
                     if let WaitVerdict::Pending { have, live } = found {
                         progress(have, live);
                         verdict = Some(found);
--- a/src/tool/wait_target.rs
+++ b/src/tool/wait_target.rs
@@ -5,7 +5,7 @@
 use crate::error::Result;
 use crate::manifest::Manifest;
 use crate::status::RefusedVersion;
-use crate::tool::{FleetSurvey, WaitVerdict, manifest_check};
+use crate::tool::{FleetSurvey, HeldVersions, WaitVerdict, manifest_check};
 use crate::version::{ContentDigest, VersionStamp};
 
 /// Names the version that a wait is for.
@@ -60,17 +60,17 @@
         Self::manifest(&bytes).map_err(|error| manifest_check::named(path, &error))
     }
 
-    /// Decides whether the version is in force at every live member.
+    /// Decides whether the version is in force at every live member; `held` contains what this and
+    /// earlier surveys reported.
     #[must_use]
-    pub fn judge(&self, survey: &FleetSurvey) -> WaitVerdict {
+    pub fn judge(&self, survey: &FleetSurvey, held: &HeldVersions) -> WaitVerdict {
         if let Some(winner) = self.conflict_winner(survey) {
             return WaitVerdict::Conflict(winner);
         }
-        let held = survey.held();
         let live = survey.live().count();
         let stamps: Vec<_> = survey
             .live()
-            .filter_map(|entry| held.get(&entry.address).copied())
+            .filter_map(|entry| held.stamp(entry))
             .filter(|stamp| self.is_reached(*stamp))
             .collect();
         let exact: BTreeSet<_> = stamps
--- a/src/tool/zone_report.rs
+++ b/src/tool/zone_report.rs
@@ -1,11 +1,10 @@
-use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::Serialize;
 
 use crate::id::{NodeAddress, ZoneName};
 use crate::membership::MemberEntry;
-use crate::tool;
+use crate::tool::{self, HeldVersions};
 use crate::version::VersionStamp;
 
 /// Most nodes that are named in one list.
@@ -36,10 +35,10 @@
     pub(crate) fn new(
         zone: ZoneName,
         nodes: &[&MemberEntry],
-        held: &BTreeMap<NodeAddress, VersionStamp>,
+        held: &HeldVersions,
         asked: usize,
     ) -> Self {
-        let stamp_of = |entry: &MemberEntry| held.get(&entry.address).copied();
+        let stamp_of = |entry: &MemberEntry| held.stamp(entry);
         let stamps = nodes.iter().filter_map(|entry| stamp_of(entry));
         let stamp = stamps.max().unwrap_or_default();
         let is_unknown = |entry: &MemberEntry| stamp_of(entry) != Some(stamp);
--- a/tests/distribution_state.rs
+++ b/tests/distribution_state.rs
@@ -576,10 +576,10 @@
         );
         let ready: Vec<_> = exchange.nodes.iter().map(ControlState::ready).collect();
         assert_eq!(ready, [true; 12], "seed {seed}");
-        let applied = exchange
-            .nodes
-            .iter()
-            .map(|node| node.applied().nodes().count());
+        let applied = exchange.nodes.iter().map(|node| {
+            let entries = node.applied().entries();
+            entries.filter(|(_, stamp)| *stamp == highest).count()
+        });
         // A link delivers everything or closes, so reports are not repeated on one.
         assert!(
             loss > 0.0 || applied.collect::<Vec<_>>() == [4; 12],
--- a/tests/operators_tool.rs
+++ b/tests/operators_tool.rs
@@ -13,9 +13,10 @@
 use endivelanding::error::ResultCode;
 use endivelanding::id::{NodeAddress, NodeIncarnation};
 use endivelanding::membership::{MemberEntry, MemberState};
-use endivelanding::status::{NodeStatus, RefusedVersion, VersionConflict};
+use endivelanding::status::{AppliedGroup, NodeStatus, RefusedVersion, VersionConflict};
 use endivelanding::tool::{
-    self, FleetReader, FleetReport, FleetSurvey, ToolExit, VersionWait, WaitTarget, WaitVerdict,
+    self, FleetReader, FleetReport, FleetSurvey, HeldVersions, ToolExit, VersionWait, WaitTarget,
+    WaitVerdict,
 };
 use endivelanding::version::{ContentDigest, VersionStamp};
 use futures_channel::oneshot;
@@ -64,7 +65,10 @@
         ready: true,
         uptime: ClockTime(1),
         stamp,
-        applied: applied.iter().map(|index| address(7100 + index)).collect(),
+        applied: vec![AppliedGroup {
+            stamp,
+            nodes: applied.iter().map(|index| address(7100 + index)).collect(),
+        }],
         read_age: ClockTime(40),
         stale_reads: 1,
         refused: Vec::new(),
@@ -87,6 +91,11 @@
     }
 }
 
+/// Decides by one survey alone.
+fn judge(target: &WaitTarget, survey: &FleetSurvey) -> WaitVerdict {
+    target.judge(survey, &HeldVersions::from(survey))
+}
+
 /// Guards against a version reported in force while a live node is unknown, behind, on another
 /// content, or missing in the member list, and against a newer version that never counts.
 #[test]
@@ -103,7 +112,7 @@
         ("newer, one not named", [eight, eight], [&[0], &[2]], None),
     ];
     for (name, stamps, applied, expected) in cases {
-        let verdict = WaitTarget::number(7).judge(&survey(stamps, applied));
+        let verdict = judge(&WaitTarget::number(7), &survey(stamps, applied));
         let found = match verdict {
             WaitVerdict::InForce { superseded_by, .. } => {
                 Some(superseded_by.map_or(0, |newer| newer.number))
@@ -116,11 +125,55 @@
     let mut behind = survey([seven, seven], [&[0, 1], &[2]]);
     behind.answers[0].live_members = 4;
     let pending = WaitVerdict::Pending { have: 3, live: 4 };
-    assert_eq!(WaitTarget::number(7).judge(&behind), pending);
-    let empty = WaitTarget::number(7).judge(&FleetSurvey::default());
+    assert_eq!(judge(&WaitTarget::number(7), &behind), pending);
+    let empty = judge(&WaitTarget::number(7), &FleetSurvey::default());
     assert_eq!(empty, WaitVerdict::Pending { have: 0, live: 0 });
 }
 
+/// Guards against a version that is never confirmed because asked nodes report different stamps, a
+/// lower stamp or another content that counts, and knowledge kept of a former process.
+#[test]
+fn reports_of_several_versions_add_up() {
+    let group = |stamp, node: usize| AppliedGroup {
+        stamp,
+        nodes: vec![address(7100 + node)],
+    };
+    let have = |target: &WaitTarget, survey: &FleetSurvey, held: &HeldVersions| match target
+        .judge(survey, held)
+    {
+        WaitVerdict::InForce { live, .. } => (live, live),
+        WaitVerdict::Pending { have, live } => (have, live),
+        other => panic!("{other:?}"),
+    };
+    let target = WaitTarget::number(7);
+    // The asked node has version 9 in force and knows others of the zone at 8, 7 and 6.
+    for (known, expected) in [(stamp(8, 3), 3), (stamp(7, 3), 3), (stamp(6, 3), 2)] {
+        let mut survey = survey([stamp(9, 9), stamp(9, 9)], [&[], &[]]);
+        survey.answers[0].applied = vec![group(known, 1), group(stamp(9, 9), 0)];
+        assert_eq!(
+            have(&target, &survey, &HeldVersions::from(&survey)),
+            (expected, 3)
+        );
+    }
+    let manifest = WaitTarget::manifest(MANIFEST.as_bytes()).unwrap();
+    for (known, expected) in [(stamp(1, 0), 2), (stamp(2, 0), 3)] {
+        let mut survey = survey([stamp(9, 9), stamp(9, 9)], [&[], &[]]);
+        survey.answers[0].applied.push(group(known, 1));
+        assert_eq!(
+            have(&manifest, &survey, &HeldVersions::from(&survey)),
+            (expected, 3)
+        );
+    }
+    // The second node is named by the first survey only.
+    let mut held = HeldVersions::from(&survey([stamp(7, 1); 2], [&[1], &[]]));
+    let mut later = survey([stamp(7, 1); 2], [&[], &[]]);
+    held.add(&later);
+    assert_eq!(have(&target, &later, &held), (3, 3));
+    later.members[1].incarnation = NodeIncarnation(2);
+    held.add(&later);
+    assert_eq!(have(&target, &later, &held), (2, 3));
+}
+
 /// Guards against a wait that ends for the refusal of another version, or goes on after its own.
 #[test]
 fn only_refusal_of_the_version_ends_the_wait() {
@@ -141,7 +194,7 @@
             code: ResultCode::ManifestMissingService,
             message: String::new(),
         });
-        let verdict = target.judge(&survey);
+        let verdict = judge(&target, &survey);
         let refused = matches!(verdict, WaitVerdict::Refused(_));
         assert_eq!(refused, expected, "{target} by {number}");
     }
@@ -153,10 +206,10 @@
     let target = WaitTarget::manifest(MANIFEST.as_bytes()).unwrap();
     let winner = stamp(1, 255);
     let held = survey([winner; 2], [&[0, 1], &[2]]);
-    assert_eq!(target.judge(&held), WaitVerdict::Conflict(winner.digest));
+    assert_eq!(judge(&target, &held), WaitVerdict::Conflict(winner.digest));
     let lower = survey([stamp(1, 0); 2], [&[0, 1], &[2]]);
     assert_eq!(
-        target.judge(&lower),
+        judge(&target, &lower),
         WaitVerdict::Pending { have: 0, live: 3 }
     );
     let mut newer = survey([stamp(2, 0); 2], [&[0, 1], &[2]]);
@@ -166,7 +219,7 @@
         winner: winner.digest,
         loser: stamp_text.split_once('-').unwrap().1.parse().unwrap(),
     });
-    assert_eq!(target.judge(&newer), WaitVerdict::Conflict(winner.digest));
+    assert_eq!(judge(&target, &newer), WaitVerdict::Conflict(winner.digest));
 }
 
 /// Guards against a status that hides nodes without the version, or names thousands of them.
