Measure how long calls wait for a slot

Cause: head-of-line blocking of short work behind long work could only be seen from outside; the metrics had the length of the queue.

The histogram endive_queue_wait (seconds) is recorded by kind and whether the kind is long when a call gets its slot. Calls that are refused or dropped while they wait are not in it; refusals are counted by code. The clock in fractional ms is used, because short work waits for less than 1 ms when slots are free.

Ruled out: a label for the service, as a node stands beside the backend server of one service.

Before: no such metric. The overhead per call was not measured.

--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -12,6 +12,11 @@
     0.0005, 0.001, 0.0017, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0,
 ];
 
+/// Upper bounds of the histogram of waits for a slot in seconds, up to the deadlines of long kinds.
+const WAIT_BOUNDS: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
+];
+
 /// States how far a control link reaches, for the bytes counted on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkScope {
@@ -40,6 +45,7 @@
     _provider: SdkMeterProvider,
     calls: Counter<u64>,
     call_duration: Histogram<f64>,
+    queue_wait: Histogram<f64>,
     resends: Counter<u64>,
     control_bytes: Counter<u64>,
     platform_reads: Counter<u64>,
@@ -80,6 +86,12 @@
                 .with_unit("s")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
+            queue_wait: meter
+                .f64_histogram("endive_queue_wait")
+                .with_description("Time that calls waited for a slot")
+                .with_unit("s")
+                .with_boundaries(WAIT_BOUNDS.to_vec())
+                .build(),
             resends: counter(&meter, "endive_resends", "Retries and hedges"),
             control_bytes: meter
                 .u64_counter("endive_control")
@@ -141,6 +153,17 @@
             .record(duration_ms / 1_000.0, &[service, kind]);
     }
 
+    /// Counts a call that got a slot of the backend server and the time in ms that it waited.
+    ///
+    /// Waits of short kinds that grow with the number of long calls show head-of-line blocking.
+    pub fn record_queue_wait(&self, kind: &KindName, long: bool, wait_ms: f64) {
+        let labels = [
+            KeyValue::new("kind", kind.to_string()),
+            KeyValue::new("long", long),
+        ];
+        self.queue_wait.record(wait_ms / 1_000.0, &labels);
+    }
+
     /// Counts a retry or a hedge.
     pub fn record_resend(&self, reason: &'static str) {
         self.resends.add(1, &[KeyValue::new("reason", reason)]);
--- a/src/node/node_runtime.rs
+++ b/src/node/node_runtime.rs
@@ -88,7 +88,9 @@
         let (events, inbox) = mpsc::unbounded();
         let view = Rc::new(NodeView::new(clock, address, events));
         let tasks = Rc::new(TaskGroup::new());
-        let gate = SlotGate::new(clock, admission_policy(&settings, rng.random()));
+        let metrics = Rc::new(NodeMetrics::new()?);
+        let policy = admission_policy(&settings, rng.random());
+        let gate = SlotGate::new(clock, policy, Rc::clone(&metrics));
         let backend = Rc::new(HttpBackend::new(
             settings.backend.address,
             settings.backend.connect_timeout,
@@ -133,7 +135,6 @@
             settings.call.plain_policy,
             rng.random(),
         ));
-        let metrics = Rc::new(NodeMetrics::new()?);
         let burn = BurnLedger::new(settings.burn.clone(), clock.now());
         let burn = Rc::new(RefCell::new(burn));
         let entry = Rc::new(EntryService {
--- a/src/node/slot_gate.rs
+++ b/src/node/slot_gate.rs
@@ -9,6 +9,7 @@
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::ResultCode;
 use crate::id::KindName;
+use crate::metrics::NodeMetrics;
 
 /// Wait between two checks of the queue while a call waits without a known expiry.
 const CHECK_INTERVAL: ClockTime = ClockTime(20);
@@ -21,6 +22,7 @@
 
 struct GateState {
     clock: SystemClock,
+    metrics: Rc<NodeMetrics>,
     policy: RefCell<Box<dyn AdmissionPolicy>>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Grant>>>,
     next_id: Cell<u64>,
@@ -39,10 +41,15 @@
 }
 
 impl SlotGate {
-    pub(crate) fn new(clock: SystemClock, policy: Box<dyn AdmissionPolicy>) -> Self {
+    pub(crate) fn new(
+        clock: SystemClock,
+        policy: Box<dyn AdmissionPolicy>,
+        metrics: Rc<NodeMetrics>,
+    ) -> Self {
         Self {
             state: Rc::new(GateState {
                 clock,
+                metrics,
                 policy: RefCell::new(policy),
                 waiting: RefCell::default(),
                 next_id: Cell::new(1),
@@ -51,7 +58,7 @@
         }
     }
 
-    /// Waits for a slot; dropping the future leaves the queue.
+    /// Waits for a slot and records the wait; dropping the future leaves the queue.
     pub(crate) async fn acquire(
         &self,
         kind: KindName,
@@ -62,24 +69,30 @@
         let id = self.state.next_id.get();
         self.state.next_id.set(id + 1);
         let now = self.state.clock.now();
+        let since = self.state.clock.precise_now();
         let ticket = CallTicket {
             id,
-            kind,
+            kind: kind.clone(),
             weight,
             long,
             deadline,
         };
         let admission = self.state.policy.borrow_mut().offer(now, ticket);
-        match admission {
-            Admission::Run => Ok(self.guard(id)),
-            Admission::Refused { code, retry_after } => Err(SlotRefusal { code, retry_after }),
+        let guard = match admission {
+            Admission::Run => self.guard(id),
+            Admission::Refused { code, retry_after } => {
+                return Err(SlotRefusal { code, retry_after });
+            }
             Admission::Queued { dropped } => {
                 let (sender, receiver) = oneshot::channel();
                 self.state.waiting.borrow_mut().insert(id, sender);
                 self.state.refuse(dropped);
-                self.wait(id, receiver).await
+                self.wait(id, receiver).await?
             }
-        }
+        };
+        let wait_ms = self.state.clock.precise_now() - since;
+        self.state.metrics.record_queue_wait(&kind, long, wait_ms);
+        Ok(guard)
     }
 
     /// Returns running and queued calls per slot in thousandths.
--- a/tests/call_process/main.rs
+++ b/tests/call_process/main.rs
@@ -3,3 +3,4 @@
 mod answers;
 mod call_fleet;
 mod keys;
+mod queue_wait;
