--- a/tests/operators_tool.rs
+++ b/tests/operators_tool.rs
@@ -6,6 +6,8 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread;
 
 use endivelanding::admin::{AdminHandler, AdminPage, AdminServer, PageQuery};
 use endivelanding::caller::{ServerLimits, StopSignal};
@@ -24,6 +26,7 @@
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde_json::{Value, json};
 
 const MANIFEST: &str = include_str!("../examples/siam-markwell/manifest.json");
 
@@ -327,6 +330,104 @@
     }
 }
 
+/// Answers each path with a text.
+struct CannedPages(Vec<(&'static str, String)>);
+
+impl AdminHandler for CannedPages {
+    fn get(&self, path: &str, _query: &str) -> AdminPage {
+        let page = self.0.iter().find(|(name, _)| *name == path);
+        page.map_or_else(
+            || AdminPage::text(404, "none"),
+            |(_, text)| AdminPage::json(200, text.clone()),
+        )
+    }
+}
+
+/// Guards against JSON that a pipeline cannot read: a field renamed or left out, a stamp or code in
+/// another form, and a result that does not agree with the exit code.
+#[test]
+fn json_forms_are_stable() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let admin = listener.local_addr().unwrap();
+    let mut members = vec![member(0, "a"), member(1, "a")];
+    members[0].admin = NodeAddress(admin);
+    let mut answer = status(&members[0], stamp(8, 2), &[0], 2);
+    answer.applied.push(AppliedGroup {
+        stamp: stamp(7, 1),
+        nodes: vec![address(7101)],
+    });
+    answer.refused.push(RefusedVersion {
+        number: 9,
+        digest: ContentDigest([9; 16]),
+        node: address(7100),
+        code: ResultCode::ManifestMissingService,
+        message: "no service `x`".to_owned(),
+    });
+    let explained = json!({
+        "stamp": stamp(8, 2), "prefix": "/price", "service": "ratecard", "kind": "price",
+        "endpoints": [{"address": "127.0.0.1:7100", "zone": "a", "state": "ok", "in_flight": 1,
+                       "load": 500, "slowness": 1.5}]});
+    let row = json!({
+        "service": "ratecard", "kind": "price", "objective": 0.99, "short_calls": 10,
+        "short_bad": 1, "long_calls": 100, "long_bad": 2, "bad_by_code": {"303": 2}});
+    let report = json!({"short_window": 300_000, "long_window": 3_600_000, "covered": 60_000,
+                        "rows": [row]});
+    let pages = vec![
+        ("/v1/members", json!(members).to_string()),
+        ("/v1/status", json!(answer).to_string()),
+        ("/v1/explain", explained.to_string()),
+        ("/v1/burn", report.to_string()),
+    ];
+    let (sender, receiver) = mpsc::channel();
+    let server = thread::spawn(move || {
+        block_on(async {
+            let (stop_sender, stop) = StopSignal::new();
+            sender.send(stop_sender).unwrap();
+            let handler = Rc::new(CannedPages(pages));
+            let server = AdminServer::new(handler, ServerLimits::default());
+            server
+                .serve(TcpListener::from_std(listener).unwrap(), stop)
+                .await;
+        });
+    });
+    let stop = receiver.recv().unwrap();
+    let read = |arguments: &[&str]| -> (Option<i32>, Value) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_endivectl"));
+        command.args(arguments).arg("--json");
+        let output = command.arg(format!("--admin={admin}")).output().unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert_eq!(text.lines().count(), 1, "{arguments:?}: {text}");
+        (output.status.code(), serde_json::from_str(&text).unwrap())
+    };
+    let waited = |number: u64, timeout: u64| {
+        let (number, timeout) = (number.to_string(), timeout.to_string());
+        read(&["wait", "--number", &number, "--timeout-ms", &timeout])
+    };
+    let (eight, seven) = (stamp(8, 2).to_string(), stamp(7, 1).to_string());
+    let message =
+        format!("version {seven} is in force at 2 of 2 live nodes, superseded by {eight}");
+    let page = json!({"target": "7", "in_force": true, "have": 2, "live": 2, "stamp": seven,
+                      "superseded_by": eight, "code": 0, "message": message});
+    assert_eq!(waited(7, 5_000), (Some(0), page));
+    let page = json!({"target": "8", "in_force": false, "have": 1, "live": 2, "stamp": null,
+                      "superseded_by": null, "code": 606,
+                      "message": "version 8 is known at 1 of 2 live nodes after 300ms"});
+    assert_eq!(waited(8, 300), (Some(4), page));
+    let message = "node 127.0.0.1:7100 refused version 9 with code 204: no service `x`";
+    let page = json!({"target": "9", "in_force": false, "have": null, "live": null, "stamp": null,
+                      "superseded_by": null, "code": 607, "message": message});
+    assert_eq!(waited(9, 5_000), (Some(3), page));
+    let mut page = explained;
+    page["stamp"] = eight.into();
+    assert_eq!(read(&["explain", "GET", "/price/1"]), (Some(0), page));
+    let page = json!({"nodes": 1, "live": 2, "silent": 1, "report": report});
+    assert_eq!(read(&["burn"]), (Some(0), page.clone()));
+    assert_eq!(read(&["burn", "--all"]), (Some(0), page));
+    drop(stop);
+    server.join().unwrap();
+}
+
 /// Guards against a path that loses its own query, or a page that trips over a broken escape.
 #[test]
 fn query_survives_encoding() {
