--- a/tests/call_process/main.rs
+++ b/tests/call_process/main.rs
@@ -4,4 +4,5 @@
 mod call_fleet;
 mod keys;
 mod limits;
+mod queue_wait;
 mod shutdown;
--- a/tests/operators_tool.rs
+++ b/tests/operators_tool.rs
@@ -6,6 +6,8 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread;
 
 use endivelanding::admin::{AdminHandler, AdminPage, AdminServer, PageQuery};
 use endivelanding::caller::{ServerLimits, StopSignal};
@@ -13,9 +15,10 @@
 use endivelanding::error::ResultCode;
 use endivelanding::id::{NodeAddress, NodeIncarnation};
 use endivelanding::membership::{MemberEntry, MemberState};
-use endivelanding::status::{NodeStatus, RefusedVersion, VersionConflict};
+use endivelanding::status::{AppliedGroup, NodeStatus, RefusedVersion, VersionConflict};
 use endivelanding::tool::{
-    self, FleetReader, FleetReport, FleetSurvey, ToolExit, VersionWait, WaitTarget, WaitVerdict,
+    self, FleetReader, FleetReport, FleetSurvey, HeldVersions, ToolExit, VersionWait, WaitTarget,
+    WaitVerdict,
 };
 use endivelanding::version::{ContentDigest, VersionStamp};
 use futures_channel::oneshot;
@@ -23,6 +26,7 @@
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde_json::{Value, json};
 
 const MANIFEST: &str = include_str!("../examples/siam-markwell/manifest.json");
 
@@ -64,7 +68,10 @@
         ready: true,
         uptime: ClockTime(1),
         stamp,
-        applied: applied.iter().map(|index| address(7100 + index)).collect(),
+        applied: vec![AppliedGroup {
+            stamp,
+            nodes: applied.iter().map(|index| address(7100 + index)).collect(),
+        }],
         read_age: ClockTime(40),
         stale_reads: 1,
         refused: Vec::new(),
@@ -87,6 +94,11 @@
     }
 }
 
+/// Decides by one survey alone.
+fn judge(target: &WaitTarget, survey: &FleetSurvey) -> WaitVerdict {
+    target.judge(survey, &HeldVersions::from(survey))
+}
+
 /// Guards against a version reported in force while a live node is unknown, behind, on another
 /// content, or missing in the member list, and against a newer version that never counts.
 #[test]
@@ -103,7 +115,7 @@
         ("newer, one not named", [eight, eight], [&[0], &[2]], None),
     ];
     for (name, stamps, applied, expected) in cases {
-        let verdict = WaitTarget::number(7).judge(&survey(stamps, applied));
+        let verdict = judge(&WaitTarget::number(7), &survey(stamps, applied));
         let found = match verdict {
             WaitVerdict::InForce { superseded_by, .. } => {
                 Some(superseded_by.map_or(0, |newer| newer.number))
@@ -116,11 +128,55 @@
     let mut behind = survey([seven, seven], [&[0, 1], &[2]]);
     behind.answers[0].live_members = 4;
     let pending = WaitVerdict::Pending { have: 3, live: 4 };
-    assert_eq!(WaitTarget::number(7).judge(&behind), pending);
-    let empty = WaitTarget::number(7).judge(&FleetSurvey::default());
+    assert_eq!(judge(&WaitTarget::number(7), &behind), pending);
+    let empty = judge(&WaitTarget::number(7), &FleetSurvey::default());
     assert_eq!(empty, WaitVerdict::Pending { have: 0, live: 0 });
 }
 
+/// Guards against a version that is never confirmed because asked nodes report different stamps, a
+/// lower stamp or another content that counts, and knowledge kept of a former process.
+#[test]
+fn reports_of_several_versions_add_up() {
+    let group = |stamp, node: usize| AppliedGroup {
+        stamp,
+        nodes: vec![address(7100 + node)],
+    };
+    let have = |target: &WaitTarget, survey: &FleetSurvey, held: &HeldVersions| match target
+        .judge(survey, held)
+    {
+        WaitVerdict::InForce { live, .. } => (live, live),
+        WaitVerdict::Pending { have, live } => (have, live),
+        other => panic!("{other:?}"),
+    };
+    let target = WaitTarget::number(7);
+    // The asked node has version 9 in force and knows others of the zone at 8, 7 and 6.
+    for (known, expected) in [(stamp(8, 3), 3), (stamp(7, 3), 3), (stamp(6, 3), 2)] {
+        let mut survey = survey([stamp(9, 9), stamp(9, 9)], [&[], &[]]);
+        survey.answers[0].applied = vec![group(known, 1), group(stamp(9, 9), 0)];
+        assert_eq!(
+            have(&target, &survey, &HeldVersions::from(&survey)),
+            (expected, 3)
+        );
+    }
+    let manifest = WaitTarget::manifest(MANIFEST.as_bytes()).unwrap();
+    for (known, expected) in [(stamp(1, 0), 2), (stamp(2, 0), 3)] {
+        let mut survey = survey([stamp(9, 9), stamp(9, 9)], [&[], &[]]);
+        survey.answers[0].applied.push(group(known, 1));
+        assert_eq!(
+            have(&manifest, &survey, &HeldVersions::from(&survey)),
+            (expected, 3)
+        );
+    }
+    // The second node is named by the first survey only.
+    let mut held = HeldVersions::from(&survey([stamp(7, 1); 2], [&[1], &[]]));
+    let mut later = survey([stamp(7, 1); 2], [&[], &[]]);
+    held.add(&later);
+    assert_eq!(have(&target, &later, &held), (3, 3));
+    later.members[1].incarnation = NodeIncarnation(2);
+    held.add(&later);
+    assert_eq!(have(&target, &later, &held), (2, 3));
+}
+
 /// Guards against a wait that ends for the refusal of another version, or goes on after its own.
 #[test]
 fn only_refusal_of_the_version_ends_the_wait() {
@@ -141,7 +197,7 @@
             code: ResultCode::ManifestMissingService,
             message: String::new(),
         });
-        let verdict = target.judge(&survey);
+        let verdict = judge(&target, &survey);
         let refused = matches!(verdict, WaitVerdict::Refused(_));
         assert_eq!(refused, expected, "{target} by {number}");
     }
@@ -153,10 +209,10 @@
     let target = WaitTarget::manifest(MANIFEST.as_bytes()).unwrap();
     let winner = stamp(1, 255);
     let held = survey([winner; 2], [&[0, 1], &[2]]);
-    assert_eq!(target.judge(&held), WaitVerdict::Conflict(winner.digest));
+    assert_eq!(judge(&target, &held), WaitVerdict::Conflict(winner.digest));
     let lower = survey([stamp(1, 0); 2], [&[0, 1], &[2]]);
     assert_eq!(
-        target.judge(&lower),
+        judge(&target, &lower),
         WaitVerdict::Pending { have: 0, live: 3 }
     );
     let mut newer = survey([stamp(2, 0); 2], [&[0, 1], &[2]]);
@@ -166,7 +222,7 @@
         winner: winner.digest,
         loser: stamp_text.split_once('-').unwrap().1.parse().unwrap(),
     });
-    assert_eq!(target.judge(&newer), WaitVerdict::Conflict(winner.digest));
+    assert_eq!(judge(&target, &newer), WaitVerdict::Conflict(winner.digest));
 }
 
 /// Guards against a status that hides nodes without the version, or names thousands of them.
@@ -274,6 +330,104 @@
     }
 }
 
+/// Answers each path with a text.
+struct CannedPages(Vec<(&'static str, String)>);
+
+impl AdminHandler for CannedPages {
+    fn get(&self, path: &str, _query: &str) -> AdminPage {
+        let page = self.0.iter().find(|(name, _)| *name == path);
+        page.map_or_else(
+            || AdminPage::text(404, "none"),
+            |(_, text)| AdminPage::json(200, text.clone()),
+        )
+    }
+}
+
+/// Guards against JSON that a pipeline cannot read: a field renamed or left out, a stamp or code in
+/// another form, and a result that does not agree with the exit code.
+#[test]
+fn json_forms_are_stable() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let admin = listener.local_addr().unwrap();
+    let mut members = vec![member(0, "a"), member(1, "a")];
+    members[0].admin = NodeAddress(admin);
+    let mut answer = status(&members[0], stamp(8, 2), &[0], 2);
+    answer.applied.push(AppliedGroup {
+        stamp: stamp(7, 1),
+        nodes: vec![address(7101)],
+    });
+    answer.refused.push(RefusedVersion {
+        number: 9,
+        digest: ContentDigest([9; 16]),
+        node: address(7100),
+        code: ResultCode::ManifestMissingService,
+        message: "no service `x`".to_owned(),
+    });
+    let explained = json!({
+        "stamp": stamp(8, 2), "prefix": "/price", "service": "ratecard", "kind": "price",
+        "endpoints": [{"address": "127.0.0.1:7100", "zone": "a", "state": "ok", "in_flight": 1,
+                       "load": 500, "slowness": 1.5}]});
+    let row = json!({
+        "service": "ratecard", "kind": "price", "objective": 0.99, "short_calls": 10,
+        "short_bad": 1, "long_calls": 100, "long_bad": 2, "bad_by_code": {"303": 2}});
+    let report = json!({"short_window": 300_000, "long_window": 3_600_000, "covered": 60_000,
+                        "rows": [row]});
+    let pages = vec![
+        ("/v1/members", json!(members).to_string()),
+        ("/v1/status", json!(answer).to_string()),
+        ("/v1/explain", explained.to_string()),
+        ("/v1/burn", report.to_string()),
+    ];
+    let (sender, receiver) = mpsc::channel();
+    let server = thread::spawn(move || {
+        block_on(async {
+            let (stop_sender, stop) = StopSignal::new();
+            sender.send(stop_sender).unwrap();
+            let handler = Rc::new(CannedPages(pages));
+            let server = AdminServer::new(handler, ServerLimits::default());
+            server
+                .serve(TcpListener::from_std(listener).unwrap(), stop)
+                .await;
+        });
+    });
+    let stop = receiver.recv().unwrap();
+    let read = |arguments: &[&str]| -> (Option<i32>, Value) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_endivectl"));
+        command.args(arguments).arg("--json");
+        let output = command.arg(format!("--admin={admin}")).output().unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert_eq!(text.lines().count(), 1, "{arguments:?}: {text}");
+        (output.status.code(), serde_json::from_str(&text).unwrap())
+    };
+    let waited = |number: u64, timeout: u64| {
+        let (number, timeout) = (number.to_string(), timeout.to_string());
+        read(&["wait", "--number", &number, "--timeout-ms", &timeout])
+    };
+    let (eight, seven) = (stamp(8, 2).to_string(), stamp(7, 1).to_string());
+    let message =
+        format!("version {seven} is in force at 2 of 2 live nodes, superseded by {eight}");
+    let page = json!({"target": "7", "in_force": true, "have": 2, "live": 2, "stamp": seven,
+                      "superseded_by": eight, "code": 0, "message": message});
+    assert_eq!(waited(7, 5_000), (Some(0), page));
+    let page = json!({"target": "8", "in_force": false, "have": 1, "live": 2, "stamp": null,
+                      "superseded_by": null, "code": 606,
+                      "message": "version 8 is known at 1 of 2 live nodes after 300ms"});
+    assert_eq!(waited(8, 300), (Some(4), page));
+    let message = "node 127.0.0.1:7100 refused version 9 with code 204: no service `x`";
+    let page = json!({"target": "9", "in_force": false, "have": null, "live": null, "stamp": null,
+                      "superseded_by": null, "code": 607, "message": message});
+    assert_eq!(waited(9, 5_000), (Some(3), page));
+    let mut page = explained;
+    page["stamp"] = eight.into();
+    assert_eq!(read(&["explain", "GET", "/price/1"]), (Some(0), page));
+    let page = json!({"nodes": 1, "live": 2, "silent": 1, "report": report});
+    assert_eq!(read(&["burn"]), (Some(0), page.clone()));
+    assert_eq!(read(&["burn", "--all"]), (Some(0), page));
+    drop(stop);
+    server.join().unwrap();
+}
+
 /// Guards against a path that loses its own query, or a page that trips over a broken escape.
 #[test]
 fn query_survives_encoding() {
