Release the ports of a fleet after its processes have ended

Cause: one run of the whole suite failed because a stand-in found its address in use. The plan, which owns the block of ports, was dropped before the processes, so that another test could claim the block while they still ran. Ruled out: ephemeral ports (the blocks lie below 32,768) and sockets in TIME_WAIT (listeners set SO_REUSEADDR). The failure was seen once in about ten suite runs and was not reproduced, so the effect is not proved.

--- a/testkit/src/fleet/running_fleet.rs
+++ b/testkit/src/fleet/running_fleet.rs
@@ -11,8 +11,6 @@
 /// Owns the processes of a fleet; kills them when dropped.
 #[derive(Debug)]
 pub struct RunningFleet {
-    /// The plan.
-    pub plan: FleetPlan,
     /// Nodes, in the order of the endpoints; those not running are absent.
     pub nodes: Vec<Option<ProcessGuard>>,
     /// Backend servers, in the same order.
@@ -21,6 +19,8 @@
     pub proxy: Option<ProcessGuard>,
     /// Configuration service and instance list.
     pub platform: Option<ProcessGuard>,
+    /// The plan; dropped last, so that its ports are not handed out while a process still runs.
+    pub plan: FleetPlan,
 }
 
 impl RunningFleet {
