Test restarts while the peers answer slower than a stale platform

Cause: in the process tests the peers of a restarted node answered before its first read, so a node that serves a stale read at once passed them. Change: peer links get 100 ms each way and the restarted nodes watch at once. Ruled out: 300 ms each way, because a link must open within 500 ms; the node then starts from the stale read after 3 s, as the design says for a node that nobody answers. Before: with the rule of the highest stamp removed, the older test passes.

--- a/tests/partition_process.rs
+++ b/tests/partition_process.rs
@@ -9,7 +9,7 @@
 
 use serde_json::json;
 use testkit::PairScope;
-use watched_fleet::{FORCE_TARGET, WAIT, WatchedFleet};
+use watched_fleet::{FORCE_TARGET, WAIT, WatchedFleet, wait_for};
 
 /// Guards against a side that stops to serve or goes back while the regions are cut, and against
 /// sides that stay apart after healing; also while a far node is paused and the platform is stale.
@@ -136,3 +136,37 @@
     watched.restart(&watched.placed(other));
     watched.finish(6);
 }
+
+/// Guards against a restarted node that serves what a stale platform answers at once although its
+/// peers, whose answers are slower, hold a higher version.
+#[test]
+fn restarted_nodes_wait_for_slow_peers() {
+    let mut watched = WatchedFleet::start("slow", 2, Some(PairScope::Nodes), true);
+    let all = watched.running();
+    watched.change(&all, 2);
+    let stale = json!({ "mode": "stale", "behind": 1 });
+    watched.fleet.platform_fault(&stale).unwrap();
+    let mut request = watched.fleet.plan.latencies.as_ref().unwrap().request();
+    for mapping in request["mappings"].as_array_mut().unwrap() {
+        if mapping["name"].as_str().unwrap().starts_with("peer ") {
+            mapping["latency_ms"] = 100.into();
+        }
+    }
+    let control = watched.fleet.proxy_control().unwrap();
+    let answer = control.post("/mapping", request.to_string().as_bytes());
+    assert_eq!(answer.unwrap().status, 200);
+    // The restarted nodes watch, so they read the platform before any peer can answer.
+    let common = &mut watched.fleet.plan.common;
+    common.set("platform", "every_node_watches", "true");
+    for index in [0, 3, 6] {
+        watched.kill(&[index]);
+        watched.restart(&[index]);
+        let read = wait_for("stale version read", WAIT, || {
+            let held = watched.status(index)?;
+            (held.stamp.number > 0).then_some(held)
+        });
+        assert!(read.stamp.number == 1 && !read.ready, "{read:?}");
+        watched.wait_stamp(&all, 2, WAIT);
+    }
+    watched.finish(2);
+}
