Leave the zone when its endpoints are slow

Cause: a node whose zone has one endpoint never called another one while that had room, so the outlier gate had nothing to compare it with and a slowed endpoint kept all work of its zone.

--- a/src/routing/endpoint_table.rs
+++ b/src/routing/endpoint_table.rs
@@ -17,6 +17,9 @@
 const ROOM_LIMIT: f64 = 0.8;
 /// Load per slot at which the region counts as having nothing left, so that the paid link is used.
 const REGION_LIMIT: f64 = 1.0;
+/// Slowness above which an endpoint does not count as room of its zone. Without it a node whose zone
+/// has one slow endpoint never calls another one, and the outlier gate has nothing to compare with.
+const SLOW_LIMIT: f64 = 2.0;
 /// Latency relative to the median of the other endpoints that ejects an endpoint.
 const OUTLIER_RATIO: f64 = 5.0;
 /// Smallest excess over the median that ejects, in ms; below it ratios are noise.
@@ -109,17 +112,20 @@
 
     /// Returns the farthest tier that a call may use.
     fn reach(now: ClockTime, rows: &[&TableRow]) -> EndpointTier {
-        let best = |tier: EndpointTier| {
+        let best = |tier: EndpointTier, limit: f64| {
             let rows = rows.iter().filter(|row| row.tier <= tier);
+            let rows = rows.filter(|row| row.score.settled(now) <= limit);
             rows.map(|row| row.score.fill(now, slots_of(&row.entry)))
                 .fold(f64::INFINITY, f64::min)
         };
-        let (zone, region) = (best(EndpointTier::Zone), best(EndpointTier::Region));
+        let zone = best(EndpointTier::Zone, SLOW_LIMIT);
+        let region = best(EndpointTier::Region, f64::INFINITY);
         if zone <= ROOM_LIMIT {
             EndpointTier::Zone
         } else if region < REGION_LIMIT {
             EndpointTier::Region
-        } else if region.is_infinite() || best(EndpointTier::PaidLink) <= ROOM_LIMIT {
+        } else if region.is_infinite() || best(EndpointTier::PaidLink, f64::INFINITY) <= ROOM_LIMIT
+        {
             EndpointTier::PaidLink
         } else {
             // No tier has room: the paid link would only add cost.
--- a/tests/routing_rules.rs
+++ b/tests/routing_rules.rs
@@ -198,3 +198,30 @@
     table.update(ClockTime(20_000), &entries);
     assert_eq!(shares(&mut table, 20_001)[3], 0, "restarted endpoint");
 }
+
+/// Guards against a zone with one endpoint, which is slow, keeping all work of its nodes.
+#[test]
+fn a_slow_only_endpoint_of_the_zone_loses_work_to_the_region() {
+    let mut table = table(&[
+        entry(1, "z1", "r1"),
+        entry(2, "z2", "r1"),
+        entry(3, "z2", "r1"),
+    ]);
+    let mut rng = SmallRng::seed_from_u64(9);
+    let mut slow = 0;
+    for call in 0..1_000 {
+        let now = call * 5;
+        let choice = table.choose(ClockTime(now), &mut rng, &[]).unwrap();
+        let own = choice.address == address(1);
+        slow += u32::from(own && call >= 200);
+        let ms = if own && call >= 200 { 40.0 } else { 4.0 };
+        finish(
+            &mut table,
+            now,
+            choice.address.0.port(),
+            CallVerdict::Answered,
+            ms,
+        );
+    }
+    assert!(slow < 40, "{slow} of 800 calls went to the slow endpoint");
+}
