Report spread of added latency and the last calls to a lost endpoint

The states of an endpoint at nodes that do not call it said nothing about the work that it gets; call-bench leave now reports when a call to it was last in flight. call-bench added reports the differences of five pairs of direct and forwarded loads, because single p99 figures on the shared machine vary by more than what the nodes add.

--- a/testkit/src/bench/added_part.rs
+++ b/testkit/src/bench/added_part.rs
@@ -13,6 +13,9 @@
 /// Callers that keep one entry busy.
 const CALLERS: usize = 32;
 
+/// Pairs of a direct load and one through nodes; the differences of each pair are reported.
+const PAIRS: usize = 5;
+
 /// Time for which an entry is kept busy.
 const BUSY_TIME: Duration = Duration::from_secs(4);
 
@@ -36,7 +39,8 @@
         let fleet = BenchFleet::start(plan)?;
         let (entry, direct) = addresses(&fleet, service)?;
         let mut rows = Vec::new();
-        for address in [direct, entry, direct, entry] {
+        for round in 0..2 * PAIRS {
+            let address = if round % 2 == 0 { direct } else { entry };
             let mut profile = plan.profile(self.seed)?;
             profile.kinds.retain(|entry| entry.name == kind);
             profile.steps.push(StepLoad {
@@ -61,14 +65,17 @@
         }
         fleet.stop()?;
         let added = |name: &str| {
-            let sum = |direct: bool| -> f64 {
-                let rows = rows.iter().filter(|row| row["direct"] == direct);
-                rows.filter_map(|row| row[name].as_f64()).sum()
-            };
-            (sum(false) - sum(true)) / 2.0
+            let value = |row: &Value| row[name].as_f64().unwrap_or(0.0);
+            let pairs = rows.chunks_exact(2);
+            let mut parts: Vec<f64> = pairs
+                .map(|pair| value(&pair[1]) - value(&pair[0]))
+                .collect();
+            parts.sort_by(f64::total_cmp);
+            parts
         };
-        let (half, most) = (added("p50_ms"), added("p99_ms"));
-        Ok(json!({ "rows": rows, "added_p50_ms": half, "added_p99_ms": most }))
+        Ok(
+            json!({ "rows": rows, "added_p50_ms": added("p50_ms"), "added_p99_ms": added("p99_ms") }),
+        )
     }
 
     /// Keeps one entry busy and measures calls a second and processor time of both hops.
--- a/testkit/src/bench/leave_part.rs
+++ b/testkit/src/bench/leave_part.rs
@@ -93,54 +93,56 @@
         if let Some(fields) = kind.as_object_mut() {
             fields.remove("instances");
         }
-        let (avoided, last) = times;
         Ok(json!({
             "end": end,
             "plain": plan.plain,
-            "avoided_by_all_ms": avoided,
-            "last_request_at_backend_ms": last,
+            "times": times,
             "load": kind,
         }))
     }
 }
 
-/// Watches for 6 s until every other node avoids the endpoint, and when its backend server got its
-/// last request; both in ms.
+/// Watches for 6 s when any other node last had a call in flight to the endpoint, and when its
+/// backend server got its last request; both in ms.
 fn watch(
     start: Instant,
     address: &str,
     request: &str,
     admins: &[std::net::SocketAddr],
     control: HttpProbe,
-) -> (Option<u128>, u128) {
+) -> Value {
     let count = || {
-        control
-            .get("/counts")
-            .map(|answer| answer.value()["requests"].clone())
+        let answer = control.get("/counts");
+        answer.map(|answer| answer.value()["requests"].clone())
     };
     let mut seen = count().unwrap_or_default();
-    let (mut avoided, mut last) = (None, 0);
+    let mut times = Vec::new();
+    let mut last = 0;
     let target = format!("/v1/explain?{request}");
     while start.elapsed() < Duration::from_secs(6) {
         if let Ok(now) = count()
             && now != seen
         {
             seen = now;
-            last = start.elapsed().as_millis();
+            last = start.elapsed().as_millis() as u64;
         }
-        if avoided.is_none() {
-            let uses = |admin: &std::net::SocketAddr| {
-                let probe = HttpProbe::with_timeout(*admin, 1_000);
-                let page = probe.get(&target).map(|answer| answer.value());
-                let page = page.unwrap_or_default();
-                let mut rows = page["endpoints"].as_array().into_iter().flatten();
-                rows.any(|row| row["address"] == address && row["state"] == "live")
-            };
-            if !admins.iter().any(uses) {
-                avoided = Some(start.elapsed().as_millis());
-            }
+        let uses = |admin: &std::net::SocketAddr| {
+            let page = HttpProbe::with_timeout(*admin, 1_000).get(&target);
+            let page = page.map(|answer| answer.value()).unwrap_or_default();
+            let mut rows = page["endpoints"].as_array().into_iter().flatten();
+            rows.any(|row| row["address"] == address && row["in_flight"] != 0)
+        };
+        if admins.iter().any(uses) {
+            times.push(start.elapsed().as_millis() as u64);
         }
         thread::sleep(POLL);
     }
-    (avoided, last)
+    // After half a second without a call, further ones are probes after an ejection.
+    let gap = times.windows(2).find(|pair| pair[1] > pair[0] + 500);
+    let quiet = gap.map(|pair| pair[0]).or(times.last().copied());
+    json!({
+        "in_flight_until_ms": quiet,
+        "last_in_flight_ms": times.last(),
+        "last_request_at_backend_ms": last,
+    })
 }
