Carry nested calls of held work until it has ended

Cause: a leaving node closed its caller listener after the grace, so work that started from its queue later could not call other services and failed, although nothing was cut on the wire. Found by reading; in the new test held calls got "connection refused" before, and pass after. Nested calls of other nodes, in contrast, were still accepted by a closed node as new work for its backend server: they are refused as not run now, and such a refusal is resent at any hop. Ruled out: a longer grace, which only moves the moment.

--- a/src/node/endpoint_service.rs
+++ b/src/node/endpoint_service.rs
@@ -98,8 +98,9 @@
             );
             return Err((Error::new(ResultCode::NoEndpoint, message), None));
         }
-        // Calls made for work that runs here must still end while the node is leaving.
-        if header.depth <= 1 {
+        // What the own entry passed on belongs to work that runs here and must end while the node
+        // is leaving.
+        if header.sender != self.address {
             self.view.serving().map_err(|error| (error, None))?;
         }
         match header.key.clone() {
--- a/src/node/node_runtime.rs
+++ b/src/node/node_runtime.rs
@@ -260,10 +260,11 @@
         self.view.send(ControlEvent::Leave);
         time::sleep(LEAVE_GRACE.to_duration()).await;
         self.view.close();
-        let _ = self.stop_callers.send(());
+        // Work that runs here may still call other services through this node.
         while !self.gate.is_idle() {
             time::sleep(DRAIN_POLL.to_duration()).await;
         }
+        let _ = self.stop_callers.send(());
         let _ = self.stop_health.send(());
         let limit = self.settings.call.drain_timeout;
         self.peer_server.shutdown(limit).await;
--- a/src/retry/resend_rule.rs
+++ b/src/retry/resend_rule.rs
@@ -28,11 +28,12 @@
 impl ResendRule {
     /// Returns whether the call may be sent again.
     ///
-    /// Resends happen at the first hop only, since resends at each of 8 hops would multiply.
+    /// Resends happen at the first hop only, since resends at each of 8 hops would multiply. A node
+    /// that leaves is the exception: it ran nothing, and its successor is known within seconds.
     #[must_use]
     pub fn allows(call: FailedCall) -> bool {
-        let open =
-            call.depth == 0 && call.attempt < MOST_RESENDS && call.remaining >= LEAST_REMAINING;
+        let hop = call.depth == 0 || call.code == ResultCode::NodeLeaving;
+        let open = hop && call.attempt < MOST_RESENDS && call.remaining >= LEAST_REMAINING;
         open && match call.code.outcome() {
             CallOutcome::Ran => false,
             CallOutcome::NotRun => match call.code {
--- a/tests/call_process/shutdown.rs
+++ b/tests/call_process/shutdown.rs
@@ -211,3 +211,27 @@
     fleet.node(0);
     fleet.finish();
 }
+
+/// Work that a leaving node holds in its queue must still reach other services through the node.
+#[test]
+fn held_work_makes_nested_calls_while_its_node_leaves() {
+    let mut fleet = CallFleet::start(1, 1, |plan| {
+        let front = plan.endpoints[1].caller;
+        plan.backend_arguments.extend([
+            format!("--nest=/nested=http://{front}/look"),
+            "--work=/nested/slow=1500ms".to_owned(),
+        ]);
+    });
+    let address = fleet.caller(1);
+    // Two calls run at once; the other two start after the node has closed to new work.
+    let held: Vec<_> = (0..4)
+        .map(|_| thread::spawn(move || call_fleet::call(address, "GET", "/nested/slow", &[])))
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    fleet.node(1).terminate().unwrap();
+    for thread in held {
+        let answer = thread.join().unwrap().unwrap();
+        assert_eq!(answer.value()["nested"]["status"], 200, "{}", answer.text());
+    }
+    assert_eq!(fleet.node(1).wait(35_000).unwrap().code(), Some(0));
+}
