Keep spawned processes from holding ports under trial

Most likely a process that another thread was spawning had inherited the listener with which PortRange tries a port, so the port was still taken. Spawning and trying a port now exclude each other.

--- a/testkit/src/port_range.rs
+++ b/testkit/src/port_range.rs
@@ -2,6 +2,13 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Mutex;
+
+use crate::wire;
+
+/// Is held while a process is spawned and while a port is tried: a process that is being spawned
+/// inherits the listener of the trial until it has loaded its program, and keeps the port taken.
+pub(crate) static SPAWN_LOCK: Mutex<()> = Mutex::new(());
 
 /// First port of all blocks.
 const FIRST_PORT: u16 = 10_240;
@@ -52,6 +59,7 @@
             }
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.next));
             self.next += 1;
+            let _spawning = wire::lock(&SPAWN_LOCK);
             if TcpListener::bind(address).is_ok() {
                 return Ok(address);
             }
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -12,6 +12,7 @@
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
 
+use crate::port_range;
 use crate::wire;
 
 /// Ids of all started processes that have not been waited for.
@@ -66,7 +67,9 @@
     /// Returns an error if the program does not start, ends, or prints no ready line in time.
     pub fn start_command(mut command: Command) -> io::Result<ProcessGuard> {
         command.stdin(Stdio::null()).stdout(Stdio::piped());
+        let spawning = wire::lock(&port_range::SPAWN_LOCK);
         let mut child = command.spawn()?;
+        drop(spawning);
         wire::lock(&LIVE).push(child.id());
         let output = child.stdout.take();
         // From here on, an early return kills the process.
