Give each type of the node's wiring its own file

BackendRun, KeyClaim, LinkTable and LinkIds move out of the files that use them; uptime becomes a method of MemberEntry. Bytes of a link that ends between two counts of the metrics are no longer lost.

--- a/src/membership/member_entry.rs
+++ b/src/membership/member_entry.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use crate::clock::ClockTime;
 use crate::id::{NodeAddress, NodeIncarnation, RegionName, ServiceName, ZoneName};
 
 /// Describes one node as it is passed between nodes.
@@ -21,6 +22,18 @@
     pub state: MemberState,
 }
 
+impl MemberEntry {
+    /// Returns the uptime of the node at the given wall-clock time in ms; zero if its start is not
+    /// known.
+    #[must_use]
+    pub fn uptime(&self, wall_ms: u64) -> ClockTime {
+        if self.incarnation.0 == 0 {
+            return ClockTime(0);
+        }
+        ClockTime(wall_ms.saturating_sub(self.incarnation.0))
+    }
+}
+
 /// States whether a node takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum MemberState {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: wiring of all parts, drain and join of every task.
 
 mod admin_pages;
+mod backend_run;
 mod call_sender;
 mod control_event;
 mod control_task;
@@ -9,6 +10,9 @@
 mod entry_service;
 mod health_task;
 mod idempotent_call;
+mod key_claim;
+mod link_ids;
+mod link_table;
 mod link_task;
 mod node_exit;
 mod node_runtime;
@@ -29,11 +33,16 @@
 pub use node_exit::NodeExit;
 
 use admin_pages::AdminPages;
+use backend_run::BackendRun;
 use call_sender::{AttemptAnswer, CallSender};
 use control_event::{ControlEvent, LinkHandle};
+use control_task::ControlTask;
 use endpoint_service::EndpointService;
 use endpoint_set::EndpointSet;
 use entry_service::EntryService;
+use key_claim::KeyClaim;
+use link_ids::LinkIds;
+use link_table::LinkTable;
 use node_runtime::NodeRuntime;
 use node_view::NodeView;
 use peer_service::PeerService;
--- a/src/node/control_task.rs
+++ b/src/node/control_task.rs
@@ -1,5 +1,4 @@
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 
 use futures_channel::mpsc;
@@ -9,13 +8,13 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::distribution::{Actions, ControlAction, ControlState};
-use crate::error::ResultCode;
+use crate::error::{Error, ResultCode};
 use crate::id::{NodeAddress, RegionName, ServiceName, ZoneName};
 use crate::logging::EventGate;
 use crate::membership::MemberState;
 use crate::metrics::{LinkScope, NodeMetrics};
 use crate::node::{
-    ControlEvent, EndpointSet, LinkHandle, NodeView, SlotGate, TaskGroup, link_task,
+    ControlEvent, EndpointSet, LinkIds, LinkTable, NodeView, SlotGate, TaskGroup, link_task,
 };
 use crate::peer::{ControlMessage, PeerCaller};
 use crate::platform::{ConfigSource, InstanceSource};
@@ -48,31 +47,6 @@
     pub(crate) departing: bool,
 }
 
-/// Numbers the links of a node.
-#[derive(Debug, Default)]
-pub(crate) struct LinkIds(std::cell::Cell<u64>);
-
-impl LinkIds {
-    pub(crate) fn next(&self) -> u64 {
-        self.0.set(self.0.get() + 1);
-        self.0.get()
-    }
-}
-
-/// Holds the links that are up, and those being opened.
-#[derive(Debug, Default)]
-pub(crate) struct LinkTable {
-    up: HashMap<NodeAddress, UpLink>,
-    opening: HashMap<NodeAddress, u64>,
-}
-
-#[derive(Debug)]
-struct UpLink {
-    handle: LinkHandle,
-    sent: u64,
-    received: u64,
-}
-
 impl ControlTask {
     /// Runs until it is told to stop.
     pub(crate) async fn run(mut self, mut events: mpsc::UnboundedReceiver<ControlEvent>) {
@@ -235,7 +209,7 @@
 
     fn open(&mut self, to: NodeAddress) {
         let link = self.link_ids.next();
-        self.links.opening.insert(to, link);
+        self.links.start_opening(to, link);
         self.tasks.spawn(link_task::open_link(
             link,
             to,
@@ -252,27 +226,25 @@
 
     fn update_metrics(&mut self) {
         let members = self.view.members();
-        for (peer, link) in &mut self.links.up {
-            let scope = match members.member(peer).map(|view| &view.entry) {
+        for bytes in self.links.take_bytes() {
+            let scope = match members.member(&bytes.peer).map(|view| &view.entry) {
                 Some(entry) if entry.region != self.region => LinkScope::Paid,
                 Some(entry) if entry.zone != self.zone => LinkScope::Region,
                 _ => LinkScope::Zone,
             };
-            let (sent, received) = (link.handle.counter.sent(), link.handle.counter.received());
             self.metrics
-                .record_control_bytes(scope, sent - link.sent, received - link.received);
-            (link.sent, link.received) = (sent, received);
+                .record_control_bytes(scope, bytes.sent, bytes.received);
         }
         let live = members
             .iter()
             .filter(|view| view.entry.state == MemberState::Live)
             .count();
-        self.metrics.set_fleet(live, self.links.up.len());
+        self.metrics.set_fleet(live, self.links.len());
         let (running, queued) = self.gate.counts();
         self.metrics.set_slots(running, queued);
     }
 
-    fn log_event(&mut self, level: log::Level, error: &crate::error::Error) {
+    fn log_event(&mut self, level: log::Level, error: &Error) {
         let event = match error.code() {
             ResultCode::ManifestConflict => Some("conflict"),
             ResultCode::ManifestStale => Some("stale"),
@@ -293,67 +265,3 @@
         }
     }
 }
-
-impl LinkTable {
-    /// Adds a link that came up; returns false if another link to the peer is kept instead.
-    ///
-    /// When both sides open a link at the same time, both keep the one opened by the side with
-    /// the lower address.
-    fn add(&mut self, handle: LinkHandle, own: NodeAddress) -> bool {
-        let peer = handle.peer;
-        if handle.opened_here {
-            let expected = self.opening.remove(&peer);
-            if expected != Some(handle.link) {
-                return false;
-            }
-        }
-        if let Some(held) = self.up.get(&peer)
-            && held.handle.opened_here != handle.opened_here
-        {
-            let keep_own = own < peer;
-            if held.handle.opened_here == keep_own {
-                return false;
-            }
-        }
-        self.up.insert(
-            peer,
-            UpLink {
-                handle,
-                sent: 0,
-                received: 0,
-            },
-        );
-        true
-    }
-
-    fn is_up(&self, peer: NodeAddress, link: u64) -> bool {
-        self.up
-            .get(&peer)
-            .is_some_and(|held| held.handle.link == link)
-    }
-
-    /// Removes a link that ended; returns false if the peer has another one.
-    fn remove(&mut self, peer: NodeAddress, link: u64) -> bool {
-        if self.opening.get(&peer) == Some(&link) {
-            self.opening.remove(&peer);
-            return !self.up.contains_key(&peer);
-        }
-        if self.is_up(peer, link) {
-            self.up.remove(&peer);
-            return true;
-        }
-        false
-    }
-
-    fn close(&mut self, peer: NodeAddress) {
-        self.up.remove(&peer);
-        self.opening.remove(&peer);
-    }
-
-    /// Queues a message; returns false if the link does not take it.
-    fn send(&mut self, to: NodeAddress, message: ControlMessage) -> bool {
-        self.up
-            .get_mut(&to)
-            .is_none_or(|link| link.handle.outbox.try_send(message).is_ok())
-    }
-}
--- a/src/node/endpoint_service.rs
+++ b/src/node/endpoint_service.rs
@@ -3,22 +3,16 @@
 
 use bytes::Bytes;
 use futures_channel::oneshot;
-use monoio::time;
 
 use crate::backend::{BackendServer, WorkHold};
 use crate::call::{CallAnswer, CallRequest};
 use crate::clock::{ClockTime, SystemClock};
-use crate::error::{CallOutcome, Error, Result, ResultCode};
+use crate::error::{Error, Result, ResultCode};
 use crate::id::{NodeAddress, NodeIncarnation, RequestKey, ServiceName};
-use crate::membership::MemberEntry;
-use crate::node::{NodeView, SlotGate, SlotGuard, TaskGroup};
-use crate::once::{KeyAge, KeyEnd, KeyLedger, KeyLimits, KeyOrigin, KeyStart, PlacedKey};
+use crate::node::{BackendRun, KeyClaim, NodeView, SlotGate, SlotGuard, TaskGroup};
+use crate::once::{KeyAge, KeyLedger, KeyLimits, KeyOrigin, KeyStart, PlacedKey};
 use crate::peer::{CallHeader, CallReply, FenceReply, FenceRequest};
 
-/// Least time for which a slot stays taken after a call was given up. It covers connections that
-/// broke, where no answer shows the end of the work.
-const CANCEL_GRACE: ClockTime = ClockTime(20);
-
 /// Runs calls on the backend server beside the node, within its slots.
 pub(crate) struct EndpointService {
     pub(crate) clock: SystemClock,
@@ -61,8 +55,7 @@
         let members = self.view.members();
         let wall = self.clock.wall_now();
         let settled = members.live(&self.service).any(|view| {
-            view.entry.address != self.address
-                && uptime_of(&view.entry, wall) >= self.key_limits.settle
+            view.entry.address != self.address && view.entry.uptime(wall) >= self.key_limits.settle
         });
         if settled {
             let now = self.clock.now();
@@ -108,7 +101,7 @@
             _ => {
                 let guard = self.acquire(&header, deadline).await?;
                 let request = backend_request(header, body);
-                let run = GracefulRun::new(guard, Rc::clone(&self.tasks));
+                let run = BackendRun::new(guard, Rc::clone(&self.tasks));
                 let hold = run.hold();
                 let result = timed_run(&*self.backend, self.clock, request, deadline, hold).await;
                 run.complete(result).map_err(|error| (error, None))
@@ -149,10 +142,10 @@
         let backend = Rc::clone(&self.backend);
         let clock = self.clock;
         let tasks = Rc::clone(&self.tasks);
-        claim.end = KeyEnd::Unknown;
+        claim.mark_written();
         // The work goes on when the caller gives up, so that its outcome can be recorded.
         self.tasks.spawn(async move {
-            let run = GracefulRun::new(guard, tasks);
+            let run = BackendRun::new(guard, tasks);
             let hold = run.hold();
             let result = timed_run(&*backend, clock, request, deadline, hold).await;
             let result = run.complete(result);
@@ -272,98 +265,3 @@
         stamp: Some(header.stamp),
     }
 }
-
-/// Returns the uptime of a node by the wall clock; zero if its start is not known.
-pub(crate) fn uptime_of(member: &MemberEntry, wall_ms: u64) -> ClockTime {
-    if member.incarnation.0 == 0 {
-        return ClockTime(0);
-    }
-    ClockTime(wall_ms.saturating_sub(member.incarnation.0))
-}
-
-/// Holds the slot of a running call and, if the call is given up, a little longer.
-struct GracefulRun {
-    guard: Option<Rc<SlotGuard>>,
-    tasks: Rc<TaskGroup>,
-}
-
-impl GracefulRun {
-    fn new(guard: SlotGuard, tasks: Rc<TaskGroup>) -> Self {
-        Self {
-            guard: Some(Rc::new(guard)),
-            tasks,
-        }
-    }
-
-    /// Returns a part of the guard; the slot is free when all parts are dropped.
-    fn hold(&self) -> WorkHold {
-        match &self.guard {
-            Some(guard) => Rc::clone(guard) as WorkHold,
-            None => Rc::new(()),
-        }
-    }
-
-    fn complete(mut self, (slot_ms, result): (f64, Result<CallAnswer>)) -> Result<CallAnswer> {
-        let given_up = matches!(&result, Err(error) if error.outcome() == CallOutcome::Unknown);
-        if !given_up
-            && let Some(guard) = self.guard.take()
-            && result.is_ok()
-        {
-            guard.finish(slot_ms);
-        }
-        result
-    }
-}
-
-impl Drop for GracefulRun {
-    fn drop(&mut self) {
-        if let Some(guard) = self.guard.take() {
-            self.tasks.spawn(async move {
-                time::sleep(CANCEL_GRACE.to_duration()).await;
-                drop(guard);
-            });
-        }
-    }
-}
-
-/// Settles a key at the ledger, whatever happens to the call that holds it.
-struct KeyClaim {
-    ledger: Rc<RefCell<KeyLedger>>,
-    clock: SystemClock,
-    key: RequestKey,
-    end: KeyEnd,
-    settled: bool,
-}
-
-impl KeyClaim {
-    fn new(ledger: Rc<RefCell<KeyLedger>>, clock: SystemClock, key: RequestKey) -> Self {
-        Self {
-            ledger,
-            clock,
-            key,
-            end: KeyEnd::NotRun,
-            settled: false,
-        }
-    }
-
-    fn settle(mut self, result: &Result<CallAnswer>) {
-        match result {
-            Ok(answer) => {
-                self.settled = true;
-                let now = self.clock.now();
-                self.ledger.borrow_mut().finish(now, &self.key, answer);
-            }
-            Err(error) if error.outcome() == CallOutcome::NotRun => self.end = KeyEnd::NotRun,
-            Err(_) => self.end = KeyEnd::Unknown,
-        }
-    }
-}
-
-impl Drop for KeyClaim {
-    fn drop(&mut self) {
-        if !self.settled {
-            let now = self.clock.now();
-            self.ledger.borrow_mut().abandon(now, &self.key, self.end);
-        }
-    }
-}
--- a/src/node/node_runtime.rs
+++ b/src/node/node_runtime.rs
@@ -21,10 +21,10 @@
 use crate::logging::EventGate;
 use crate::membership::{MemberEntry, MemberState};
 use crate::metrics::NodeMetrics;
-use crate::node::control_task::{ControlTask, LinkIds, LinkTable};
 use crate::node::{
-    AdminPages, CallSender, ControlEvent, EndpointService, EndpointSet, EntryService, NodeExit,
-    NodeView, PeerService, SlotGate, StopWatch, TaskGroup, health_task,
+    AdminPages, CallSender, ControlEvent, ControlTask, EndpointService, EndpointSet, EntryService,
+    LinkIds, LinkTable, NodeExit, NodeView, PeerService, SlotGate, StopWatch, TaskGroup,
+    health_task,
 };
 use crate::once::{KeyLedger, KeyLimits};
 use crate::peer::{PeerCaller, PeerPool, PeerServer};
--- a/src/node/once_call.rs
+++ b/src/node/once_call.rs
@@ -9,7 +9,7 @@
 use crate::error::{CallOutcome, Error, Result, ResultCode};
 use crate::id::{NodeAddress, RequestKey, ServiceName};
 use crate::membership::MemberState;
-use crate::node::{AttemptKey, EntryService, ResolvedCall, endpoint_service};
+use crate::node::{AttemptKey, EntryService, ResolvedCall};
 use crate::once::{FenceDecision, FenceRound, KeyAge, MOVED_TOKEN, PlacedKey};
 use crate::peer::{FenceReply, FenceRequest};
 
@@ -162,7 +162,7 @@
             let (ended, running): (Vec<_>, Vec<_>) =
                 entries.partition(|entry| entry.state == MemberState::Gone);
             let uptimes = running.iter();
-            let uptimes = uptimes.map(|entry| endpoint_service::uptime_of(entry, wall));
+            let uptimes = uptimes.map(|entry| entry.uptime(wall));
             oldest = oldest.min(uptimes.max().unwrap_or_default());
             live.extend(running.iter().map(|entry| entry.address));
             gone.extend(ended.iter().map(|entry| entry.address));
@@ -248,7 +248,7 @@
         let mut young = SmallVec::new();
         let mut settled = false;
         for view in members.live(&call.service) {
-            if endpoint_service::uptime_of(&view.entry, wall) < settle + SETTLE_MARGIN {
+            if view.entry.uptime(wall) < settle + SETTLE_MARGIN {
                 young.push(view.entry.address);
             } else {
                 settled = true;
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -3,8 +3,7 @@
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 
-use crate::node::control_task::LinkIds;
-use crate::node::{EndpointService, NodeView, link_task};
+use crate::node::{EndpointService, LinkIds, NodeView, link_task};
 use crate::peer::{CallHeader, CallReply, ControlLink, FenceReply, FenceRequest, PeerHandler};
 
 /// Serves what other nodes send.
