--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,30 @@
 //! One node process runs beside each backend server. Nodes read manifests from the platform's
 //! configuration service, spread them to each other, and forward calls by the version in force.
 //!
-//! Versions have one total order at every node:
+//! A manifest is decoded and validated whole; a bad one is refused with a numbered code:
+//!
+//! ```
+//! use endivelanding::ResultCode;
+//! use endivelanding::manifest::Manifest;
+//!
+//! let manifest = Manifest::decode(
+//!     br#"{ "number": 7,
+//!           "services": [ { "name": "ratecard", "inherits": null, "protocol": "http1",
+//!               "slots": 6, "connections": 130,
+//!               "kinds": [ { "name": "price", "idempotent": true, "weight": 5,
+//!                   "deadline_ms": 300, "long": false, "objective": 0.999 } ] } ],
+//!           "routes": [ { "method": "GET", "prefix": "/price", "service": "ratecard",
+//!               "kind": "price" } ] }"#,
+//! )?;
+//! let found = manifest.lookup("GET", "/price/roll-40").expect("the route matches");
+//! assert_eq!(found.service.name.as_str(), "ratecard");
+//!
+//! let error = Manifest::decode(br#"{ "number": 8, "services": [], "rotes": [] }"#).unwrap_err();
+//! assert_eq!(error.code(), ResultCode::ManifestUnknownField);
+//! # Ok::<(), endivelanding::Error>(())
+//! ```
+//!
+//! Versions have one total order at every node, so that updates may cross in flight:
 //!
 //! ```
 //! use endivelanding::version::VersionStamp;
@@ -13,6 +36,21 @@
 //! assert!(older < newer);
 //! # Ok::<(), endivelanding::Error>(())
 //! ```
+//!
+//! A node runs from settings in TOML, which are checked before anything starts:
+//!
+//! ```no_run
+//! use std::path::Path;
+//!
+//! use endivelanding::node;
+//! use endivelanding::settings::NodeSettings;
+//!
+//! let settings = NodeSettings::load(Path::new("node.toml"))?;
+//! let exit = node::run(settings)?;
+//! std::process::exit(exit.code().into());
+//! # #[allow(unreachable_code)]
+//! # Ok::<(), endivelanding::Error>(())
+//! ```
 
 pub mod admin;
 pub mod admission;
--- /dev/null
+++ b/src/node/node_context.rs
@@ -0,0 +1,237 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures_channel::mpsc;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::admission::{AdmissionPolicy, AdmissionQueue, FifoQueue};
+use crate::backend::{BackendServer, HttpBackend};
+use crate::burn::BurnLedger;
+use crate::clock::{ClockTime, SystemClock};
+use crate::distribution::{ControlSettings, ControlState};
+use crate::error::Result;
+use crate::id::NodeAddress;
+use crate::logging::EventGate;
+use crate::membership::{MemberEntry, MemberState};
+use crate::metrics::NodeMetrics;
+use crate::node::{
+    AdminPages, CallSender, ControlEvent, ControlTask, EndpointService, EndpointSet, EntryService,
+    LinkIds, LinkTable, NodeView, PeerService, SlotGate, TaskGroup,
+};
+use crate::once::{KeyLedger, KeyLimits};
+use crate::peer::{PeerCaller, PeerPool};
+use crate::platform::HttpPlatform;
+use crate::retry::{HedgePolicy, RetryBudget};
+use crate::settings::NodeSettings;
+use crate::size::{ByteSize, SlotCount};
+
+/// Slots until a version says otherwise.
+const INITIAL_SLOTS: SlotCount = SlotCount(1);
+/// Connections to the backend server; more than the slots, for health checks and cancellations.
+const BACKEND_CONNECTIONS: usize = 100;
+/// Keys remembered: 60 a second over the lifetime of 600 s, with a reserve.
+const KEY_LIMIT: usize = 60_000;
+/// Total size of recorded answers.
+const KEY_BYTES: ByteSize = ByteSize(8 << 20);
+/// Interval within which an event is logged once.
+const LOG_INTERVAL: ClockTime = ClockTime(10_000);
+
+/// Holds the parts that several tasks of a node share, and makes the parts that use them.
+pub(crate) struct NodeContext {
+    pub(crate) clock: SystemClock,
+    pub(crate) settings: NodeSettings,
+    pub(crate) view: Rc<NodeView>,
+    pub(crate) gate: SlotGate,
+    pub(crate) tasks: Rc<TaskGroup>,
+    pub(crate) backend: Rc<HttpBackend>,
+    pub(crate) pool: Rc<PeerPool>,
+    pub(crate) endpoint: Rc<EndpointService>,
+    member: MemberEntry,
+    endpoints: Rc<EndpointSet>,
+    state: Rc<RefCell<ControlState>>,
+    link_ids: Rc<LinkIds>,
+    burn: Rc<RefCell<BurnLedger>>,
+    metrics: Rc<NodeMetrics>,
+    rng: RefCell<StdRng>,
+}
+
+impl NodeContext {
+    /// Creates the shared parts; `events` reach the control task.
+    pub(crate) fn new(
+        settings: NodeSettings,
+        events: mpsc::UnboundedSender<ControlEvent>,
+    ) -> Result<Self> {
+        let clock = SystemClock::new();
+        let mut rng = settings
+            .random_seed
+            .map_or_else(StdRng::from_os_rng, StdRng::seed_from_u64);
+        let member = own_member(&settings, clock);
+        let view = Rc::new(NodeView::new(clock, member.address, events));
+        let tasks = Rc::new(TaskGroup::new());
+        let metrics = Rc::new(NodeMetrics::new()?);
+        let policy = admission_policy(&settings, rng.random());
+        let gate = SlotGate::new(clock, policy, Rc::clone(&metrics));
+        let backend = Rc::new(HttpBackend::new(
+            settings.backend.address,
+            settings.backend.connect_timeout,
+            BACKEND_CONNECTIONS,
+            settings.call.body_limit,
+        ));
+        let key_limits = KeyLimits {
+            lifetime: settings.call.key_lifetime,
+            settle: settings.call.key_settle,
+        };
+        let ledger = KeyLedger::new(clock.now(), key_limits, KEY_LIMIT, KEY_BYTES);
+        let endpoint = Rc::new(EndpointService {
+            clock,
+            address: member.address,
+            incarnation: member.incarnation,
+            service: member.service.clone(),
+            view: Rc::clone(&view),
+            gate: gate.clone(),
+            backend: Rc::clone(&backend) as Rc<dyn BackendServer>,
+            ledger: Rc::new(RefCell::new(ledger)),
+            key_limits,
+            tasks: Rc::clone(&tasks),
+        });
+        let body_limit = settings.call.body_limit.0 as usize;
+        let pool = PeerPool::new(clock, body_limit).with_dial_addresses(settings.dial.clone());
+        let endpoints = EndpointSet::new(
+            clock,
+            member.zone.clone(),
+            member.region.clone(),
+            settings.call.plain_policy,
+            rng.random(),
+        );
+        let state = ControlState::new(control_settings(&settings, &member), clock.now());
+        let burn = BurnLedger::new(settings.burn.clone(), clock.now());
+        Ok(Self {
+            clock,
+            settings,
+            view,
+            gate,
+            tasks,
+            backend,
+            pool: Rc::new(pool),
+            endpoint,
+            member,
+            endpoints: Rc::new(endpoints),
+            state: Rc::new(RefCell::new(state)),
+            link_ids: Rc::new(LinkIds::default()),
+            burn: Rc::new(RefCell::new(burn)),
+            metrics,
+            rng: RefCell::new(rng),
+        })
+    }
+
+    /// Makes the service for other nodes.
+    pub(crate) fn peer_service(&self) -> PeerService {
+        PeerService {
+            endpoint: Rc::clone(&self.endpoint),
+            view: Rc::clone(&self.view),
+            link_ids: Rc::clone(&self.link_ids),
+        }
+    }
+
+    /// Makes the service for callers.
+    pub(crate) fn entry_service(&self) -> EntryService {
+        EntryService {
+            clock: self.clock,
+            address: self.member.address,
+            incarnation: self.member.incarnation,
+            depth_limit: self.settings.call.depth_limit,
+            plain: self.settings.call.plain_policy,
+            view: Rc::clone(&self.view),
+            endpoints: Rc::clone(&self.endpoints),
+            sender: CallSender {
+                address: self.member.address,
+                view: Rc::clone(&self.view),
+                endpoints: Rc::clone(&self.endpoints),
+                own: Rc::clone(&self.endpoint),
+                peers: Rc::clone(&self.pool) as Rc<dyn PeerCaller>,
+            },
+            budget: RefCell::new(RetryBudget::default()),
+            hedges: RefCell::new(HedgePolicy::default()),
+            burn: Rc::clone(&self.burn),
+            metrics: Rc::clone(&self.metrics),
+            rng: RefCell::new(self.new_rng()),
+        }
+    }
+
+    /// Makes the task that owns the control state.
+    pub(crate) fn control_task(&self) -> ControlTask {
+        let platform = Rc::new(HttpPlatform::new(
+            self.settings.platform.config,
+            self.settings.platform.instances,
+        ));
+        ControlTask {
+            clock: self.clock,
+            service: self.member.service.clone(),
+            zone: self.member.zone.clone(),
+            region: self.member.region.clone(),
+            state: Rc::clone(&self.state),
+            view: Rc::clone(&self.view),
+            endpoints: Rc::clone(&self.endpoints),
+            gate: self.gate.clone(),
+            peers: Rc::clone(&self.pool) as Rc<dyn PeerCaller>,
+            config: Rc::clone(&platform) as _,
+            instances: platform,
+            metrics: Rc::clone(&self.metrics),
+            tasks: Rc::clone(&self.tasks),
+            link_ids: Rc::clone(&self.link_ids),
+            rng: self.new_rng(),
+            links: LinkTable::default(),
+            log_gate: EventGate::new(LOG_INTERVAL),
+            departing: false,
+        }
+    }
+
+    /// Makes the pages for operators.
+    pub(crate) fn admin_pages(&self) -> AdminPages {
+        AdminPages {
+            clock: self.clock,
+            state: Rc::clone(&self.state),
+            view: Rc::clone(&self.view),
+            endpoints: Rc::clone(&self.endpoints),
+            burn: Rc::clone(&self.burn),
+            metrics: Rc::clone(&self.metrics),
+        }
+    }
+
+    fn new_rng(&self) -> StdRng {
+        StdRng::from_rng(&mut *self.rng.borrow_mut())
+    }
+}
+
+fn own_member(settings: &NodeSettings, clock: SystemClock) -> MemberEntry {
+    MemberEntry {
+        address: NodeAddress(settings.listen.peer),
+        admin: NodeAddress(settings.listen.admin),
+        incarnation: clock.incarnation(),
+        service: settings.placement.service.clone(),
+        zone: settings.placement.zone.clone(),
+        region: settings.placement.region.clone(),
+        state: MemberState::Live,
+    }
+}
+
+fn admission_policy(settings: &NodeSettings, seed: u64) -> Box<dyn AdmissionPolicy> {
+    let limit = settings.call.queue_limit;
+    if settings.call.plain_policy {
+        Box::new(FifoQueue::new(INITIAL_SLOTS, limit))
+    } else {
+        Box::new(AdmissionQueue::new(INITIAL_SLOTS, limit, seed))
+    }
+}
+
+fn control_settings(settings: &NodeSettings, member: &MemberEntry) -> ControlSettings {
+    ControlSettings {
+        member: member.clone(),
+        platform_region: settings.platform.region.clone(),
+        call_budget: settings.platform.call_budget,
+        watch_wait: settings.platform.watch_wait,
+        seeds: settings.seeds.clone(),
+        every_node_watches: settings.platform.every_node_watches,
+    }
+}
