--- a/testkit/src/bin/demo.rs
+++ b/testkit/src/bin/demo.rs
@@ -165,15 +165,31 @@
             kind["sent"],
             kind["completed"],
             kind["late"],
-            kind["refused"],
-            kind["failed"],
-            kind["unknown"],
+            tally(&kind["refused"]),
+            tally(&kind["failed"]),
+            tally(&kind["unknown"]),
             kind["p50_ms"],
             kind["p99_ms"]
         );
     }
 }
 
+/// Shows a count, or counts by result code.
+fn tally(value: &Value) -> String {
+    let Some(codes) = value.as_object() else {
+        return value.to_string();
+    };
+    let counts: Vec<String> = codes
+        .iter()
+        .map(|(code, count)| format!("{code}:{count}"))
+        .collect();
+    if counts.is_empty() {
+        "0".to_owned()
+    } else {
+        counts.join(" ")
+    }
+}
+
 fn repeated_keys(fleet: &RunningFleet) -> DemoResult<usize> {
     let mut counts = std::collections::HashMap::<String, u64>::new();
     for endpoint in &fleet.plan.endpoints {
