--- a/src/distribution/read_budget.rs
+++ b/src/distribution/read_budget.rs
@@ -1,5 +1,6 @@
 use crate::clock::ClockTime;
 use crate::distribution::token_bucket::TokenBucket;
+use crate::size::CallRate;
 
 /// Highest rate of one watching reader, in reads a second.
 const WATCH_RATE: f64 = 2.0;
@@ -23,8 +24,8 @@
     /// Creates a budget; `calls` is what the configuration service serves over all readers, in
     /// calls a second.
     #[must_use]
-    pub fn new(calls: u32, zones: usize, fleet: usize, now: ClockTime) -> Self {
-        let share = f64::from(calls) / 10.0;
+    pub fn new(calls: CallRate, zones: usize, fleet: usize, now: ClockTime) -> Self {
+        let share = calls.0 / 10.0;
         Self {
             share,
             watch: TokenBucket::new(watch_rate(share, zones), WATCH_BURST, now),
--- a/src/settings/platform_settings.rs
+++ b/src/settings/platform_settings.rs
@@ -4,6 +4,7 @@
 use crate::error::Result;
 use crate::id::RegionName;
 use crate::settings::SettingTable;
+use crate::size::CallRate;
 
 /// Holds the addresses and the call budget of the platform.
 #[derive(Debug, Clone)]
@@ -15,7 +16,7 @@
     /// Region of the configuration service.
     pub region: RegionName,
     /// Calls per second that the configuration service serves over all readers.
-    pub call_budget: u32,
+    pub call_budget: CallRate,
     /// Longest wait of one watch.
     pub watch_wait: ClockTime,
     /// Whether every node watches, instead of few readers; for comparison only.
@@ -28,7 +29,7 @@
             config: table.required("config", "a numeric address and port")?,
             instances: table.required("instances", "a numeric address and port")?,
             region: table.required("region", "the name of a region")?,
-            call_budget: table.integer_or("call_budget", 2_000, 10..=1_000_000)? as u32,
+            call_budget: CallRate(table.integer_or("call_budget", 2_000, 10..=1_000_000)? as f64),
             watch_wait: table.time_or("watch_wait_ms", 3_000, 100..=60_000)?,
             every_node_watches: table.boolean_or("every_node_watches", false)?,
         };
--- a/tests/distribution_state.rs
+++ b/tests/distribution_state.rs
@@ -13,6 +13,7 @@
 use endivelanding::membership::{MemberEntry, MemberState, MemberTable};
 use endivelanding::peer::{ControlMessage, NodeHello};
 use endivelanding::platform::ConfigRead;
+use endivelanding::size::CallRate;
 use endivelanding::version::VersionStamp;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -37,7 +38,7 @@
     let settings = ControlSettings {
         member: member(port, zone, region),
         platform_region: "central".parse().unwrap(),
-        call_budget: 2_000,
+        call_budget: CallRate(2_000.0),
         watch_wait: ClockTime(3_000),
         seeds: seeds.iter().map(|seed| address(*seed)).collect(),
         every_node_watches: false,
--- a/tests/read_budget.rs
+++ b/tests/read_budget.rs
@@ -8,6 +8,7 @@
 use endivelanding::id::{NodeAddress, NodeIncarnation};
 use endivelanding::membership::{MemberEntry, MemberState, MemberTable};
 use endivelanding::platform::ConfigRead;
+use endivelanding::size::CallRate;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -34,7 +35,10 @@
         .map(|n| {
             // Zones 0 to 2 are in the region of the configuration service.
             let rank = rank_of(n / 8, n % 8 < 3, &mut rng);
-            (rank, ReadBudget::new(2_000, 8, FLEET, ClockTime(0)))
+            (
+                rank,
+                ReadBudget::new(CallRate(2_000.0), 8, FLEET, ClockTime(0)),
+            )
         })
         .collect();
     let mut seconds = vec![0; 720];
@@ -111,7 +115,7 @@
             state: MemberState::Live,
         },
         platform_region: "r0".parse().unwrap(),
-        call_budget: 2_000,
+        call_budget: CallRate(2_000.0),
         watch_wait: ClockTime(3_000),
         seeds: vec![address((n + 1) % fleet), address((n + 8) % fleet)],
         every_node_watches: false,
@@ -122,7 +126,7 @@
 /// Guards against a small fleet that reads faster than two reads a second and node.
 #[test]
 fn rates_have_limits() {
-    let mut budget = ReadBudget::new(2_000, 1, 1, ClockTime(0));
+    let mut budget = ReadBudget::new(CallRate(2_000.0), 1, 1, ClockTime(0));
     let times = || (0..10_000).step_by(10).map(ClockTime);
     let watch = times().filter(|now| budget.take_watch(*now)).count();
     let takeover = times().filter(|now| budget.take_takeover(*now)).count();
--- a/tests/settings_rules.rs
+++ b/tests/settings_rules.rs
@@ -25,7 +25,7 @@
 fn valid_settings_take_defaults() {
     let settings = NodeSettings::parse("node.toml", VALID).unwrap();
     assert_eq!(settings.call.queue_limit, 64);
-    assert_eq!(settings.platform.call_budget, 2_000);
+    assert_eq!(settings.platform.call_budget.to_string(), "2000");
 }
 
 #[test]
