Start the event loop in one place

The node and endivectl built the same runtime; one function names the epoll driver now, which also keeps io_uring out of both.

--- a/src/bin/endivectl.rs
+++ b/src/bin/endivectl.rs
@@ -10,8 +10,7 @@
 use endivelanding::tool::{
     self, BurnSurvey, FleetReader, FleetReport, ToolOutput, VersionWait, WaitTarget,
 };
-use endivelanding::{Error, Result, ResultCode};
-use monoio::{LegacyDriver, RuntimeBuilder};
+use endivelanding::{Result, event_loop};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -124,16 +123,7 @@
             } else {
                 None
             };
-            let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-                .enable_timer()
-                .build()
-                .map_err(|error| {
-                    Error::new(
-                        ResultCode::SettingsOutOfRange,
-                        format!("the event loop cannot be started: {error}"),
-                    )
-                })?;
-            runtime.block_on(ask(name, arguments, target))
+            event_loop::run(ask(name, arguments, target))?
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod clock;
 pub mod distribution;
 pub mod error;
+pub mod event_loop;
 pub mod id;
 pub mod logging;
 pub mod manifest;
--- a/src/node.rs
+++ b/src/node.rs
@@ -25,9 +25,8 @@
 mod stop_watch;
 mod task_group;
 
-use monoio::{LegacyDriver, RuntimeBuilder};
-
-use crate::error::{Error, Result, ResultCode};
+use crate::error::Result;
+use crate::event_loop;
 use crate::logging;
 use crate::settings::NodeSettings;
 
@@ -64,16 +63,7 @@
 pub fn run(settings: NodeSettings) -> Result<NodeExit> {
     logging::start(settings.log_level)?;
     let signals = StopWatch::new()?;
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| {
-            Error::new(
-                ResultCode::SettingsOutOfRange,
-                format!("the event loop cannot be started: {error}"),
-            )
-        })?;
-    runtime.block_on(async {
+    event_loop::run(async {
         let listen = settings.listen.clone();
         let node = NodeRuntime::start(settings)?;
         println!(
@@ -81,5 +71,5 @@
             listen.caller, listen.peer, listen.admin
         );
         Ok(node.run(&signals).await)
-    })
+    })?
 }
