--- a/tests/backend_http.rs
+++ b/tests/backend_http.rs
@@ -2,8 +2,9 @@
 
 #[path = "support/scripted_server.rs"]
 mod scripted_server;
+#[path = "support/test_loop.rs"]
+mod test_loop;
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,22 +16,12 @@
 use endivelanding::error::{CallOutcome, ResultCode};
 use endivelanding::size::ByteSize;
 use futures_util::future;
-use monoio::{LegacyDriver, RuntimeBuilder, time};
+use monoio::time;
 use scripted_server::{ScriptStep, ScriptedServer};
+use test_loop::block_on;
 
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
-fn block_on<Task>(task: Task) -> Task::Output
-where
-    Task: Future,
-{
-    RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .unwrap()
-        .block_on(task)
-}
-
 fn backend(address: SocketAddr, connections: usize) -> HttpBackend {
     HttpBackend::new(address, ClockTime(500), connections, ByteSize(1_000))
 }
--- a/tests/caller_http.rs
+++ b/tests/caller_http.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 towards callers and operators, with raw bytes over loopback sockets.
 
+#[path = "support/test_loop.rs"]
+mod test_loop;
+
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -17,7 +19,8 @@
 use endivelanding::size::ByteSize;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use monoio::net::TcpListener;
-use monoio::{LegacyDriver, RuntimeBuilder, time};
+use monoio::time;
+use test_loop::block_on;
 
 /// Echoes body and path; `/wait/N` answers after N ms.
 #[derive(Default)]
@@ -58,17 +61,6 @@
     }
 }
 
-fn block_on<Task>(task: Task) -> Task::Output
-where
-    Task: Future,
-{
-    RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .unwrap()
-        .block_on(task)
-}
-
 fn limits() -> ServerLimits {
     ServerLimits {
         head_timeout: ClockTime(200),
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -2,27 +2,16 @@
 
 #[path = "support/scripted_server.rs"]
 mod scripted_server;
-
-use std::future::Future;
+#[path = "support/test_loop.rs"]
+mod test_loop;
 
 use endivelanding::clock::ClockTime;
 use endivelanding::error::ResultCode;
 use endivelanding::platform::{
     ConfigRead, ConfigSource, HttpPlatform, InstanceSource, InstanceState,
 };
-use monoio::{LegacyDriver, RuntimeBuilder};
 use scripted_server::{ScriptStep, ScriptedServer};
-
-fn block_on<Task>(task: Task) -> Task::Output
-where
-    Task: Future,
-{
-    RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .unwrap()
-        .block_on(task)
-}
+use test_loop::block_on;
 
 fn server(answer: Vec<u8>) -> ScriptedServer {
     ScriptedServer::start(move |_, _| vec![ScriptStep::Send(answer.clone()), ScriptStep::Close])
