--- a/src/backend.rs
+++ b/src/backend.rs
@@ -11,6 +11,5 @@
 
 pub use backend_server::{BackendHealth, BackendServer};
 pub use http_backend::HttpBackend;
+pub use http_client::HttpClient;
 pub use stray_task::WorkHold;
-
-pub(crate) use http_client::HttpClient;
--- a/src/backend/http_client.rs
+++ b/src/backend/http_client.rs
@@ -7,17 +7,17 @@
 use crate::backend::client_request::ClientRequest;
 use crate::caller::WireError;
 use crate::clock::ClockTime;
-use crate::error::Result;
+use crate::error::{Error, Result, ResultCode};
 
 /// Sends single requests, each on a connection of its own.
 #[derive(Debug, Clone)]
-pub(crate) struct HttpClient {
+pub struct HttpClient {
     /// Address of the server.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     /// Time to open a connection.
-    pub(crate) connect_timeout: ClockTime,
+    pub connect_timeout: ClockTime,
     /// Largest body of an answer, in bytes.
-    pub(crate) body_limit: usize,
+    pub body_limit: usize,
 }
 
 impl HttpClient {
@@ -40,6 +40,22 @@
         Ok(self.exchange(request, timeout).await)
     }
 
+    /// Reads from the platform within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformInvalid` for an answer that cannot be read, `PlatformUnreachable` without one.
+    pub async fn read(&self, path: &str, timeout: ClockTime) -> Result<http::Response<Bytes>> {
+        self.send("GET", path, timeout).await?.map_err(|error| {
+            let code = if error.is_invalid_message() {
+                ResultCode::PlatformInvalid
+            } else {
+                ResultCode::PlatformUnreachable
+            };
+            Error::new(code, format!("platform at {}: {error}", self.address))
+        })
+    }
+
     async fn exchange(
         &self,
         request: ClientRequest,
--- a/src/caller/wire_stream.rs
+++ b/src/caller/wire_stream.rs
@@ -1,7 +1,8 @@
 use std::io;
+use std::pin::pin;
 
 use bytes::{Buf, Bytes, BytesMut};
-use futures_util::future::FutureExt;
+use futures_util::future::{self, Either, FutureExt};
 use monoio::buf::IoBuf;
 use monoio::io::{AsyncReadRent, AsyncWriteRent};
 use monoio::net::TcpStream;
@@ -159,6 +160,60 @@
         Ok(())
     }
 
+    /// Writes all bytes unless the other side answers before; returns whether all were written.
+    ///
+    /// # Errors
+    ///
+    /// As for [`WireStream::write`].
+    pub(crate) async fn write_until_answer(&mut self, bytes: Vec<u8>) -> Result<bool, WireError> {
+        if bytes.len() <= BODY_READ {
+            return self.write(bytes).await.map(|()| true);
+        }
+        let mut rest = Bytes::from(bytes);
+        let mut started = false;
+        while !rest.is_empty() {
+            let answered = {
+                let readable = pin!(self.stream.readable(false));
+                let writable = pin!(self.stream.writable(false));
+                let first = future::select(readable, writable).await;
+                matches!(first, Either::Left(_))
+            };
+            if answered {
+                return Ok(false);
+            }
+            let (result, _) = self.stream.write(rest.clone()).await;
+            let count = match result {
+                Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+                other => other,
+            }
+            .map_err(|error| match started {
+                false => WireError::NotWritten(error),
+                true => WireError::Lost(error),
+            })?;
+            started = true;
+            rest.advance(count);
+        }
+        Ok(true)
+    }
+
+    /// Receives a body that ends with the connection.
+    ///
+    /// # Errors
+    ///
+    /// `TooLarge`, or `Lost` if the connection was reset.
+    pub(crate) async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, WireError> {
+        loop {
+            if self.buffer.len() > limit {
+                return Err(WireError::TooLarge);
+            }
+            match self.fill_sized(BODY_READ).await {
+                Ok(0) => return Ok(std::mem::take(&mut self.buffer).freeze()),
+                Ok(_) => {}
+                Err(error) => return Err(WireError::Lost(error)),
+            }
+        }
+    }
+
     /// Ends the connection so that the other side can still read what was written.
     pub(crate) async fn linger(mut self) {
         if self.stream.shutdown().await.is_err() {
--- a/src/clock/system_clock.rs
+++ b/src/clock/system_clock.rs
@@ -1,33 +1,38 @@
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use nix::time::ClockId;
 
 use crate::clock::ClockTime;
 use crate::id::NodeIncarnation;
 
-/// Reads the monotonic clock of the machine.
+/// Reads the clock of the machine that never steps and goes on while the machine is suspended.
 #[derive(Debug, Clone, Copy)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl SystemClock {
     /// Creates a clock whose time zero is now.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: boot_time() }
     }
 
     /// Returns the time since the creation of this clock.
     #[must_use]
     pub fn now(&self) -> ClockTime {
-        ClockTime(self.start.elapsed().as_millis() as u64)
+        ClockTime(self.elapsed().as_millis() as u64)
     }
 
     /// Returns the time since the creation of this clock in fractional milliseconds.
     #[must_use]
     pub fn precise_now(&self) -> f64 {
-        self.start.elapsed().as_secs_f64() * 1_000.0
+        self.elapsed().as_secs_f64() * 1_000.0
+    }
+
+    fn elapsed(&self) -> Duration {
+        boot_time().saturating_sub(self.start)
     }
 
     /// Returns the wall-clock time in ms since the Unix epoch.
@@ -50,3 +55,13 @@
         Self::new()
     }
 }
+
+/// Returns the time since the machine started, or since the first call on a system without that
+/// clock.
+fn boot_time() -> Duration {
+    static FIRST: OnceLock<Instant> = OnceLock::new();
+    ClockId::CLOCK_BOOTTIME
+        .now()
+        .map(Duration::from)
+        .unwrap_or_else(|_| FIRST.get_or_init(Instant::now).elapsed())
+}
--- a/src/error/result_code.rs
+++ b/src/error/result_code.rs
@@ -78,10 +78,14 @@
     PeerUnreachable = 313,
     /// Reports that the backend server could not be reached.
     BackendUnreachable = 314,
+    /// Reports that the head of the request exceeds its limit.
+    RequestHeadTooLarge = 315,
     /// Reports that the answer exceeds its size limit.
     AnswerTooLarge = 401,
     /// Reports that the answer is malformed or incomplete.
     AnswerMalformed = 402,
+    /// Reports that the endpoint ran the request and answered with a failure.
+    EndpointFailed = 403,
     /// Reports that the connection was lost after the request was written.
     ConnectionLost = 501,
     /// Reports that the deadline passed after the request was written.
@@ -106,6 +110,8 @@
     VersionRefused = 607,
     /// Reports that the version is not in force everywhere.
     NotInForce = 608,
+    /// Reports that the platform's history no longer reaches back far enough.
+    HistoryGone = 609,
 }
 
 impl ResultCode {
@@ -144,8 +150,10 @@
         Self::RequestTooSlow,
         Self::PeerUnreachable,
         Self::BackendUnreachable,
+        Self::RequestHeadTooLarge,
         Self::AnswerTooLarge,
         Self::AnswerMalformed,
+        Self::EndpointFailed,
         Self::ConnectionLost,
         Self::DeadlinePassed,
         Self::KeyRunning,
@@ -158,6 +166,7 @@
         Self::WaitTimeout,
         Self::VersionRefused,
         Self::NotInForce,
+        Self::HistoryGone,
     ];
 
     /// Returns the number of this code.
@@ -205,8 +214,10 @@
             Self::RequestTooSlow => "the request did not arrive within its time limit",
             Self::PeerUnreachable => "the node beside the endpoint could not be reached",
             Self::BackendUnreachable => "the backend server could not be reached",
+            Self::RequestHeadTooLarge => "the head of the request exceeds its limit",
             Self::AnswerTooLarge => "the answer exceeds its size limit",
             Self::AnswerMalformed => "the answer is malformed or incomplete",
+            Self::EndpointFailed => "the endpoint ran the request and answered with a failure",
             Self::ConnectionLost => "the connection was lost after the request was written",
             Self::DeadlinePassed => "the deadline passed after the request was written",
             Self::KeyRunning => "an earlier attempt with the same key is still running",
@@ -219,6 +230,7 @@
             Self::WaitTimeout => "the wait ended before the version was in force",
             Self::VersionRefused => "a node refused the version",
             Self::NotInForce => "the version is not in force everywhere",
+            Self::HistoryGone => "the platform's history no longer reaches back far enough",
         }
     }
 
--- a/src/id.rs
+++ b/src/id.rs
@@ -1,5 +1,6 @@
 //! Identifiers of services, kinds, zones, nodes and requests.
 
+mod endpoint_id;
 mod kind_name;
 mod node_address;
 mod node_incarnation;
@@ -9,6 +10,7 @@
 mod text_id;
 mod zone_name;
 
+pub use endpoint_id::EndpointId;
 pub use kind_name::KindName;
 pub use node_address::NodeAddress;
 pub use node_incarnation::NodeIncarnation;
--- /dev/null
+++ b/src/mesh.rs
@@ -0,0 +1,21 @@
+//! What nodes know of the mesh: the configuration in force and the endpoints of each service.
+
+mod client_limits;
+mod config_version;
+mod endpoint_record;
+mod mesh_config;
+mod registry_read;
+mod registry_source;
+mod route_rule;
+mod service_directory;
+mod service_target;
+
+pub use client_limits::ClientLimits;
+pub use config_version::ConfigVersion;
+pub use endpoint_record::{EndpointRecord, EndpointState};
+pub use mesh_config::MeshConfig;
+pub use registry_read::{RegistryChange, RegistryRead};
+pub use registry_source::RegistrySource;
+pub use route_rule::RouteRule;
+pub use service_directory::{DirectoryEvent, ServiceDirectory};
+pub use service_target::ServiceTarget;
--- /dev/null
+++ b/src/mesh/service_directory.rs
@@ -0,0 +1,212 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+
+use crate::clock::ClockTime;
+use crate::id::{EndpointId, ServiceName};
+use crate::mesh::{EndpointRecord, EndpointState};
+
+/// Is a change of what the directory says of one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DirectoryEvent {
+    /// The endpoint accepts new work.
+    Ready(EndpointId),
+    /// The endpoint accepts no new work.
+    Draining(EndpointId),
+    /// The entry is missing after an outage of the registry and may come back.
+    Missing(EndpointId),
+    /// The endpoint is gone.
+    Gone(EndpointId),
+}
+
+/// Endpoints that are remembered as gone. An identifier is 64 bytes at most, so they take less than
+/// a megabyte; a request for a forgotten one is refused by the endpoint itself.
+const GONE_LIMIT: usize = 4_096;
+
+#[derive(Debug)]
+struct DirectoryEntry {
+    record: Rc<EndpointRecord>,
+    warm_at: ClockTime,
+    missing: bool,
+}
+
+/// Holds the endpoints of all services as the registry reports them.
+///
+/// Entries that expired while the registry was away come back shortly after its return. The
+/// directory therefore keeps missing entries until the settle time after an outage is over.
+#[derive(Debug, Default)]
+pub struct ServiceDirectory {
+    entries: BTreeMap<EndpointId, DirectoryEntry>,
+    services: HashMap<ServiceName, Vec<EndpointId>>,
+    gone: HashMap<EndpointId, Rc<EndpointRecord>>,
+    settle_until: ClockTime,
+    position: u64,
+}
+
+impl ServiceDirectory {
+    /// Creates an empty directory.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Keeps entries that are found missing before `until`.
+    pub fn settle(&mut self, until: ClockTime) {
+        self.settle_until = self.settle_until.max(until);
+    }
+
+    /// Returns the position in the registry's history that the directory reflects.
+    #[must_use]
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Records that the directory reflects the registry up to a position.
+    pub fn advance(&mut self, position: u64) {
+        self.position = self.position.max(position);
+    }
+
+    /// Records what an endpoint published; older reports of the same endpoint change nothing.
+    pub fn publish(&mut self, now: ClockTime, record: EndpointRecord) -> Option<DirectoryEvent> {
+        let id = record.id.clone();
+        let held = self.entries.get(&id);
+        let newest = held.map(|held| &held.record).or_else(|| self.gone.get(&id));
+        if newest.is_some_and(|newest| record.is_older_than(newest)) {
+            return None;
+        }
+        let unchanged = held.is_some_and(|held| {
+            held.record.state == record.state && held.record.born == record.born && !held.missing
+        });
+        let state = record.state;
+        let warm_at = now + record.warm_up;
+        let moved = held.is_none_or(|held| held.record.service != record.service);
+        if moved {
+            self.unlist(&id);
+            let listed = self.services.entry(record.service.clone()).or_default();
+            listed.push(id.clone());
+        }
+        let entry = DirectoryEntry {
+            record: Rc::new(record),
+            warm_at,
+            missing: false,
+        };
+        self.entries.insert(id.clone(), entry);
+        self.gone.remove(&id);
+        match state {
+            _ if unchanged => None,
+            EndpointState::Ready => Some(DirectoryEvent::Ready(id)),
+            EndpointState::Draining => Some(DirectoryEvent::Draining(id)),
+        }
+    }
+
+    /// Records that the entry of an endpoint is gone.
+    pub fn remove(&mut self, now: ClockTime, id: &EndpointId) -> Option<DirectoryEvent> {
+        let entry = self.entries.get_mut(id)?;
+        if now < self.settle_until && entry.record.state == EndpointState::Ready {
+            let known = std::mem::replace(&mut entry.missing, true);
+            return (!known).then(|| DirectoryEvent::Missing(id.clone()));
+        }
+        self.forget(id);
+        Some(DirectoryEvent::Gone(id.clone()))
+    }
+
+    /// Removes what a snapshot of the registry does not name.
+    pub fn retain(&mut self, now: ClockTime, named: &HashSet<EndpointId>) -> Vec<DirectoryEvent> {
+        let absent: Vec<_> = self
+            .entries
+            .keys()
+            .filter(|id| !named.contains(id))
+            .cloned()
+            .collect();
+        absent
+            .iter()
+            .filter_map(|id| self.remove(now, id))
+            .collect()
+    }
+
+    /// Removes the entries that are still missing after the settle time.
+    pub fn expire(&mut self, now: ClockTime) -> Vec<DirectoryEvent> {
+        if now < self.settle_until {
+            return Vec::new();
+        }
+        let missing: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.missing)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &missing {
+            self.forget(id);
+        }
+        missing.into_iter().map(DirectoryEvent::Gone).collect()
+    }
+
+    /// Returns the endpoints of a service that accept new work.
+    pub fn ready<'a>(
+        &'a self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &'a Rc<EndpointRecord>> + use<'a> {
+        let listed = self.services.get(service).map(Vec::as_slice);
+        listed
+            .unwrap_or_default()
+            .iter()
+            .filter_map(|id| self.entries.get(id))
+            .map(|entry| &entry.record)
+            .filter(|record| record.state == EndpointState::Ready)
+    }
+
+    /// Returns the record of an endpoint.
+    #[must_use]
+    pub fn record(&self, id: &EndpointId) -> Option<&Rc<EndpointRecord>> {
+        self.entries.get(id).map(|entry| &entry.record)
+    }
+
+    /// Returns the time until the endpoint is as fast as the others.
+    #[must_use]
+    pub fn warm_up(&self, id: &EndpointId, now: ClockTime) -> ClockTime {
+        self.entries
+            .get(id)
+            .map_or(ClockTime(0), |entry| entry.warm_at - now)
+    }
+
+    /// Returns the records of all endpoints, in the order of their identifiers.
+    pub fn records(&self) -> impl Iterator<Item = &Rc<EndpointRecord>> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+
+    /// Returns the number of endpoints.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true if no endpoint is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns true if the endpoint was known and is gone.
+    #[must_use]
+    pub fn is_gone(&self, id: &EndpointId) -> bool {
+        self.gone.contains_key(id)
+    }
+
+    fn forget(&mut self, id: &EndpointId) {
+        self.unlist(id);
+        if let Some(entry) = self.entries.remove(id) {
+            if self.gone.len() >= GONE_LIMIT {
+                self.gone.clear();
+            }
+            self.gone.insert(id.clone(), entry.record);
+        }
+    }
+
+    fn unlist(&mut self, id: &EndpointId) {
+        let Some(entry) = self.entries.get(id) else {
+            return;
+        };
+        if let Some(listed) = self.services.get_mut(&entry.record.service) {
+            listed.retain(|other| other != id);
+        }
+    }
+}
--- /dev/null
+++ b/src/mesh/service_target.rs
@@ -0,0 +1,10 @@
+use crate::id::ServiceName;
+
+/// Is one service of a route with its share of the requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceTarget {
+    /// Service that runs the requests.
+    pub service: ServiceName,
+    /// Share of the requests, relative to the other targets of the route.
+    pub weight: u32,
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -49,8 +49,8 @@
 use peer_service::PeerService;
 use resolved_call::{AttemptKey, ResolvedCall};
 use slot_gate::{SlotGate, SlotGuard};
-use stop_watch::StopWatch;
-use task_group::TaskGroup;
+pub(crate) use stop_watch::StopWatch;
+pub(crate) use task_group::TaskGroup;
 
 /// Runs a node until SIGTERM or SIGINT.
 ///
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,6 @@
 //! The protocol between nodes: h2 streams with bincode frames.
 
-mod call_exchange;
+pub(crate) mod call_exchange;
 mod call_header;
 mod call_lease;
 mod call_reply;
@@ -21,8 +21,10 @@
 mod peer_pool;
 mod peer_request;
 mod peer_server;
+mod probe_plan;
 mod server_connection;
 mod server_stream;
+mod stream_handler;
 
 pub use call_header::CallHeader;
 pub use call_reply::CallReply;
@@ -37,3 +39,6 @@
 pub use peer_handler::PeerHandler;
 pub use peer_pool::PeerPool;
 pub use peer_server::PeerServer;
+pub use probe_plan::ProbePlan;
+
+pub(crate) use stream_handler::{ShutdownSignal, StreamHandler};
--- a/src/peer/call_exchange.rs
+++ b/src/peer/call_exchange.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::{Error, Result, ResultCode};
-use crate::peer::CallCodec;
+use crate::peer::{CallCodec, FrameCodec};
 
 /// Longest piece for which capacity is reserved at once, in bytes.
 const CHUNK_LENGTH: usize = 64 << 10;
@@ -72,27 +72,42 @@
     }
 }
 
-/// Reads the frame at the start of a stream; what follows it stays in `buffer`.
+/// Reads the head of a call at the start of a stream; what follows it stays in `buffer`.
 ///
 /// # Errors
 ///
-/// `PeerProtocol` for an invalid or truncated frame, `ConnectionLost` if the stream broke.
+/// As for [`read_frame`].
 pub(crate) async fn read_head<Message>(
     stream: &mut RecvStream,
     buffer: &mut BytesMut,
 ) -> Result<Message>
+where
+    Message: DeserializeOwned,
+{
+    read_frame::<Message, { CallCodec::LIMIT }>(stream, buffer).await
+}
+
+/// Reads a frame of at most `LIMIT` bytes at the start of a stream.
+///
+/// # Errors
+///
+/// `PeerProtocol` for an invalid or truncated frame, `ConnectionLost` if the stream broke.
+pub(crate) async fn read_frame<Message, const LIMIT: usize>(
+    stream: &mut RecvStream,
+    buffer: &mut BytesMut,
+) -> Result<Message>
 where
     Message: DeserializeOwned,
 {
     loop {
-        if let Some(message) = CallCodec::decode(buffer)? {
+        if let Some(message) = FrameCodec::<LIMIT>::decode(buffer)? {
             return Ok(message);
         }
         if !read_more(stream, buffer)
             .await
             .map_err(|error| lost(&error))?
         {
-            CallCodec::finish(buffer)?;
+            FrameCodec::<LIMIT>::finish(buffer)?;
             return Err(Error::new(
                 ResultCode::PeerProtocol,
                 "the stream has no frame",
@@ -131,6 +146,28 @@
     ))
 }
 
+/// Reads the rest of a stream, at most `limit` bytes.
+///
+/// # Errors
+///
+/// `AnswerTooLarge` above the limit, `ConnectionLost` if the stream broke.
+pub(crate) async fn read_rest(
+    stream: &mut RecvStream,
+    mut buffer: BytesMut,
+    limit: usize,
+) -> Result<Bytes> {
+    while read_more(stream, &mut buffer)
+        .await
+        .map_err(|error| lost(&error))?
+    {
+        if buffer.len() > limit {
+            let message = format!("the body has more than {limit} bytes");
+            return Err(Error::new(ResultCode::AnswerTooLarge, message));
+        }
+    }
+    Ok(buffer.freeze())
+}
+
 /// Maps an error after the request was written.
 pub(crate) fn lost(error: &h2::Error) -> Error {
     Error::new(
--- a/src/peer/frame_codec.rs
+++ b/src/peer/frame_codec.rs
@@ -18,6 +18,8 @@
 pub struct FrameCodec<const LIMIT: usize>;
 
 impl<const LIMIT: usize> FrameCodec<LIMIT> {
+    /// Longest body in bytes.
+    pub const LIMIT: usize = LIMIT;
     /// Version of the frame format.
     pub const VERSION: u8 = 1;
     /// Length of what precedes the body, in bytes.
--- a/src/peer/link_probe.rs
+++ b/src/peer/link_probe.rs
@@ -1,34 +1,31 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use h2::{Ping, PingPong};
 use monoio::time::{self, Sleep};
 
+use crate::peer::ProbePlan;
+
 /// Finds silent connections by h2 PING frames.
 ///
 /// Time is counted in ticks that are armed one after the other, so that a pause of the whole
 /// process counts as one tick and does not make a live connection look silent.
 pub(crate) struct LinkProbe {
     ping: PingPong,
-    period: Duration,
     tick: Pin<Box<Sleep>>,
-    interval: u32,
-    limit: u32,
+    plan: ProbePlan,
     count: u32,
     waiting: bool,
 }
 
 impl LinkProbe {
-    /// Creates a probe that sends a PING after `interval` ticks and waits `limit` ticks for it.
-    pub(crate) fn new(ping: PingPong, period: Duration, interval: u32, limit: u32) -> Self {
+    /// Creates a probe that follows a plan.
+    pub(crate) fn new(ping: PingPong, plan: ProbePlan) -> Self {
         Self {
             ping,
-            period,
-            tick: Box::pin(time::sleep(period)),
-            interval,
-            limit,
+            tick: Box::pin(time::sleep(plan.tick)),
+            plan,
             count: 0,
             waiting: false,
         }
@@ -44,7 +41,8 @@
         self.waiting
     }
 
-    /// Completes when the connection is silent; sends no new PING while `active` is false.
+    /// Completes when the connection is silent; sends PINGs at the idle interval while `active` is
+    /// false.
     ///
     /// The connection must be polled first, so that answers in the socket are seen.
     pub(crate) fn poll_silent(&mut self, context: &mut Context<'_>, active: bool) -> Poll<()> {
@@ -59,18 +57,23 @@
                     Poll::Pending => {}
                 }
             }
-            if !active && !self.waiting {
+            let interval = if active {
+                Some(self.plan.interval)
+            } else {
+                self.plan.idle_interval
+            };
+            if interval.is_none() && !self.waiting {
                 return Poll::Pending;
             }
             if self.tick.as_mut().poll(context).is_pending() {
                 return Poll::Pending;
             }
-            self.tick = Box::pin(time::sleep(self.period));
+            self.tick = Box::pin(time::sleep(self.plan.tick));
             self.count += 1;
-            if self.waiting && self.count >= self.limit {
+            if self.waiting && self.count >= self.plan.limit {
                 return Poll::Ready(());
             }
-            if !self.waiting && self.count >= self.interval {
+            if !self.waiting && interval.is_some_and(|interval| self.count >= interval) {
                 self.start();
                 self.count = 0;
             }
--- a/src/peer/peer_connection.rs
+++ b/src/peer/peer_connection.rs
@@ -18,18 +18,12 @@
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
 use crate::id::NodeAddress;
-use crate::peer::LinkCounter;
 use crate::peer::counted_stream::CountedStream;
 use crate::peer::link_probe::LinkProbe;
+use crate::peer::{LinkCounter, ProbePlan};
 
-/// Longest time from the start of a connection to the answer to its first PING.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time in which a dropped connection may still write what is queued.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Tick of the probe; a PING is sent after 1 s and its answer awaited for 3 s.
-const PROBE_TICK: Duration = Duration::from_millis(500);
-const PROBE_INTERVAL: u32 = 2;
-const PROBE_LIMIT: u32 = 6;
 
 /// Receives the outcome of opening a connection; every waiting call holds a clone.
 pub(crate) type OpenedResult = Shared<oneshot::Receiver<Result<SendRequest<Bytes>>>>;
@@ -50,6 +44,7 @@
         to: NodeAddress,
         dial: SocketAddr,
         now: ClockTime,
+        plan: ProbePlan,
     ) -> (Rc<Self>, impl Future<Output = ()> + 'static) {
         let (reporter, opened) = oneshot::channel();
         let (closer, closed) = oneshot::channel();
@@ -61,7 +56,7 @@
             retired: Cell::new(false),
             closer: RefCell::new(Some(closer)),
         });
-        let driver = drive(to, dial, Rc::clone(&connection), reporter, closed);
+        let driver = drive(to, dial, Rc::clone(&connection), plan, reporter, closed);
         (connection, driver)
     }
 
@@ -93,10 +88,11 @@
     to: NodeAddress,
     dial: SocketAddr,
     connection: Rc<PeerConnection>,
+    plan: ProbePlan,
     reporter: oneshot::Sender<Result<SendRequest<Bytes>>>,
     mut closed: oneshot::Receiver<()>,
 ) {
-    let opening = time::timeout(CONNECT_TIMEOUT, open(to, dial, &connection)).await;
+    let opening = time::timeout(plan.connect_timeout, open(to, dial, &connection, plan)).await;
     let (sender, mut channel, mut probe) = match opening {
         Ok(Ok(parts)) => parts,
         Ok(Err(error)) => {
@@ -104,7 +100,7 @@
             return;
         }
         Err(_) => {
-            let _ = reporter.send(Err(unreachable(to, "no answer within 500 ms")));
+            let _ = reporter.send(Err(unreachable(to, "no answer in time")));
             return;
         }
     };
@@ -137,6 +133,7 @@
     to: NodeAddress,
     dial: SocketAddr,
     connection: &PeerConnection,
+    plan: ProbePlan,
 ) -> Result<(SendRequest<Bytes>, Channel, LinkProbe)> {
     let stream = TcpStream::connect_addr(dial)
         .await
@@ -153,7 +150,7 @@
     let ping = channel
         .ping_pong()
         .ok_or_else(|| unreachable(to, "no PING handle"))?;
-    let mut probe = LinkProbe::new(ping, PROBE_TICK, PROBE_INTERVAL, PROBE_LIMIT);
+    let mut probe = LinkProbe::new(ping, plan);
     probe.start();
     future::poll_fn(|context| {
         if let Poll::Ready(result) = Pin::new(&mut channel).poll(context) {
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -14,6 +14,7 @@
 use h2::client::SendRequest;
 use monoio::task::JoinHandle;
 use monoio::time;
+use serde::de::DeserializeOwned;
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::{Error, Result, ResultCode};
@@ -24,11 +25,19 @@
 use crate::peer::peer_connection::{self, PeerConnection};
 use crate::peer::peer_request;
 use crate::peer::{
-    CallCodec, CallHeader, CallReply, ControlLink, FenceReply, FenceRequest, PeerCaller,
+    CallCodec, CallHeader, CallReply, ControlLink, FenceReply, FenceRequest, PeerCaller, ProbePlan,
 };
 
 /// Most call connections of a node.
 const MAX_CONNECTIONS: usize = 512;
+/// A PING after 1 s with calls outstanding, answered within 3 s.
+const PROBE_PLAN: ProbePlan = ProbePlan {
+    connect_timeout: Duration::from_millis(500),
+    tick: Duration::from_millis(500),
+    interval: 2,
+    idle_interval: None,
+    limit: 6,
+};
 /// Longest wait for the answer to the opening of a control stream.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -36,6 +45,7 @@
 pub struct PeerPool {
     clock: SystemClock,
     answer_limit: usize,
+    plan: ProbePlan,
     table: Rc<ConnectionTable>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
     closed: Cell<bool>,
@@ -49,6 +59,7 @@
         Self {
             clock,
             answer_limit,
+            plan: PROBE_PLAN,
             table: Rc::new(ConnectionTable::new(MAX_CONNECTIONS)),
             tasks: RefCell::default(),
             closed: Cell::new(false),
@@ -63,6 +74,13 @@
         self
     }
 
+    /// Sets how connections are opened and probed.
+    #[must_use]
+    pub fn with_probe_plan(mut self, plan: ProbePlan) -> Self {
+        self.plan = plan;
+        self
+    }
+
     /// Sets the addresses at which peers are reached that differ from their own.
     #[must_use]
     pub fn with_dial_addresses(mut self, addresses: HashMap<NodeAddress, SocketAddr>) -> Self {
@@ -120,7 +138,8 @@
                 "all connections are in use",
             ));
         }
-        let (connection, driver) = PeerConnection::new(to, self.dial(to), self.clock.now());
+        let (connection, driver) =
+            PeerConnection::new(to, self.dial(to), self.clock.now(), self.plan);
         self.table.insert(to, Rc::clone(&connection));
         let table = Rc::clone(&self.table);
         let own = Rc::clone(&connection);
@@ -157,6 +176,34 @@
         Err(last.unwrap_or_else(|| peer_connection::unreachable(to, "no connection")))
     }
 
+    /// Sends one message on a stream of its own and receives the whole answer, whose head may have
+    /// `LIMIT` bytes.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` if the peer cannot have processed the message, `AnswerTooLarge` above the
+    /// pool's limit, `ConnectionLost` for everything else that is not a complete answer.
+    pub(crate) async fn request<Reply, const LIMIT: usize>(
+        &self,
+        to: NodeAddress,
+        path: &'static str,
+        head: Bytes,
+        body: Bytes,
+    ) -> Result<(Reply, Bytes)>
+    where
+        Reply: DeserializeOwned,
+    {
+        let (_lease, mut sender) = self.ready(to).await?;
+        let (response, mut stream) = sender
+            .send_request(peer_request::post(path), false)
+            .map_err(|error| peer_connection::unreachable(to, error))?;
+        // A peer may answer before it has read the whole body.
+        if let Err(error) = call_exchange::send_message(&mut stream, head, body).await {
+            log::debug!("the request to {to} was not taken in full: {error}");
+        }
+        peer_request::read_reply::<Reply, LIMIT>(response, self.answer_limit).await
+    }
+
     async fn exchange(
         &self,
         to: NodeAddress,
@@ -221,7 +268,8 @@
         if self.closed.get() {
             return Err(peer_connection::unreachable(to, "the pool is closed"));
         }
-        let (connection, driver) = PeerConnection::new(to, self.dial(to), self.clock.now());
+        let (connection, driver) =
+            PeerConnection::new(to, self.dial(to), self.clock.now(), self.plan);
         self.spawn(driver);
         // Dropping this handle, with the link or on an error, ends the driver.
         let closer = connection.take_closer().map(Rc::new);
--- a/src/peer/peer_request.rs
+++ b/src/peer/peer_request.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use h2::client::ResponseFuture;
 use http::{Method, Request, StatusCode};
+use serde::de::DeserializeOwned;
 
 use crate::error::{Error, Result, ResultCode};
 use crate::peer::CallReply;
@@ -38,6 +39,31 @@
     Ok((reply, body))
 }
 
+/// Reads a frame and the bytes behind it up to the end of the stream, at most `limit`.
+///
+/// # Errors
+///
+/// As for [`read_answer`].
+pub(crate) async fn read_reply<Reply, const LIMIT: usize>(
+    response: ResponseFuture,
+    limit: usize,
+) -> Result<(Reply, Bytes)>
+where
+    Reply: DeserializeOwned,
+{
+    let response = response
+        .await
+        .map_err(|error| call_exchange::refused_or_lost(&error))?;
+    check_status(response.status())?;
+    let mut stream = response.into_body();
+    let mut buffer = BytesMut::new();
+    let reply = call_exchange::read_frame::<Reply, LIMIT>(&mut stream, &mut buffer)
+        .await
+        .map_err(|error| Error::new(ResultCode::ConnectionLost, error.message()))?;
+    let body = call_exchange::read_rest(&mut stream, buffer, limit).await?;
+    Ok((reply, body))
+}
+
 /// Makes the head of a request.
 pub(crate) fn post(path: &'static str) -> Request<()> {
     let mut request = Request::new(());
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -17,7 +17,8 @@
 use crate::peer::PeerHandler;
 use crate::peer::handshake_limit::HandshakeLimit;
 use crate::peer::server_connection::ServerConnection;
-use crate::peer::server_stream::ShutdownSignal;
+use crate::peer::server_stream::CallStreams;
+use crate::peer::stream_handler::{ShutdownSignal, StreamHandler};
 
 /// Accepted handshakes a second.
 const HANDSHAKE_RATE: usize = 50;
@@ -44,6 +45,25 @@
         handler: Rc<dyn PeerHandler>,
         body_limit: usize,
         clock: SystemClock,
+    ) -> Result<Self> {
+        let streams = Rc::new(CallStreams {
+            handler,
+            body_limit,
+            clock,
+        });
+        Self::bind_streams(address, streams, HANDSHAKE_RATE, clock)
+    }
+
+    /// Listens on `address`, serves streams by a handler and accepts `rate` connections a second.
+    ///
+    /// # Errors
+    ///
+    /// `SettingsOutOfRange` if the address cannot be bound.
+    pub(crate) fn bind_streams(
+        address: NodeAddress,
+        handler: Rc<dyn StreamHandler>,
+        rate: usize,
+        clock: SystemClock,
     ) -> Result<Self> {
         let refused = |error: std::io::Error| {
             Error::new(
@@ -54,7 +74,7 @@
         let listener = TcpListener::bind(address.0).map_err(refused)?;
         let address = NodeAddress(listener.local_addr().map_err(refused)?);
         let (closer, closed) = oneshot::channel();
-        let task = monoio::spawn(run(listener, handler, body_limit, clock, closed));
+        let task = monoio::spawn(run(listener, handler, rate, clock, closed));
         Ok(Self {
             address,
             closer,
@@ -88,14 +108,14 @@
 
 async fn run(
     listener: TcpListener,
-    handler: Rc<dyn PeerHandler>,
-    body_limit: usize,
+    handler: Rc<dyn StreamHandler>,
+    rate: usize,
     clock: SystemClock,
     mut closed: oneshot::Receiver<ClockTime>,
 ) -> usize {
     let (trigger, shutdown) = oneshot::channel::<()>();
     let shutdown: ShutdownSignal = shutdown.map(|_| ()).boxed_local().shared();
-    let mut handshakes = HandshakeLimit::new(HANDSHAKE_RATE);
+    let mut handshakes = HandshakeLimit::new(rate);
     let mut connections = FuturesUnordered::new();
     let mut accepting = accept(&listener).boxed_local();
     let limit = loop {
@@ -113,13 +133,11 @@
         };
         accepting = accept(&listener).boxed_local();
         if !handshakes.admit(clock.now()) {
-            log::debug!("a connection was closed: over {HANDSHAKE_RATE} handshakes a second");
+            log::debug!("a connection was closed: over {rate} handshakes a second");
             continue;
         }
         let connection = ServerConnection {
             handler: Rc::clone(&handler),
-            body_limit,
-            clock,
             shutdown: shutdown.clone(),
         };
         connections.push(connection.serve(stream));
--- a/src/peer/server_connection.rs
+++ b/src/peer/server_connection.rs
@@ -11,27 +11,28 @@
 use monoio::time;
 use monoio_compat::StreamWrapper;
 
-use crate::clock::SystemClock;
 use crate::peer::counted_stream::CountedStream;
 use crate::peer::link_probe::LinkProbe;
-use crate::peer::server_stream::{ServerStream, ShutdownSignal};
-use crate::peer::{LinkCounter, PeerHandler};
+use crate::peer::stream_handler::{ShutdownSignal, StreamHandler};
+use crate::peer::{LinkCounter, ProbePlan};
 
 /// Longest time for the h2 handshake of an accepted connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Tick of the probe: a PING every 30 s, answered within 20 s. A peer that stopped in the middle
-/// of a frame cannot answer, so its buffers are freed. 512 idle connections cost about 0.6 KB/s.
-const PROBE_TICK: Duration = Duration::from_secs(10);
-const PROBE_INTERVAL: u32 = 3;
-const PROBE_LIMIT: u32 = 2;
+/// A PING every 30 s, answered within 20 s. A peer that stopped in the middle of a frame cannot
+/// answer, so its buffers are freed. 512 idle connections cost about 0.6 KB/s.
+const PROBE_PLAN: ProbePlan = ProbePlan {
+    connect_timeout: HANDSHAKE_TIMEOUT,
+    tick: Duration::from_secs(10),
+    interval: 3,
+    idle_interval: None,
+    limit: 2,
+};
 /// Most streams of one peer at a time.
 const MAX_STREAMS: u32 = 1_024;
 
 /// Serves one accepted connection and all its streams in one future.
 pub(crate) struct ServerConnection {
-    pub(crate) handler: Rc<dyn PeerHandler>,
-    pub(crate) body_limit: usize,
-    pub(crate) clock: SystemClock,
+    pub(crate) handler: Rc<dyn StreamHandler>,
     pub(crate) shutdown: ShutdownSignal,
 }
 
@@ -51,7 +52,7 @@
         let Some(ping) = channel.ping_pong() else {
             return;
         };
-        let mut probe = LinkProbe::new(ping, PROBE_TICK, PROBE_INTERVAL, PROBE_LIMIT);
+        let mut probe = LinkProbe::new(ping, PROBE_PLAN);
         let mut streams = FuturesUnordered::new();
         let mut leaving = false;
         // Dropping `streams` at the end cancels the handlers that are still running.
@@ -71,15 +72,9 @@
             let Some((request, respond)) = accepted else {
                 return;
             };
-            let stream = ServerStream {
-                handler: Rc::clone(&self.handler),
-                body_limit: self.body_limit,
-                clock: self.clock,
-                counter: Rc::clone(&counter),
-                shutdown: self.shutdown.clone(),
-                respond,
-            };
-            streams.push(stream.serve(request));
+            let counter = Rc::clone(&counter);
+            let shutdown = self.shutdown.clone();
+            streams.push(self.handler.serve(request, respond, counter, shutdown));
         }
     }
 }
--- a/src/peer/server_stream.rs
+++ b/src/peer/server_stream.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::future::{Either, LocalBoxFuture, Shared};
+use futures_util::future::{Either, FutureExt, LocalBoxFuture};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{Method, Request, Response};
@@ -14,6 +14,7 @@
 use crate::clock::SystemClock;
 use crate::error::{Error, Result, ResultCode};
 use crate::peer::call_exchange;
+use crate::peer::stream_handler::{ShutdownSignal, StreamHandler};
 use crate::peer::{
     CallCodec, CallHeader, CallReply, ControlLink, FenceRequest, LinkCounter, PeerHandler,
 };
@@ -25,21 +26,44 @@
 /// Longest time for the peer to take an answer, so that one that does not read holds no memory.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Completes when the server shuts down.
-pub(crate) type ShutdownSignal = Shared<LocalBoxFuture<'static, ()>>;
-
-/// Serves one stream of a peer.
-pub(crate) struct ServerStream {
+/// Serves the streams of peers by the protocol of calls, fences and control links.
+pub(crate) struct CallStreams {
     pub(crate) handler: Rc<dyn PeerHandler>,
     pub(crate) body_limit: usize,
     pub(crate) clock: SystemClock,
-    pub(crate) counter: Rc<LinkCounter>,
-    pub(crate) shutdown: ShutdownSignal,
-    pub(crate) respond: SendResponse<Bytes>,
+}
+
+impl StreamHandler for CallStreams {
+    fn serve(
+        &self,
+        request: Request<RecvStream>,
+        respond: SendResponse<Bytes>,
+        counter: Rc<LinkCounter>,
+        shutdown: ShutdownSignal,
+    ) -> LocalBoxFuture<'static, ()> {
+        let stream = ServerStream {
+            handler: Rc::clone(&self.handler),
+            body_limit: self.body_limit,
+            clock: self.clock,
+            counter,
+            shutdown,
+            respond,
+        };
+        stream.serve(request).boxed_local()
+    }
+}
+
+struct ServerStream {
+    handler: Rc<dyn PeerHandler>,
+    body_limit: usize,
+    clock: SystemClock,
+    counter: Rc<LinkCounter>,
+    shutdown: ShutdownSignal,
+    respond: SendResponse<Bytes>,
 }
 
 impl ServerStream {
-    pub(crate) async fn serve(mut self, request: Request<RecvStream>) {
+    async fn serve(mut self, request: Request<RecvStream>) {
         let path = request.uri().path().to_owned();
         let post = request.method() == Method::POST;
         let stream = request.into_body();
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -101,17 +101,7 @@
         Some(after) => format!("{path}?after={after}&wait_ms={}", wait.0),
         None => format!("{path}?wait_ms={}", wait.0),
     };
-    let response = client
-        .send("GET", &path, wait + ANSWER_GRACE)
-        .await?
-        .map_err(|error| {
-            let code = if error.is_invalid_message() {
-                ResultCode::PlatformInvalid
-            } else {
-                ResultCode::PlatformUnreachable
-            };
-            Error::new(code, format!("platform at {}: {error}", client.address))
-        })?;
+    let response = client.read(&path, wait + ANSWER_GRACE).await?;
     match response.status() {
         StatusCode::OK => Ok(Some(response)),
         StatusCode::NOT_MODIFIED => Ok(None),
--- /dev/null
+++ b/src/sidecar/call_table.rs
@@ -0,0 +1,107 @@
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use futures_util::future::{FutureExt, Shared};
+
+use crate::clock::ClockTime;
+use crate::sidecar::call_id::CallId;
+use crate::sidecar::forward_message::ForwardAnswer;
+
+/// Time for which the outcome of a call is kept after its deadline, so that a sender whose
+/// connection was lost can still ask for it.
+const KEEP_TIME: ClockTime = ClockTime(2_000);
+
+/// Follows one call that must not run twice.
+pub(crate) struct CallRecord {
+    answer: Shared<oneshot::Receiver<ForwardAnswer>>,
+    sender: RefCell<Option<oneshot::Sender<ForwardAnswer>>>,
+    started: Cell<bool>,
+    canceled: RefCell<Option<oneshot::Sender<()>>>,
+}
+
+impl CallRecord {
+    /// Waits for the outcome; `None` if the call was refused before it began.
+    pub(crate) async fn answer(&self) -> Option<ForwardAnswer> {
+        self.answer.clone().await.ok()
+    }
+
+    pub(crate) fn finish(&self, answer: ForwardAnswer) {
+        if let Some(sender) = self.sender.borrow_mut().take() {
+            // The sender of the call may have left; the record keeps the answer.
+            let _ = sender.send(answer);
+        }
+    }
+
+    /// Marks that the request may reach the endpoint from now on.
+    pub(crate) fn start(&self) {
+        self.started.set(true);
+    }
+
+    pub(crate) fn is_started(&self) -> bool {
+        self.started.get()
+    }
+
+    /// Ends the call if it has not started.
+    pub(crate) fn cancel(&self) {
+        if !self.started.get() {
+            self.canceled.borrow_mut().take();
+            self.sender.borrow_mut().take();
+        }
+    }
+}
+
+/// Remembers the calls that must not run twice until nobody can ask for them any more.
+#[derive(Default)]
+pub(crate) struct CallTable {
+    calls: RefCell<HashMap<CallId, Rc<CallRecord>>>,
+    expiry: RefCell<VecDeque<(ClockTime, CallId)>>,
+}
+
+impl CallTable {
+    /// Returns the record of a call.
+    pub(crate) fn get(&self, id: CallId) -> Option<Rc<CallRecord>> {
+        self.calls.borrow().get(&id).cloned()
+    }
+
+    /// Adds a call; returns it with the signal that ends it before it has started.
+    pub(crate) fn insert(
+        &self,
+        now: ClockTime,
+        id: CallId,
+        deadline: ClockTime,
+    ) -> (Rc<CallRecord>, oneshot::Receiver<()>) {
+        self.expire(now);
+        let (sender, answer) = oneshot::channel();
+        let (canceler, canceled) = oneshot::channel();
+        let record = Rc::new(CallRecord {
+            answer: answer.shared(),
+            sender: RefCell::new(Some(sender)),
+            started: Cell::new(false),
+            canceled: RefCell::new(Some(canceler)),
+        });
+        self.calls.borrow_mut().insert(id, Rc::clone(&record));
+        let mut expiry = self.expiry.borrow_mut();
+        expiry.push_back((deadline + KEEP_TIME, id));
+        (record, canceled)
+    }
+
+    /// Adds a call that never ran, so that it is refused if it arrives later.
+    pub(crate) fn fence(&self, now: ClockTime, id: CallId, deadline: ClockTime) {
+        let (record, _) = self.insert(now, id, deadline);
+        record.cancel();
+    }
+
+    fn expire(&self, now: ClockTime) {
+        let mut expiry = self.expiry.borrow_mut();
+        let mut calls = self.calls.borrow_mut();
+        while let Some((time, id)) = expiry.front().copied() {
+            if time > now {
+                return;
+            }
+            calls.remove(&id);
+            expiry.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/dispatcher.rs
@@ -0,0 +1,577 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::future::{self, Either};
+use monoio::time;
+use smallvec::SmallVec;
+
+use crate::clock::{ClockTime, SystemClock};
+use crate::error::{Error, Result, ResultCode};
+use crate::id::{EndpointId, NodeAddress, ServiceName};
+use crate::mesh::{EndpointRecord, RouteRule};
+use crate::peer::PeerPool;
+use crate::sidecar::answer::Answer;
+use crate::sidecar::call_id::CallId;
+use crate::sidecar::endpoint_stats::EndpointStats;
+use crate::sidecar::entry_request::EntryRequest;
+use crate::sidecar::exit_service::ExitService;
+use crate::sidecar::forward_message::{
+    FORWARD_LIMIT, ForwardAnswer, ForwardCodec, ForwardHeader, ForwardOutcome, ForwardReply,
+    ResumeHeader,
+};
+use crate::sidecar::forward_streams::{FORWARD_PATH, RESUME_PATH};
+use crate::sidecar::node_state::NodeState;
+use crate::sidecar::route_stats::RouteStats;
+use crate::sidecar::{RepeatBudget, SidecarSettings, TargetPicker};
+
+/// Expected network time in ms to an endpoint in the same zone, region, or elsewhere, until the
+/// first answer shows it.
+const ZONE_NETWORK: f64 = 1.0;
+const REGION_NETWORK: f64 = 4.0;
+const REMOTE_NETWORK: f64 = 20.0;
+/// Work of a request in ms that is assumed before any answer.
+const FIRST_WORK: f64 = 100.0;
+/// Wait for a slot that is accepted while other endpoints are left to ask.
+const PROBE_PATIENCE: ClockTime = ClockTime(20);
+/// Endpoints that are asked for a free slot before the shortest queue is taken.
+const PROBE_LIMIT: usize = 3;
+/// Factor by which a warming endpoint is taken to be slower.
+const WARM_UP_FACTOR: f64 = 2.0;
+/// Time between two questions about a request whose connection was lost.
+const RESUME_PAUSE: ClockTime = ClockTime(100);
+/// A connection attempt that fails faster than this was refused: the process is gone.
+const REFUSED_TIME: ClockTime = ClockTime(60);
+/// Wait that is suggested when no endpoint is known, in which one may appear.
+const EMPTY_RETRY: ClockTime = ClockTime(300);
+
+/// Carries requests of clients to endpoints.
+pub(crate) struct Dispatcher {
+    pub(crate) settings: Rc<SidecarSettings>,
+    pub(crate) state: Rc<NodeState>,
+    pub(crate) exit: Rc<ExitService>,
+    pub(crate) pool: Rc<PeerPool>,
+    pub(crate) sender: u64,
+    pub(crate) next_call: Cell<u64>,
+    pub(crate) picker: RefCell<TargetPicker>,
+    pub(crate) endpoints: RefCell<EndpointStats>,
+    pub(crate) routes: RefCell<RouteStats>,
+    pub(crate) budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+}
+
+type EndpointList = SmallVec<[EndpointId; 4]>;
+
+/// Is the state of one request while it is dispatched.
+#[derive(Default)]
+struct DispatchState {
+    /// Endpoints that are not asked again.
+    excluded: EndpointList,
+    /// Endpoints that refused with the wait that they expect.
+    busy: SmallVec<[(EndpointId, ClockTime); 4]>,
+    /// Endpoints that the request may have reached.
+    reached: u32,
+    last_refusal: Option<ResultCode>,
+}
+
+/// Is what one attempt came to.
+enum AttemptResult {
+    Answer(Answer),
+    /// The endpoint has not run the request.
+    NotRun(ResultCode, ClockTime),
+    /// The endpoint failed, or nobody knows; with the answer to give when nothing is tried again.
+    Failed(Answer),
+}
+
+impl Dispatcher {
+    /// Runs a request and returns the final answer; dropping the future cancels the work.
+    pub(crate) async fn dispatch(&self, request: &EntryRequest) -> Answer {
+        let clock = self.state.clock;
+        let now = clock.now();
+        self.budget(&request.service, |budget| budget.record(now));
+        let left = request.deadline - now;
+        let mut progress = DispatchState::default();
+        let running = self.run(request, &mut progress);
+        let answer = match time::timeout(left.to_duration(), running).await {
+            Ok(answer) => answer,
+            Err(_) => Answer::own(ResultCode::DeadlinePassed, None),
+        };
+        self.log_outcome(request, &answer, &progress);
+        answer
+    }
+
+    async fn run(&self, request: &EntryRequest, progress: &mut DispatchState) -> Answer {
+        loop {
+            let now = self.state.clock.now();
+            if now >= request.deadline {
+                return Answer::own(ResultCode::DeadlineTooShort, Some(ClockTime(0)));
+            }
+            let Some((record, patience)) = self.choose(request, progress, now) else {
+                return self.refuse(progress);
+            };
+            let result = if request.rule.idempotent {
+                self.attempt_hedged(request, progress, &record, patience)
+                    .await
+            } else {
+                progress.reached += 1;
+                self.attempt(request, &record, patience).await
+            };
+            match result {
+                AttemptResult::Answer(answer) => return answer,
+                AttemptResult::NotRun(code, wait) => {
+                    progress.reached = progress.reached.saturating_sub(1);
+                    progress.note_refusal(&record.id, code, wait);
+                }
+                AttemptResult::Failed(answer) => {
+                    progress.excluded.push(record.id.clone());
+                    if !self.may_repeat(request, progress) {
+                        return answer;
+                    }
+                    log::info!(
+                        "event=repeat request={} endpoint={} code={}",
+                        request.id,
+                        record.id,
+                        answer.code
+                    );
+                }
+            }
+        }
+    }
+
+    /// Runs an attempt of idempotent work, and a second one elsewhere when the first is slow.
+    async fn attempt_hedged(
+        &self,
+        request: &EntryRequest,
+        progress: &mut DispatchState,
+        record: &Rc<EndpointRecord>,
+        patience: ClockTime,
+    ) -> AttemptResult {
+        progress.reached += 1;
+        let rule = &request.rule;
+        let delay = self.routes.borrow().slow_after(&rule.name, rule.objective);
+        let first = pin!(self.attempt(request, record, patience));
+        let timer = pin!(time::sleep(delay.to_duration()));
+        let first = match future::select(first, timer).await {
+            Either::Left((result, _)) => return result,
+            Either::Right((_, first)) => first,
+        };
+        progress.excluded.push(record.id.clone());
+        let now = self.state.clock.now();
+        let second = self.best(request, &progress.excluded, now);
+        let Some(second) = second.filter(|_| self.may_repeat(request, progress)) else {
+            return first.await;
+        };
+        log::info!(
+            "event=hedge request={} endpoint={} second={} delay_ms={delay}",
+            request.id,
+            record.id,
+            second.id
+        );
+        progress.excluded.push(second.id.clone());
+        progress.reached += 1;
+        let other = pin!(self.attempt(request, &second, PROBE_PATIENCE));
+        match future::select(first, other).await {
+            Either::Left((result @ AttemptResult::Answer(_), _)) => result,
+            Either::Right((result @ AttemptResult::Answer(_), _)) => result,
+            Either::Left((_, other)) => other.await,
+            Either::Right((_, first)) => first.await,
+        }
+    }
+
+    async fn attempt(
+        &self,
+        request: &EntryRequest,
+        record: &EndpointRecord,
+        patience: ClockTime,
+    ) -> AttemptResult {
+        let started = self.state.clock.now();
+        let call = CallId {
+            sender: self.sender,
+            number: self.next_call.replace(self.next_call.get() + 1),
+        };
+        let header = ForwardHeader {
+            call,
+            endpoint: record.id.clone(),
+            request_id: request.id.clone(),
+            caller: self.settings.service.clone(),
+            method: request.method.clone(),
+            target: request.target.clone(),
+            headers: request.headers.clone(),
+            body_length: request.body.len() as u64,
+            remaining: request.deadline - started,
+            patience,
+            priority: request.rule.priority,
+            idempotent: request.rule.idempotent,
+        };
+        let guard = FlightGuard::new(&self.endpoints, &record.id);
+        let result = if record.address == self.exit.client.address() {
+            self.run_here(header, request).await
+        } else {
+            self.send(header, record, request, started).await
+        };
+        drop(guard);
+        let elapsed = self.state.clock.now() - started;
+        match result {
+            Ok(answer) => self.conclude(request, record, answer, elapsed),
+            Err(error) if error.outcome() == crate::error::CallOutcome::NotRun => {
+                log::info!(
+                    "event=node_unreachable request={} endpoint={} cause=\"{}\"",
+                    request.id,
+                    record.id,
+                    error.message()
+                );
+                let now = self.state.clock.now();
+                self.endpoints.borrow_mut().unreachable(&record.id, now);
+                AttemptResult::NotRun(error.code(), ClockTime(0))
+            }
+            Err(error) => {
+                log::info!(
+                    "event=outcome_unknown request={} endpoint={} cause=\"{}\"",
+                    request.id,
+                    record.id,
+                    error.message()
+                );
+                self.endpoints.borrow_mut().failed(&record.id);
+                AttemptResult::Failed(Answer::own(error.code(), None))
+            }
+        }
+    }
+
+    async fn run_here(
+        &self,
+        header: ForwardHeader,
+        request: &EntryRequest,
+    ) -> Result<ForwardAnswer> {
+        if header.idempotent {
+            return Ok(self.exit.run(&header, &request.body).await);
+        }
+        let record = match self.exit.submit(header, request.body.clone()) {
+            Ok(record) => record,
+            Err(answer) => return Ok(*answer),
+        };
+        let guard = CancelGuard(&record);
+        let answer = record.answer().await;
+        drop(guard);
+        answer.ok_or_else(|| Error::new(ResultCode::NodeLeaving, "the request was canceled"))
+    }
+
+    async fn send(
+        &self,
+        header: ForwardHeader,
+        record: &EndpointRecord,
+        request: &EntryRequest,
+        started: ClockTime,
+    ) -> Result<ForwardAnswer> {
+        let to = self.node_of(record);
+        let head = ForwardCodec::encode(&header)?;
+        let sent = self
+            .pool
+            .request::<ForwardReply, FORWARD_LIMIT>(to, FORWARD_PATH, head, request.body.clone())
+            .await
+            .and_then(checked);
+        match sent {
+            Err(error)
+                if !header.idempotent && error.outcome() != crate::error::CallOutcome::NotRun =>
+            {
+                self.resume(to, header.call, started, error).await
+            }
+            sent => sent,
+        }
+    }
+
+    /// Asks over a new connection what became of a request that must not run twice.
+    async fn resume(
+        &self,
+        to: NodeAddress,
+        call: CallId,
+        started: ClockTime,
+        cause: Error,
+    ) -> Result<ForwardAnswer> {
+        let clock = self.state.clock;
+        log::info!(
+            "event=resume call={call} node={to} cause=\"{}\"",
+            cause.message()
+        );
+        loop {
+            let asked = clock.now();
+            let header = ResumeHeader {
+                call,
+                age: asked - started,
+            };
+            let head = ForwardCodec::encode(&header)?;
+            let reply = self
+                .pool
+                .request::<ForwardReply, FORWARD_LIMIT>(to, RESUME_PATH, head, Bytes::new())
+                .await
+                .and_then(checked);
+            let error = match reply {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let refused =
+                error.code() == ResultCode::PeerUnreachable && clock.now() - asked < REFUSED_TIME;
+            if refused {
+                return Err(cause);
+            }
+            time::sleep(RESUME_PAUSE.to_duration()).await;
+        }
+    }
+
+    fn conclude(
+        &self,
+        request: &EntryRequest,
+        record: &EndpointRecord,
+        answer: ForwardAnswer,
+        elapsed: ClockTime,
+    ) -> AttemptResult {
+        let now = self.state.clock.now();
+        let reply = answer.reply;
+        let network = elapsed.as_f64() - reply.elapsed.as_f64();
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.heard(&record.id, now, reply.load, network.max(0.0));
+        match reply.outcome {
+            ForwardOutcome::Answered { status, headers } => {
+                let worked = reply.worked.unwrap_or_default().as_f64();
+                let route = &request.rule.name;
+                let mut routes = self.routes.borrow_mut();
+                let mean = routes.work(route).unwrap_or(worked).max(1.0);
+                endpoints.worked(&record.id, worked / mean);
+                routes.record(route, worked, elapsed.as_f64());
+                let own = Answer {
+                    status,
+                    headers,
+                    body: answer.body,
+                    code: ResultCode::Ok,
+                };
+                if status >= 500 {
+                    endpoints.failed(&record.id);
+                    let code = ResultCode::EndpointFailed;
+                    return AttemptResult::Failed(Answer { code, ..own });
+                }
+                endpoints.succeeded(&record.id);
+                AttemptResult::Answer(own)
+            }
+            ForwardOutcome::NotRun { code, wait, .. } => {
+                log::debug!(
+                    "event=refused request={} endpoint={} code={code} wait_ms={wait}",
+                    request.id,
+                    record.id
+                );
+                if matches!(
+                    code,
+                    ResultCode::BackendUnreachable
+                        | ResultCode::NodeLeaving
+                        | ResultCode::NoEndpoint
+                ) {
+                    endpoints.unreachable(&record.id, now);
+                }
+                AttemptResult::NotRun(code, wait)
+            }
+            ForwardOutcome::Unknown { code } => {
+                log::info!(
+                    "event=outcome_unknown request={} endpoint={} code={code}",
+                    request.id,
+                    record.id
+                );
+                endpoints.failed(&record.id);
+                AttemptResult::Failed(Answer::own(code, None))
+            }
+        }
+    }
+
+    /// Picks the endpoint to ask next and how long the request may wait there for a slot.
+    fn choose(
+        &self,
+        request: &EntryRequest,
+        progress: &mut DispatchState,
+        now: ClockTime,
+    ) -> Option<(Rc<EndpointRecord>, ClockTime)> {
+        let longest = self.longest_wait(request, now);
+        if progress.busy.len() < PROBE_LIMIT {
+            let mut excluded = progress.excluded.clone();
+            excluded.extend(progress.busy.iter().map(|(id, _)| id.clone()));
+            if let Some(record) = self.best(request, &excluded, now) {
+                return Some((record, PROBE_PATIENCE.min(longest)));
+            }
+        }
+        // All have refused: the shortest queue is taken if it still serves the request in time.
+        progress.busy.sort_by_key(|(_, wait)| *wait);
+        while !progress.busy.is_empty() {
+            let (id, wait) = progress.busy.remove(0);
+            if wait > longest {
+                progress.busy.insert(0, (id, wait));
+                return None;
+            }
+            progress.excluded.push(id.clone());
+            let directory = self.state.directory.borrow();
+            if let Some(record) = directory.record(&id) {
+                return Some((Rc::clone(record), longest));
+            }
+        }
+        None
+    }
+
+    /// Returns the longest wait for a slot after which the work still ends in time.
+    fn longest_wait(&self, request: &EntryRequest, now: ClockTime) -> ClockTime {
+        let work = self.routes.borrow().work(&request.rule.name);
+        let work = ClockTime(work.unwrap_or(FIRST_WORK) as u64);
+        request.deadline - now - work
+    }
+
+    fn best(
+        &self,
+        request: &EntryRequest,
+        excluded: &[EndpointId],
+        now: ClockTime,
+    ) -> Option<Rc<EndpointRecord>> {
+        let directory = self.state.directory.borrow();
+        let endpoints = self.endpoints.borrow();
+        let work = self.routes.borrow().work(&request.rule.name);
+        let work = work.unwrap_or(FIRST_WORK);
+        let mut best: Option<(f64, &Rc<EndpointRecord>)> = None;
+        for record in directory.ready(&request.service) {
+            if excluded.contains(&record.id) {
+                continue;
+            }
+            let prior = self.network_prior(record);
+            let warm = directory.warm_up(&record.id, now) > ClockTime(0);
+            let work = if warm { work * WARM_UP_FACTOR } else { work };
+            let cost = endpoints.cost(&record.id, now, work, prior, record.capacity);
+            // Nodes that see the same costs must not all choose the same endpoint.
+            let cost = cost * rand::random_range(0.9..1.1);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, record));
+            }
+        }
+        best.map(|(_, record)| Rc::clone(record))
+    }
+
+    fn network_prior(&self, record: &EndpointRecord) -> f64 {
+        let regions = &self.settings.regions;
+        if record.zone == self.settings.zone {
+            ZONE_NETWORK
+        } else if regions.get(&record.zone) == regions.get(&self.settings.zone) {
+            REGION_NETWORK
+        } else {
+            REMOTE_NETWORK
+        }
+    }
+
+    fn node_of(&self, record: &EndpointRecord) -> NodeAddress {
+        let port = self.settings.peer_listen.port();
+        NodeAddress(SocketAddr::new(record.address.ip(), port))
+    }
+
+    fn may_repeat(&self, request: &EntryRequest, progress: &DispatchState) -> bool {
+        let rule: &RouteRule = &request.rule;
+        let now = self.state.clock.now();
+        if !rule.idempotent
+            || progress.reached >= rule.max_attempts
+            || now >= request.deadline
+            || self.best(request, &progress.excluded, now).is_none()
+        {
+            return false;
+        }
+        let bounds = &self.settings.bounds;
+        let nodes = self.state.directory.borrow().len().max(1) as f64;
+        let slack = bounds.retry_slack / nodes;
+        self.budget(&request.service, |budget| {
+            budget.take(now, bounds.retry_ratio, slack)
+        })
+    }
+
+    fn budget<Use, Value>(&self, service: &ServiceName, action: Use) -> Value
+    where
+        Use: FnOnce(&mut RepeatBudget) -> Value,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        let window = self.settings.bounds.retry_window;
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::new(window));
+        action(budget)
+    }
+
+    fn refuse(&self, progress: &DispatchState) -> Answer {
+        let wait = progress.busy.iter().map(|(_, wait)| *wait).min();
+        let code = progress.last_refusal.unwrap_or(ResultCode::NoEndpoint);
+        Answer::own(code, Some(wait.unwrap_or(EMPTY_RETRY)))
+    }
+
+    fn log_outcome(&self, request: &EntryRequest, answer: &Answer, progress: &DispatchState) {
+        let clock: SystemClock = self.state.clock;
+        let elapsed = clock.now() - request.arrived;
+        if answer.code == ResultCode::Ok {
+            log::debug!(
+                "event=served request={} status={} elapsed_ms={elapsed}",
+                request.id,
+                answer.status
+            );
+            return;
+        }
+        log::info!(
+            "event=not_served request={} route={} service={} version={} view_age_ms={} status={} code={} asked={} elapsed_ms={elapsed}",
+            request.id,
+            request.rule.name,
+            request.service,
+            request.version,
+            self.state.age(),
+            answer.status,
+            answer.code,
+            progress.excluded.len() + progress.busy.len(),
+        );
+    }
+}
+
+impl DispatchState {
+    fn note_refusal(&mut self, id: &EndpointId, code: ResultCode, wait: ClockTime) {
+        self.last_refusal = Some(code);
+        if code == ResultCode::Overloaded && !self.excluded.contains(id) {
+            self.busy.push((id.clone(), wait));
+        } else if !self.excluded.contains(id) {
+            self.excluded.push(id.clone());
+        }
+    }
+}
+
+/// Counts an attempt as in flight until it is dropped.
+struct FlightGuard<'a> {
+    endpoints: &'a RefCell<EndpointStats>,
+    id: EndpointId,
+}
+
+impl<'a> FlightGuard<'a> {
+    fn new(endpoints: &'a RefCell<EndpointStats>, id: &EndpointId) -> Self {
+        endpoints.borrow_mut().begin(id);
+        Self {
+            endpoints,
+            id: id.clone(),
+        }
+    }
+}
+
+impl Drop for FlightGuard<'_> {
+    fn drop(&mut self) {
+        self.endpoints.borrow_mut().end(&self.id);
+    }
+}
+
+/// Cancels a call that has not started when its client leaves.
+struct CancelGuard<'a>(&'a crate::sidecar::call_table::CallRecord);
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        self.0.cancel();
+    }
+}
+
+/// Checks that the body has the length that the head states.
+fn checked((reply, body): (ForwardReply, Bytes)) -> Result<ForwardAnswer> {
+    if body.len() as u64 == reply.body_length {
+        return Ok(ForwardAnswer { reply, body });
+    }
+    let message = "the body of an answer has another length";
+    Err(Error::new(ResultCode::ConnectionLost, message))
+}
--- /dev/null
+++ b/src/sidecar/endpoint_stats.rs
@@ -0,0 +1,142 @@
+use std::collections::HashMap;
+
+use crate::clock::ClockTime;
+use crate::id::EndpointId;
+use crate::sidecar::forward_message::LoadReport;
+
+/// Weight of the newest sample in the running means.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Time after which a load report has lost most of its meaning: a few requests have ended since.
+const REPORT_DECAY: f64 = 400.0;
+/// First and longest time for which an endpoint that cannot be reached is passed over.
+const FIRST_AVOID: ClockTime = ClockTime(200);
+const MAX_AVOID: ClockTime = ClockTime(2_000);
+/// Part of the work that a nearly full endpoint takes longer.
+const FULL_PENALTY: f64 = 0.3;
+/// Time in ms that a certain failure costs the caller, who has to begin again.
+const FAILURE_COST: f64 = 1_500.0;
+/// Cost of an endpoint that is passed over, above any other.
+const AVOID_COST: f64 = 100_000.0;
+
+#[derive(Debug, Clone, Default)]
+struct EndpointView {
+    in_flight: u32,
+    slowness: Option<f64>,
+    failures: f64,
+    network: Option<f64>,
+    report: LoadReport,
+    reported_at: ClockTime,
+    sent_since: u32,
+    avoid_until: ClockTime,
+    strikes: u32,
+}
+
+/// Learns from answers how fast, loaded and reliable each endpoint is.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointStats {
+    views: HashMap<EndpointId, EndpointView>,
+}
+
+impl EndpointStats {
+    pub(crate) fn begin(&mut self, id: &EndpointId) {
+        let view = self.view(id);
+        view.in_flight += 1;
+        view.sent_since += 1;
+    }
+
+    pub(crate) fn end(&mut self, id: &EndpointId) {
+        let view = self.view(id);
+        view.in_flight = view.in_flight.saturating_sub(1);
+    }
+
+    /// Records the load and the network time that an answer shows.
+    pub(crate) fn heard(
+        &mut self,
+        id: &EndpointId,
+        now: ClockTime,
+        load: LoadReport,
+        network: f64,
+    ) {
+        let view = self.view(id);
+        view.report = load;
+        view.reported_at = now;
+        view.sent_since = 0;
+        let mean = view.network.unwrap_or(network);
+        view.network = Some(mean + SAMPLE_WEIGHT * (network - mean));
+    }
+
+    /// Records work that took `ratio` times as long as the mean of its route.
+    pub(crate) fn worked(&mut self, id: &EndpointId, ratio: f64) {
+        let view = self.view(id);
+        let mean = view.slowness.unwrap_or(1.0);
+        view.slowness = Some(mean + SAMPLE_WEIGHT * (ratio - mean));
+    }
+
+    pub(crate) fn succeeded(&mut self, id: &EndpointId) {
+        let view = self.view(id);
+        view.failures -= SAMPLE_WEIGHT * view.failures;
+        view.strikes = 0;
+        view.avoid_until = ClockTime(0);
+    }
+
+    pub(crate) fn failed(&mut self, id: &EndpointId) {
+        let view = self.view(id);
+        view.failures += SAMPLE_WEIGHT * (1.0 - view.failures);
+    }
+
+    /// Passes over an endpoint that cannot be reached, longer each time.
+    pub(crate) fn unreachable(&mut self, id: &EndpointId, now: ClockTime) {
+        let view = self.view(id);
+        let pause = FIRST_AVOID.0 << view.strikes.min(4);
+        view.strikes += 1;
+        view.avoid_until = now + ClockTime(pause).min(MAX_AVOID);
+    }
+
+    /// Returns whether the endpoint is passed over at present.
+    pub(crate) fn is_avoided(&self, id: &EndpointId, now: ClockTime) -> bool {
+        self.views
+            .get(id)
+            .is_some_and(|view| view.avoid_until > now)
+    }
+
+    /// Returns the expected time in ms of a request with `work` ms on an average endpoint.
+    pub(crate) fn cost(
+        &self,
+        id: &EndpointId,
+        now: ClockTime,
+        work: f64,
+        network_prior: f64,
+        capacity: u32,
+    ) -> f64 {
+        let Some(view) = self.views.get(id) else {
+            return network_prior + work;
+        };
+        let capacity = f64::from(capacity.max(1));
+        let age = (now - view.reported_at).as_f64();
+        let reported = f64::from(view.report.outstanding) * (-age / REPORT_DECAY).exp();
+        let outstanding = (reported + f64::from(view.sent_since)).max(f64::from(view.in_flight));
+        let hold = f64::from(view.report.hold).max(1.0);
+        let wait = (outstanding - capacity + 1.0).max(0.0) * hold / capacity;
+        let slowness = view.slowness.unwrap_or(1.0);
+        let crowded = 1.0 + FULL_PENALTY * (outstanding / capacity).min(1.0);
+        let avoided = if view.avoid_until > now {
+            AVOID_COST
+        } else {
+            0.0
+        };
+        view.network.unwrap_or(network_prior)
+            + work * slowness * crowded
+            + wait
+            + FAILURE_COST * view.failures
+            + avoided
+    }
+
+    /// Forgets endpoints that are gone.
+    pub(crate) fn forget(&mut self, id: &EndpointId) {
+        self.views.remove(id);
+    }
+
+    fn view(&mut self, id: &EndpointId) -> &mut EndpointView {
+        self.views.entry(id.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/src/sidecar/exit_service.rs
@@ -0,0 +1,189 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::future::{self, Either};
+
+use crate::clock::ClockTime;
+use crate::error::ResultCode;
+use crate::id::EndpointId;
+use crate::mesh::EndpointState;
+use crate::node::TaskGroup;
+use crate::sidecar::call_table::{CallRecord, CallTable};
+use crate::sidecar::endpoint_client::EndpointClient;
+use crate::sidecar::forward_message::{
+    ForwardAnswer, ForwardHeader, ForwardOutcome, ForwardReply, ResumeHeader,
+};
+use crate::sidecar::node_state::NodeState;
+use crate::sidecar::slot_gate::{SlotGate, SlotRefusal};
+
+/// Time for which a fence outlives the request that it refuses. No request is sent with more.
+const FENCE_TIME: ClockTime = ClockTime(60_000);
+/// Difference up to which two measurements of one span may disagree.
+const AGE_MARGIN: ClockTime = ClockTime(100);
+
+/// Runs requests on the endpoint beside the node, within its slots.
+pub(crate) struct ExitService {
+    pub(crate) state: Rc<NodeState>,
+    pub(crate) gate: Rc<SlotGate>,
+    pub(crate) client: EndpointClient,
+    pub(crate) table: CallTable,
+    pub(crate) tasks: Rc<TaskGroup>,
+    /// Closed to other nodes while the node leaves.
+    pub(crate) closed: Cell<bool>,
+}
+
+/// Runs when the request may reach the endpoint from now on.
+type StartMark<'a> = &'a dyn Fn();
+
+impl ExitService {
+    /// Runs a request that may run twice; dropping the future ends the work.
+    pub(crate) async fn run(&self, header: &ForwardHeader, body: &Bytes) -> ForwardAnswer {
+        self.run_marked(header, body, &|| {}).await
+    }
+
+    /// Starts a request that must not run twice; its work outlives the connection of the sender.
+    ///
+    /// # Errors
+    ///
+    /// The answer to a call that the sender has already given up on.
+    pub(crate) fn submit(
+        self: &Rc<Self>,
+        header: ForwardHeader,
+        body: Bytes,
+    ) -> Result<Rc<CallRecord>, Box<ForwardAnswer>> {
+        let now = self.state.clock.now();
+        if self.table.get(header.call).is_some() {
+            let outcome = not_run(ResultCode::KeyFenced, ClockTime(0));
+            return Err(Box::new(self.reply(now, outcome)));
+        }
+        let deadline = now + header.remaining;
+        let (record, canceled) = self.table.insert(now, header.call, deadline);
+        let service = Rc::clone(self);
+        let held = Rc::clone(&record);
+        self.tasks.spawn(async move {
+            let mark = || held.start();
+            let running = std::pin::pin!(service.run_marked(&header, &body, &mark));
+            // Without its sender the call ends only while it has not started.
+            match future::select(running, canceled).await {
+                Either::Left((answer, _)) => held.finish(answer),
+                Either::Right((_, running)) if held.is_started() => {
+                    held.finish(running.await);
+                }
+                Either::Right(_) => log::debug!("request {}: canceled", header.request_id),
+            }
+        });
+        Ok(record)
+    }
+
+    /// Returns what became of a call whose connection was lost.
+    pub(crate) async fn resume(&self, header: &ResumeHeader) -> ForwardAnswer {
+        let now = self.state.clock.now();
+        if let Some(record) = self.table.get(header.call) {
+            return match record.answer().await {
+                Some(answer) => answer,
+                None => self.reply(now, not_run(ResultCode::PeerUnreachable, ClockTime(0))),
+            };
+        }
+        // A process that is younger than the call cannot tell what an earlier one did.
+        if now <= header.age + AGE_MARGIN {
+            let code = ResultCode::ConnectionLost;
+            return self.reply(now, ForwardOutcome::Unknown { code });
+        }
+        self.table.fence(now, header.call, now + FENCE_TIME);
+        self.reply(now, not_run(ResultCode::PeerUnreachable, ClockTime(0)))
+    }
+
+    async fn run_marked(
+        &self,
+        header: &ForwardHeader,
+        body: &Bytes,
+        mark: StartMark<'_>,
+    ) -> ForwardAnswer {
+        let arrived = self.state.clock.now();
+        let deadline = arrived + header.remaining;
+        if let Some(code) = self.refusal(&header.endpoint) {
+            return self.reply(arrived, not_run(code, ClockTime(0)));
+        }
+        let slot = self
+            .gate
+            .acquire(header.priority, header.patience, deadline)
+            .await;
+        let mut slot = match slot {
+            Ok(slot) => slot,
+            Err(refusal) => return self.reply(arrived, refused(refusal)),
+        };
+        // The endpoint may have begun to leave while the request waited.
+        if let Some(code) = self.refusal(&header.endpoint) {
+            return self.reply(arrived, not_run(code, ClockTime(0)));
+        }
+        mark();
+        let started = self.state.clock.now();
+        let (outcome, body) = self.client.run(header, body, deadline).await;
+        let worked = self.state.clock.now() - started;
+        if matches!(outcome, ForwardOutcome::Answered { .. }) {
+            slot.mark_used();
+        }
+        drop(slot);
+        let mut answer = self.reply(arrived, outcome);
+        answer.reply.worked = Some(worked);
+        answer.reply.body_length = body.len() as u64;
+        answer.body = body;
+        answer
+    }
+
+    /// Returns why the endpoint must get no new request.
+    fn refusal(&self, endpoint: &EndpointId) -> Option<ResultCode> {
+        let directory = self.state.directory.borrow();
+        if directory.is_gone(endpoint) {
+            return Some(ResultCode::NodeLeaving);
+        }
+        let record = directory.record(endpoint)?;
+        match record.state {
+            _ if record.address != self.client.address() => Some(ResultCode::NoEndpoint),
+            EndpointState::Draining => Some(ResultCode::NodeLeaving),
+            EndpointState::Ready => {
+                let capacity = record.capacity as usize;
+                if capacity != self.gate.load().capacity as usize {
+                    self.gate.set_capacity(capacity);
+                }
+                None
+            }
+        }
+    }
+
+    fn reply(&self, arrived: ClockTime, outcome: ForwardOutcome) -> ForwardAnswer {
+        ForwardAnswer {
+            reply: ForwardReply {
+                outcome,
+                load: self.gate.load(),
+                elapsed: self.state.clock.now() - arrived,
+                worked: None,
+                body_length: 0,
+            },
+            body: Bytes::new(),
+        }
+    }
+
+    /// Returns the refusal of a node that leaves.
+    pub(crate) fn leaving(&self) -> ForwardAnswer {
+        let now = self.state.clock.now();
+        self.reply(now, not_run(ResultCode::NodeLeaving, ClockTime(0)))
+    }
+}
+
+fn not_run(code: ResultCode, wait: ClockTime) -> ForwardOutcome {
+    ForwardOutcome::NotRun {
+        code,
+        reached: false,
+        wait,
+    }
+}
+
+fn refused(refusal: SlotRefusal) -> ForwardOutcome {
+    match refusal {
+        SlotRefusal::Busy(wait) => not_run(ResultCode::Overloaded, wait),
+        SlotRefusal::Expired => not_run(ResultCode::DeadlineTooShort, ClockTime(0)),
+        SlotRefusal::Closed => not_run(ResultCode::NodeLeaving, ClockTime(0)),
+    }
+}
--- /dev/null
+++ b/src/sidecar/run.rs
@@ -0,0 +1,175 @@
+//! Starts a node, and stops it on SIGTERM.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::net::TcpListener;
+use monoio::time;
+
+use crate::caller::StopSignal;
+use crate::clock::{ClockTime, SystemClock};
+use crate::error::{Error, Result, ResultCode};
+use crate::event_loop;
+use crate::id::NodeAddress;
+use crate::mesh::RegistrySource;
+use crate::node::{StopWatch, TaskGroup};
+use crate::peer::{PeerPool, PeerServer, ProbePlan};
+use crate::sidecar::call_table::CallTable;
+use crate::sidecar::client_server::{self, ClientContext};
+use crate::sidecar::dispatcher::Dispatcher;
+use crate::sidecar::endpoint_client::EndpointClient;
+use crate::sidecar::endpoint_stats::EndpointStats;
+use crate::sidecar::exit_service::ExitService;
+use crate::sidecar::forward_streams::ForwardStreams;
+use crate::sidecar::node_state::NodeState;
+use crate::sidecar::ready_server::{self, ReadyPage};
+use crate::sidecar::registry_task::RegistryTask;
+use crate::sidecar::route_stats::RouteStats;
+use crate::sidecar::slot_gate::SlotGate;
+use crate::sidecar::{SidecarSettings, TargetPicker};
+
+/// Slots of an endpoint until the registry names them.
+const FIRST_CAPACITY: usize = 1;
+/// Largest answer that is held, as a part of the memory.
+const ANSWER_PART: u64 = 8;
+/// Connections of other nodes accepted in a second: a restarted fleet of some hundred nodes
+/// connects within seconds.
+const ACCEPT_RATE: usize = 500;
+/// Connections to other nodes are probed often enough that a silent one is found within the
+/// objective of slow requests.
+const PROBE_PLAN: ProbePlan = ProbePlan {
+    connect_timeout: Duration::from_millis(400),
+    tick: Duration::from_millis(250),
+    interval: 1,
+    idle_interval: Some(4),
+    limit: 3,
+};
+/// Questions about readiness that must have failed before clients stay away, and their interval.
+const READY_INTERVAL: ClockTime = ClockTime(1_000);
+const READY_MISSES: u64 = 2;
+/// Time before SIGKILL at which what is left is cut.
+const KILL_MARGIN: ClockTime = ClockTime(300);
+
+/// Runs a node until SIGTERM.
+///
+/// # Errors
+///
+/// `SettingsOutOfRange` if an address cannot be bound or the event loop cannot be started.
+pub fn run<Connect>(settings: SidecarSettings, connect: Connect) -> Result<()>
+where
+    Connect: FnOnce(SystemClock) -> Rc<dyn RegistrySource>,
+{
+    event_loop::run(serve(settings, connect))?
+}
+
+async fn serve<Connect>(settings: SidecarSettings, connect: Connect) -> Result<()>
+where
+    Connect: FnOnce(SystemClock) -> Rc<dyn RegistrySource>,
+{
+    let clock = SystemClock::new();
+    let settings = Rc::new(settings);
+    let watch = StopWatch::new()?;
+    let clients = bind(settings.client_listen)?;
+    let ready = bind(settings.ready_listen)?;
+    let state = Rc::new(NodeState::new(clock));
+    let tasks = Rc::new(TaskGroup::new());
+    let answer_limit = (settings.memory.0 / ANSWER_PART) as usize;
+    let names = Rc::new(settings.headers.clone());
+    let exit = Rc::new(ExitService {
+        state: Rc::clone(&state),
+        gate: SlotGate::new(clock, FIRST_CAPACITY),
+        client: EndpointClient::new(settings.endpoint, clock, names, answer_limit),
+        table: CallTable::default(),
+        tasks: Rc::clone(&tasks),
+        closed: Cell::new(false),
+    });
+    let streams = Rc::new(ForwardStreams {
+        service: Rc::clone(&exit),
+        body_limit: answer_limit,
+    });
+    let peer_address = NodeAddress(settings.peer_listen);
+    let peers = PeerServer::bind_streams(peer_address, streams, ACCEPT_RATE, clock)?;
+    let pool = Rc::new(PeerPool::new(clock, answer_limit).with_probe_plan(PROBE_PLAN));
+    let dispatcher = Rc::new(Dispatcher {
+        settings: Rc::clone(&settings),
+        state: Rc::clone(&state),
+        exit: Rc::clone(&exit),
+        pool: Rc::clone(&pool),
+        sender: rand::random(),
+        next_call: Cell::new(0),
+        picker: RefCell::new(TargetPicker::new()),
+        endpoints: RefCell::new(EndpointStats::default()),
+        routes: RefCell::new(RouteStats::default()),
+        budgets: RefCell::new(HashMap::new()),
+    });
+    let (stop_clients, clients_stopped) = StopSignal::new();
+    let (stop_rest, rest_stopped) = StopSignal::new();
+    let context = Rc::new(ClientContext {
+        settings: Rc::clone(&settings),
+        state: Rc::clone(&state),
+        dispatcher: Rc::clone(&dispatcher),
+    });
+    let client_task = monoio::spawn(client_server::serve(clients, context, clients_stopped));
+    let page = ReadyPage {
+        path: settings.ready_path.clone(),
+        state: Rc::clone(&state),
+    };
+    let ready_task = monoio::spawn(ready_server::serve(ready, page, rest_stopped.clone()));
+    let registry = RegistryTask {
+        source: connect(clock),
+        state: Rc::clone(&state),
+        exit: Rc::clone(&exit),
+        dispatcher,
+        bounds: settings.bounds.clone(),
+    };
+    let registry_task = monoio::spawn(registry.run(rest_stopped));
+    log::info!(
+        "event=start node={} zone={} service={} incarnation={}",
+        settings.name,
+        settings.zone,
+        settings.service,
+        clock.incarnation()
+    );
+
+    watch.wait().await;
+    let begun = clock.now();
+    log::info!("event=stop_begun node={}", settings.name);
+    state.leave();
+    exit.closed.set(true);
+    // Clients are sent here until the platform has seen that the node is not ready.
+    time::sleep((ClockTime(READY_INTERVAL.0 * READY_MISSES + 500)).to_duration()).await;
+    drop(stop_clients);
+    let end = begun + settings.bounds.grace - KILL_MARGIN;
+    let limit = end - clock.now();
+    let drained = time::timeout(limit.to_duration(), client_task)
+        .await
+        .is_ok();
+    let cut = peers.shutdown(end - clock.now()).await;
+    let rest = end - clock.now();
+    let finished = time::timeout(rest.to_duration(), tasks.join())
+        .await
+        .is_ok();
+    drop(stop_rest);
+    if drained && finished {
+        ready_task.await;
+        registry_task.await;
+        pool.close().await;
+    }
+    log::info!(
+        "event=stop node={} clients_answered={drained} peers_cut={cut} work_ended={finished}",
+        settings.name
+    );
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).map_err(|error| {
+        Error::new(
+            ResultCode::SettingsOutOfRange,
+            format!("{address} cannot be bound: {error}"),
+        )
+    })
+}
--- /dev/null
+++ b/src/sidecar/slot_gate.rs
@@ -0,0 +1,171 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use monoio::time;
+
+use crate::clock::{ClockTime, SystemClock};
+use crate::sidecar::forward_message::LoadReport;
+use crate::sidecar::{SlotDecision, SlotQueue, SlotTicket};
+
+/// Hands the slots of the endpoint to requests, which wait as futures.
+pub(crate) struct SlotGate {
+    clock: SystemClock,
+    queue: RefCell<SlotQueue>,
+    senders: RefCell<BTreeMap<SlotTicket, oneshot::Sender<()>>>,
+}
+
+/// States why a request got no slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SlotRefusal {
+    /// The expected wait is too long.
+    Busy(ClockTime),
+    /// The time of the request ended while it waited.
+    Expired,
+    /// All waiting requests were turned away.
+    Closed,
+}
+
+impl SlotGate {
+    pub(crate) fn new(clock: SystemClock, capacity: usize) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            queue: RefCell::new(SlotQueue::new(capacity)),
+            senders: RefCell::default(),
+        })
+    }
+
+    pub(crate) fn set_capacity(&self, capacity: usize) {
+        self.queue.borrow_mut().set_capacity(capacity);
+        self.start_next();
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        let queue = self.queue.borrow();
+        LoadReport {
+            outstanding: queue.outstanding() as u32,
+            capacity: queue.capacity() as u32,
+            hold: queue.hold() as f32,
+        }
+    }
+
+    pub(crate) fn expected_wait(&self, priority: u8) -> ClockTime {
+        self.queue.borrow().expected_wait(priority)
+    }
+
+    /// Turns away all that wait.
+    pub(crate) fn close_waiting(&self) {
+        let senders = self.senders.take();
+        let mut queue = self.queue.borrow_mut();
+        for ticket in senders.keys() {
+            queue.cancel(*ticket);
+        }
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// A refusal; the request then holds nothing.
+    pub(crate) async fn acquire(
+        self: &Rc<Self>,
+        priority: u8,
+        patience: ClockTime,
+        deadline: ClockTime,
+    ) -> Result<SlotHold, SlotRefusal> {
+        let now = self.clock.now();
+        let decision = self
+            .queue
+            .borrow_mut()
+            .offer(now, priority, patience, deadline);
+        let ticket = match decision {
+            SlotDecision::Run => return Ok(SlotHold::new(self)),
+            SlotDecision::Refuse(wait) => return Err(SlotRefusal::Busy(wait)),
+            SlotDecision::Wait(ticket) => ticket,
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.senders.borrow_mut().insert(ticket, sender);
+        let mut place = QueuePlace {
+            gate: self,
+            ticket,
+            receiver,
+        };
+        let left = (deadline - now).to_duration();
+        match time::timeout(left, &mut place.receiver).await {
+            Ok(Ok(())) => Ok(SlotHold::new(self)),
+            Ok(Err(_)) if self.clock.now() < deadline => Err(SlotRefusal::Closed),
+            _ => Err(SlotRefusal::Expired),
+        }
+    }
+
+    fn start_next(&self) {
+        loop {
+            let now = self.clock.now();
+            let Some(ticket) = self.queue.borrow_mut().next(now) else {
+                return;
+            };
+            let sender = self.senders.borrow_mut().remove(&ticket);
+            let taken = sender.is_some_and(|sender| sender.send(()).is_ok());
+            if !taken {
+                self.queue.borrow_mut().release();
+            }
+        }
+    }
+}
+
+/// Gives up the place in the queue when the request is dropped.
+struct QueuePlace<'a> {
+    gate: &'a Rc<SlotGate>,
+    ticket: SlotTicket,
+    receiver: oneshot::Receiver<()>,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.gate.senders.borrow_mut().remove(&self.ticket);
+        self.gate.queue.borrow_mut().cancel(self.ticket);
+        // A slot that was granted and not taken goes to the next request.
+        if matches!(self.receiver.try_recv(), Ok(Some(()))) {
+            self.gate.queue.borrow_mut().release();
+            self.gate.start_next();
+        }
+    }
+}
+
+/// Holds one slot until it is dropped.
+pub(crate) struct SlotHold {
+    gate: Rc<SlotGate>,
+    since: ClockTime,
+    used: bool,
+}
+
+impl SlotHold {
+    fn new(gate: &Rc<SlotGate>) -> Self {
+        Self {
+            gate: Rc::clone(gate),
+            since: gate.clock.now(),
+            used: false,
+        }
+    }
+
+    /// Records that the endpoint worked on the request, so that its hold time counts.
+    pub(crate) fn mark_used(&mut self) {
+        self.used = true;
+    }
+}
+
+impl Drop for SlotHold {
+    fn drop(&mut self) {
+        let held = self.gate.clock.now() - self.since;
+        {
+            let mut queue = self.gate.queue.borrow_mut();
+            if self.used {
+                queue.finish(held);
+            } else {
+                queue.release();
+            }
+        }
+        self.gate.start_next();
+    }
+}
--- /dev/null
+++ b/src/sidecar/slot_queue.rs
@@ -0,0 +1,145 @@
+use std::collections::BTreeMap;
+
+use crate::clock::ClockTime;
+
+/// Weight of the newest hold time in the running mean.
+const HOLD_WEIGHT: f64 = 0.1;
+/// Hold time assumed before any request has finished, in ms.
+const FIRST_HOLD: f64 = 100.0;
+
+/// Identifies a request in the queue; the order is that of service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SlotTicket {
+    priority: u8,
+    number: u64,
+}
+
+/// States what happens to a request that asks for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotDecision {
+    /// The request has a slot.
+    Run,
+    /// The request waits.
+    Wait(SlotTicket),
+    /// The request is refused; a slot is expected after this time.
+    Refuse(ClockTime),
+}
+
+/// Shares the slots of one endpoint by priority, then by arrival.
+///
+/// A request whose expected wait exceeds its patience is refused on arrival, because a refusal
+/// costs nothing while the sender can still try elsewhere.
+#[derive(Debug)]
+pub struct SlotQueue {
+    capacity: usize,
+    running: usize,
+    waiting: BTreeMap<SlotTicket, ClockTime>,
+    next_number: u64,
+    hold: f64,
+}
+
+impl SlotQueue {
+    /// Creates a queue in front of `capacity` slots.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            running: 0,
+            waiting: BTreeMap::new(),
+            next_number: 0,
+            hold: FIRST_HOLD,
+        }
+    }
+
+    /// Changes the number of slots.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
+    /// Returns the number of slots.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
+    /// Returns the number of requests that run or wait.
+    #[must_use]
+    pub fn outstanding(&self) -> usize {
+        self.running + self.waiting.len()
+    }
+
+    /// Returns the mean time in ms for which a request holds a slot.
+    #[must_use]
+    pub fn hold(&self) -> f64 {
+        self.hold
+    }
+
+    /// Returns the expected wait of a request of a priority that arrives now.
+    #[must_use]
+    pub fn expected_wait(&self, priority: u8) -> ClockTime {
+        if self.running < self.capacity && self.waiting.is_empty() {
+            return ClockTime(0);
+        }
+        let ahead = self
+            .waiting
+            .keys()
+            .take_while(|ticket| ticket.priority <= priority)
+            .count();
+        let free = self.capacity.saturating_sub(self.running);
+        let turns = (ahead + 1).saturating_sub(free) as f64;
+        ClockTime((turns * self.hold / self.capacity.max(1) as f64) as u64)
+    }
+
+    /// Asks for a slot until `deadline`, accepting an expected wait of `patience`.
+    pub fn offer(
+        &mut self,
+        now: ClockTime,
+        priority: u8,
+        patience: ClockTime,
+        deadline: ClockTime,
+    ) -> SlotDecision {
+        if self.running < self.capacity && self.waiting.is_empty() {
+            self.running += 1;
+            return SlotDecision::Run;
+        }
+        let wait = self.expected_wait(priority);
+        if wait > patience || now + wait >= deadline {
+            return SlotDecision::Refuse(wait);
+        }
+        let ticket = SlotTicket {
+            priority,
+            number: self.next_number,
+        };
+        self.next_number += 1;
+        self.waiting.insert(ticket, deadline);
+        SlotDecision::Wait(ticket)
+    }
+
+    /// Frees a slot that was held for some time.
+    pub fn finish(&mut self, held: ClockTime) {
+        self.hold += HOLD_WEIGHT * (held.as_f64() - self.hold);
+        self.release();
+    }
+
+    /// Frees a slot whose request did not run.
+    pub fn release(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Removes a waiting request; returns false if it no longer waits.
+    pub fn cancel(&mut self, ticket: SlotTicket) -> bool {
+        self.waiting.remove(&ticket).is_some()
+    }
+
+    /// Gives a free slot to the next waiting request that still has time.
+    pub fn next(&mut self, now: ClockTime) -> Option<SlotTicket> {
+        while self.running < self.capacity {
+            let (ticket, deadline) = self.waiting.pop_first()?;
+            if deadline > now {
+                self.running += 1;
+                return Some(ticket);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/sidecar/target_picker.rs
@@ -0,0 +1,50 @@
+use std::collections::HashMap;
+
+use crate::id::ServiceName;
+use crate::mesh::RouteRule;
+
+/// Distributes the requests of each route over its targets in proportion to their weights.
+///
+/// Smooth weighted round robin keeps every prefix of the sequence within one request of the
+/// weights.
+#[derive(Debug, Default)]
+pub struct TargetPicker {
+    credits: HashMap<String, Vec<i64>>,
+}
+
+impl TargetPicker {
+    /// Creates a picker without a history.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Forgets all routes, because the weights may have changed.
+    pub fn reset(&mut self) {
+        self.credits.clear();
+    }
+
+    /// Picks the service that the next request of a route goes to.
+    pub fn pick<'a>(&mut self, rule: &'a RouteRule) -> &'a ServiceName {
+        let targets = &rule.targets;
+        if targets.len() == 1 {
+            return &targets[0].service;
+        }
+        let total: i64 = targets.iter().map(|target| i64::from(target.weight)).sum();
+        let credits = self.credits.entry(rule.name.clone()).or_default();
+        if credits.len() != targets.len() {
+            *credits = (0..targets.len())
+                .map(|_| rand::random_range(0..total.max(1)))
+                .collect();
+        }
+        for (credit, target) in credits.iter_mut().zip(targets) {
+            *credit += i64::from(target.weight);
+        }
+        let best = (0..targets.len())
+            .filter(|index| targets[*index].weight > 0)
+            .max_by_key(|index| credits[*index])
+            .unwrap_or(0);
+        credits[best] -= total;
+        &targets[best].service
+    }
+}
