Bound queues by the objective and count refusals of endpoints as repeats

Queues as long as the deadline made most answers of the overloaded service late or broke them off. Change: a refusal by an endpoint spends the budget and withholds a slot for a while; a request waits for a slot only while its answer can be on time.

--- a/src/error/result_code.rs
+++ b/src/error/result_code.rs
@@ -80,6 +80,8 @@
     BackendUnreachable = 314,
     /// Reports that the head of the request exceeds its limit.
     RequestHeadTooLarge = 315,
+    /// Reports that the call waited too long for a slot.
+    QueueTimeout = 316,
     /// Reports that the answer exceeds its size limit.
     AnswerTooLarge = 401,
     /// Reports that the answer is malformed or incomplete.
@@ -151,6 +153,7 @@
         Self::PeerUnreachable,
         Self::BackendUnreachable,
         Self::RequestHeadTooLarge,
+        Self::QueueTimeout,
         Self::AnswerTooLarge,
         Self::AnswerMalformed,
         Self::EndpointFailed,
@@ -214,6 +217,7 @@
             Self::RequestTooSlow => "the request did not arrive within its time limit",
             Self::PeerUnreachable => "the node beside the endpoint could not be reached",
             Self::BackendUnreachable => "the backend server could not be reached",
+            Self::QueueTimeout => "the call waited too long for a slot",
             Self::RequestHeadTooLarge => "the head of the request exceeds its limit",
             Self::AnswerTooLarge => "the answer exceeds its size limit",
             Self::AnswerMalformed => "the answer is malformed or incomplete",
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use crate::clock::ClockTime;
@@ -37,6 +38,7 @@
 pub struct ServiceDirectory {
     entries: BTreeMap<EndpointId, DirectoryEntry>,
     services: HashMap<ServiceName, Vec<EndpointId>>,
+    addresses: HashMap<SocketAddr, EndpointId>,
     gone: HashMap<EndpointId, Rc<EndpointRecord>>,
     settle_until: ClockTime,
     position: u64,
@@ -89,6 +91,7 @@
             warm_at,
             missing: false,
         };
+        self.claim_address(&entry.record);
         self.entries.insert(id.clone(), entry);
         self.gone.remove(&id);
         match state {
@@ -151,7 +154,18 @@
             .iter()
             .filter_map(|id| self.entries.get(id))
             .map(|entry| &entry.record)
-            .filter(|record| record.state == EndpointState::Ready)
+            .filter(|record| {
+                record.state == EndpointState::Ready && self.is_current(record)
+            })
+    }
+
+    /// Returns whether no later incarnation has taken the address of an endpoint.
+    ///
+    /// The entry of a crashed endpoint stays for some heartbeats, while another one may already
+    /// have started at its address.
+    #[must_use]
+    pub fn is_current(&self, record: &EndpointRecord) -> bool {
+        self.addresses.get(&record.address) == Some(&record.id)
     }
 
     /// Returns the record of an endpoint.
@@ -191,9 +205,41 @@
         self.gone.contains_key(id)
     }
 
+    fn claim_address(&mut self, record: &EndpointRecord) {
+        let holder = self.addresses.get(&record.address);
+        let later = holder
+            .and_then(|id| self.entries.get(id))
+            .is_some_and(|holder| {
+                holder.record.id != record.id
+                    && holder.record.address == record.address
+                    && holder.record.born > record.born
+            });
+        if !later {
+            self.addresses.insert(record.address, record.id.clone());
+        }
+    }
+
+    /// Gives the address of an endpoint that is gone to the latest other one that names it.
+    fn release_address(&mut self, record: &EndpointRecord) {
+        if !self.is_current(record) {
+            return;
+        }
+        let successor = self
+            .entries
+            .values()
+            .filter(|entry| entry.record.address == record.address)
+            .max_by_key(|entry| entry.record.born)
+            .map(|entry| entry.record.id.clone());
+        match successor {
+            Some(id) => self.addresses.insert(record.address, id),
+            None => self.addresses.remove(&record.address),
+        };
+    }
+
     fn forget(&mut self, id: &EndpointId) {
         self.unlist(id);
         if let Some(entry) = self.entries.remove(id) {
+            self.release_address(&entry.record);
             if self.gone.len() >= GONE_LIMIT {
                 self.gone.clear();
             }
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -41,6 +41,11 @@
 const PROBE_LIMIT: usize = 3;
 /// Factor by which a warming endpoint is taken to be slower.
 const WARM_UP_FACTOR: f64 = 2.0;
+/// Part of its objective that a request may wait for a slot when it cannot be on time.
+const LATE_WAIT_PART: f64 = 0.25;
+/// Multiple of the mean work for which time must be left, so that the endpoint is not given work
+/// that it has to break off.
+const TAIL_FACTOR: f64 = 1.5;
 /// Time between two questions about a request whose connection was lost.
 const RESUME_PAUSE: ClockTime = ClockTime(100);
 /// A connection attempt that fails faster than this was refused: the process is gone.
@@ -80,7 +85,12 @@
 enum AttemptResult {
     Answer(Answer),
     /// The endpoint has not run the request.
-    NotRun(ResultCode, ClockTime),
+    NotRun {
+        code: ResultCode,
+        wait: ClockTime,
+        /// Whether the request reached the endpoint, so that another attempt repeats it.
+        reached: bool,
+    },
     /// The endpoint failed, or nobody knows; with the answer to give when nothing is tried again.
     Failed(Answer),
 }
@@ -120,9 +130,16 @@
             };
             match result {
                 AttemptResult::Answer(answer) => return answer,
-                AttemptResult::NotRun(code, wait) => {
+                AttemptResult::NotRun {
+                    code,
+                    wait,
+                    reached,
+                } => {
                     progress.reached = progress.reached.saturating_sub(1);
-                    progress.note_refusal(&record.id, code, wait);
+                    progress.note_refusal(&record.id, code, wait, reached);
+                    if reached && !self.take_repeat(request) {
+                        return self.refuse(progress);
+                    }
                 }
                 AttemptResult::Failed(answer) => {
                     progress.excluded.push(record.id.clone());
@@ -224,7 +241,11 @@
                 );
                 let now = self.state.clock.now();
                 self.endpoints.borrow_mut().unreachable(&record.id, now);
-                AttemptResult::NotRun(error.code(), ClockTime(0))
+                AttemptResult::NotRun {
+                    code: error.code(),
+                    wait: ClockTime(0),
+                    reached: false,
+                }
             }
             Err(error) => {
                 log::info!(
@@ -353,7 +374,11 @@
                 endpoints.succeeded(&record.id);
                 AttemptResult::Answer(own)
             }
-            ForwardOutcome::NotRun { code, wait, .. } => {
+            ForwardOutcome::NotRun {
+                code,
+                wait,
+                reached,
+            } => {
                 log::debug!(
                     "event=refused request={} endpoint={} code={code} wait_ms={wait}",
                     request.id,
@@ -367,7 +392,14 @@
                 ) {
                     endpoints.unreachable(&record.id, now);
                 }
-                AttemptResult::NotRun(code, wait)
+                if reached {
+                    endpoints.failed(&record.id);
+                }
+                AttemptResult::NotRun {
+                    code,
+                    wait,
+                    reached,
+                }
             }
             ForwardOutcome::Unknown { code } => {
                 log::info!(
@@ -413,11 +445,18 @@
         None
     }
 
-    /// Returns the longest wait for a slot after which the work still ends in time.
+    /// Returns the longest wait for a slot after which the answer is still on time.
+    ///
+    /// Longer queues serve no more requests, they only make all of them late. A request that is
+    /// late already, or whose work takes as long as its objective, may wait a part of it.
     fn longest_wait(&self, request: &EntryRequest, now: ClockTime) -> ClockTime {
         let work = self.routes.borrow().work(&request.rule.name);
-        let work = ClockTime(work.unwrap_or(FIRST_WORK) as u64);
-        request.deadline - now - work
+        let work = work.unwrap_or(FIRST_WORK);
+        let objective = request.rule.objective.as_f64();
+        let passed = (now - request.arrived).as_f64();
+        let on_time = (objective - passed - work).max(objective * LATE_WAIT_PART);
+        let left = (request.deadline - now).as_f64() - work * TAIL_FACTOR;
+        ClockTime(on_time.min(left).max(0.0) as u64)
     }
 
     fn best(
@@ -474,6 +513,12 @@
         {
             return false;
         }
+        self.take_repeat(request)
+    }
+
+    /// Takes a further arrival at an endpoint from the budget of the service.
+    fn take_repeat(&self, request: &EntryRequest) -> bool {
+        let now = self.state.clock.now();
         let bounds = &self.settings.bounds;
         let nodes = self.state.directory.borrow().len().max(1) as f64;
         let slack = bounds.retry_slack / nodes;
@@ -526,9 +571,9 @@
 }
 
 impl DispatchState {
-    fn note_refusal(&mut self, id: &EndpointId, code: ResultCode, wait: ClockTime) {
+    fn note_refusal(&mut self, id: &EndpointId, code: ResultCode, wait: ClockTime, reached: bool) {
         self.last_refusal = Some(code);
-        if code == ResultCode::Overloaded && !self.excluded.contains(id) {
+        if code == ResultCode::Overloaded && !reached && !self.excluded.contains(id) {
             self.busy.push((id.clone(), wait));
         } else if !self.excluded.contains(id) {
             self.excluded.push(id.clone());
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -11,6 +11,7 @@
 use crate::caller::{self, BodyLength, WireError, WireStream};
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::ResultCode;
+use crate::id::EndpointId;
 use crate::sidecar::HeaderNames;
 use crate::sidecar::forward_message::{ForwardHeader, ForwardOutcome, HeaderFields};
 
@@ -42,6 +43,8 @@
     names: Rc<HeaderNames>,
     answer_limit: usize,
     idle: RefCell<VecDeque<IdleConnection>>,
+    /// Endpoint that answered in place of the expected one.
+    occupant: RefCell<Option<String>>,
 }
 
 /// Is a complete answer of the endpoint, and how the connection can be used further.
@@ -65,6 +68,7 @@
             names,
             answer_limit,
             idle: RefCell::default(),
+            occupant: RefCell::default(),
         }
     }
 
@@ -72,9 +76,18 @@
         self.address
     }
 
-    /// Closes all idle connections, for example because another endpoint has taken the address.
-    pub(crate) fn close_idle(&self) {
+    /// Closes all idle connections, because another endpoint may have taken the address.
+    pub(crate) fn reset(&self) {
         self.idle.borrow_mut().clear();
+        self.occupant.borrow_mut().take();
+    }
+
+    /// Returns whether another endpoint is known to have the address.
+    pub(crate) fn is_occupied_by_other(&self, expected: &EndpointId) -> bool {
+        let occupant = self.occupant.borrow();
+        occupant
+            .as_deref()
+            .is_some_and(|occupant| occupant != expected.as_str())
     }
 
     /// Runs one request; dropping the future closes its connection, which ends the work.
@@ -267,6 +280,11 @@
 
     fn classify(&self, answer: EndpointAnswer, header: &ForwardHeader) -> (ForwardOutcome, Bytes) {
         let status = answer.status.as_u16();
+        if status == 421 {
+            let name = answer.headers.get(&self.names.answering_endpoint);
+            let name = name.and_then(|value| value.to_str().ok());
+            *self.occupant.borrow_mut() = name.map(str::to_owned);
+        }
         if answer.headers.contains_key(&self.names.not_run) || status == 421 {
             let code = match status {
                 421 => ResultCode::NoEndpoint,
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -92,13 +92,6 @@
         view.avoid_until = now + ClockTime(pause).min(MAX_AVOID);
     }
 
-    /// Returns whether the endpoint is passed over at present.
-    pub(crate) fn is_avoided(&self, id: &EndpointId, now: ClockTime) -> bool {
-        self.views
-            .get(id)
-            .is_some_and(|view| view.avoid_until > now)
-    }
-
     /// Returns the expected time in ms of a request with `work` ms on an average endpoint.
     pub(crate) fn cost(
         &self,
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -19,6 +19,9 @@
 
 /// Time for which a fence outlives the request that it refuses. No request is sent with more.
 const FENCE_TIME: ClockTime = ClockTime(60_000);
+/// Multiple of its patience after which a waiting request is refused, and time added to it.
+const WAIT_TOLERANCE: f64 = 1.5;
+const WAIT_MARGIN: ClockTime = ClockTime(20);
 /// Difference up to which two measurements of one span may disagree.
 const AGE_MARGIN: ClockTime = ClockTime(100);
 
@@ -105,9 +108,12 @@
         if let Some(code) = self.refusal(&header.endpoint) {
             return self.reply(arrived, not_run(code, ClockTime(0)));
         }
+        // The expected wait is an estimate; a request that waits for much longer is refused.
+        let limit = ClockTime((header.patience.as_f64() * WAIT_TOLERANCE) as u64);
+        let until = deadline.min(arrived + limit + WAIT_MARGIN);
         let slot = self
             .gate
-            .acquire(header.priority, header.patience, deadline)
+            .acquire(header.priority, header.patience, until)
             .await;
         let mut slot = match slot {
             Ok(slot) => slot,
@@ -119,10 +125,19 @@
         }
         mark();
         let started = self.state.clock.now();
-        let (outcome, body) = self.client.run(header, body, deadline).await;
+        let (mut outcome, body) = self.client.run(header, body, deadline).await;
         let worked = self.state.clock.now() - started;
-        if matches!(outcome, ForwardOutcome::Answered { .. }) {
-            slot.mark_used();
+        match &mut outcome {
+            ForwardOutcome::Answered { .. } => slot.mark_used(),
+            ForwardOutcome::NotRun {
+                code: ResultCode::Overloaded,
+                wait,
+                ..
+            } => {
+                self.gate.withhold();
+                *wait = self.gate.longest_wait();
+            }
+            _ => {}
         }
         drop(slot);
         let mut answer = self.reply(arrived, outcome);
@@ -135,6 +150,9 @@
     /// Returns why the endpoint must get no new request.
     fn refusal(&self, endpoint: &EndpointId) -> Option<ResultCode> {
         let directory = self.state.directory.borrow();
+        if self.client.is_occupied_by_other(endpoint) {
+            return Some(ResultCode::NoEndpoint);
+        }
         if directory.is_gone(endpoint) {
             return Some(ResultCode::NodeLeaving);
         }
@@ -143,10 +161,7 @@
             _ if record.address != self.client.address() => Some(ResultCode::NoEndpoint),
             EndpointState::Draining => Some(ResultCode::NodeLeaving),
             EndpointState::Ready => {
-                let capacity = record.capacity as usize;
-                if capacity != self.gate.load().capacity as usize {
-                    self.gate.set_capacity(capacity);
-                }
+                self.gate.set_capacity(record.capacity as usize);
                 None
             }
         }
@@ -183,7 +198,7 @@
 fn refused(refusal: SlotRefusal) -> ForwardOutcome {
     match refusal {
         SlotRefusal::Busy(wait) => not_run(ResultCode::Overloaded, wait),
-        SlotRefusal::Expired => not_run(ResultCode::DeadlineTooShort, ClockTime(0)),
+        SlotRefusal::Expired => not_run(ResultCode::QueueTimeout, ClockTime(0)),
         SlotRefusal::Closed => not_run(ResultCode::NodeLeaving, ClockTime(0)),
     }
 }
--- a/src/sidecar/header_names.rs
+++ b/src/sidecar/header_names.rs
@@ -11,6 +11,8 @@
     pub endpoint_proof: HeaderName,
     /// Endpoint that alone may run the request.
     pub expected_endpoint: HeaderName,
+    /// Endpoint that answered.
+    pub answering_endpoint: HeaderName,
     /// States that the endpoint has not run the request.
     pub not_run: HeaderName,
     /// Service beside which the request began.
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -153,7 +153,7 @@
                         continue;
                     };
                     if record.address == self.exit.client.address() {
-                        self.exit.client.close_idle();
+                        self.exit.client.reset();
                         self.exit.gate.set_capacity(record.capacity as usize);
                     }
                 }
--- a/src/sidecar/slot_gate.rs
+++ b/src/sidecar/slot_gate.rs
@@ -36,9 +36,15 @@
         })
     }
 
+    /// Returns the wait that a request of the lowest priority expects.
+    pub(crate) fn longest_wait(&self) -> ClockTime {
+        self.queue.borrow().expected_wait(u8::MAX)
+    }
+
     pub(crate) fn set_capacity(&self, capacity: usize) {
-        self.queue.borrow_mut().set_capacity(capacity);
-        self.start_next();
+        if self.queue.borrow_mut().set_capacity(capacity) {
+            self.start_next();
+        }
     }
 
     pub(crate) fn load(&self) -> LoadReport {
@@ -50,8 +56,9 @@
         }
     }
 
-    pub(crate) fn expected_wait(&self, priority: u8) -> ClockTime {
-        self.queue.borrow().expected_wait(priority)
+    /// Records that the endpoint refused a request that had a slot.
+    pub(crate) fn withhold(&self) {
+        self.queue.borrow_mut().withhold();
     }
 
     /// Turns away all that wait.
--- a/src/sidecar/slot_queue.rs
+++ b/src/sidecar/slot_queue.rs
@@ -7,6 +7,9 @@
 /// Hold time assumed before any request has finished, in ms.
 const FIRST_HOLD: f64 = 100.0;
 
+/// Slots that are given back after each request that the endpoint accepted, as a part of one slot.
+const RECOVERY: f64 = 0.1;
+
 /// Identifies a request in the queue; the order is that of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SlotTicket {
@@ -32,6 +35,8 @@
 #[derive(Debug)]
 pub struct SlotQueue {
     capacity: usize,
+    /// Slots that the endpoint has refused to serve although they should be free.
+    withheld: f64,
     running: usize,
     waiting: BTreeMap<SlotTicket, ClockTime>,
     next_number: u64,
@@ -44,6 +49,7 @@
     pub fn new(capacity: usize) -> Self {
         Self {
             capacity,
+            withheld: 0.0,
             running: 0,
             waiting: BTreeMap::new(),
             next_number: 0,
@@ -51,15 +57,23 @@
         }
     }
 
-    /// Changes the number of slots.
-    pub fn set_capacity(&mut self, capacity: usize) {
-        self.capacity = capacity;
+    /// Changes the number of slots; returns whether it was another one.
+    pub fn set_capacity(&mut self, capacity: usize) -> bool {
+        std::mem::replace(&mut self.capacity, capacity) != capacity
     }
 
-    /// Returns the number of slots.
+    /// Returns the number of slots that the endpoint serves at present.
     #[must_use]
     pub fn capacity(&self) -> usize {
-        self.capacity
+        let withheld = self.withheld.ceil() as usize;
+        self.capacity.saturating_sub(withheld).max(1)
+    }
+
+    /// Records that the endpoint refused a request although a slot should be free, for example
+    /// because it still works on requests whose senders have left.
+    pub fn withhold(&mut self) {
+        let most = self.capacity.saturating_sub(1) as f64;
+        self.withheld = (self.withheld + 1.0).min(most);
     }
 
     /// Returns the number of requests that run or wait.
@@ -77,7 +91,7 @@
     /// Returns the expected wait of a request of a priority that arrives now.
     #[must_use]
     pub fn expected_wait(&self, priority: u8) -> ClockTime {
-        if self.running < self.capacity && self.waiting.is_empty() {
+        if self.running < self.capacity() && self.waiting.is_empty() {
             return ClockTime(0);
         }
         let ahead = self
@@ -85,9 +99,9 @@
             .keys()
             .take_while(|ticket| ticket.priority <= priority)
             .count();
-        let free = self.capacity.saturating_sub(self.running);
+        let free = self.capacity().saturating_sub(self.running);
         let turns = (ahead + 1).saturating_sub(free) as f64;
-        ClockTime((turns * self.hold / self.capacity.max(1) as f64) as u64)
+        ClockTime((turns * self.hold / self.capacity() as f64) as u64)
     }
 
     /// Asks for a slot until `deadline`, accepting an expected wait of `patience`.
@@ -98,7 +112,7 @@
         patience: ClockTime,
         deadline: ClockTime,
     ) -> SlotDecision {
-        if self.running < self.capacity && self.waiting.is_empty() {
+        if self.running < self.capacity() && self.waiting.is_empty() {
             self.running += 1;
             return SlotDecision::Run;
         }
@@ -118,6 +132,7 @@
     /// Frees a slot that was held for some time.
     pub fn finish(&mut self, held: ClockTime) {
         self.hold += HOLD_WEIGHT * (held.as_f64() - self.hold);
+        self.withheld = (self.withheld - RECOVERY).max(0.0);
         self.release();
     }
 
@@ -133,7 +148,7 @@
 
     /// Gives a free slot to the next waiting request that still has time.
     pub fn next(&mut self, now: ClockTime) -> Option<SlotTicket> {
-        while self.running < self.capacity {
+        while self.running < self.capacity() {
             let (ticket, deadline) = self.waiting.pop_first()?;
             if deadline > now {
                 self.running += 1;
