Queue by due time, hedge only into free slots and prefer near endpoints

Cause: nested calls were refused behind longer work, so that their parents failed; hedges took slots that other requests waited for; requests crossed regions without need; refused clients came back at once and were refused again. Change: a request is due after its objective, stretched by its rank; a hedge is sent only into a free slot; distance counts as a part of the objective; a refusal asks to come back after the objective.

--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -154,9 +154,7 @@
             .iter()
             .filter_map(|id| self.entries.get(id))
             .map(|entry| &entry.record)
-            .filter(|record| {
-                record.state == EndpointState::Ready && self.is_current(record)
-            })
+            .filter(|record| record.state == EndpointState::Ready && self.is_current(record))
     }
 
     /// Returns whether no later incarnation has taken the address of an endpoint.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -31,5 +31,5 @@
 pub use repeat_budget::RepeatBudget;
 pub use run::run;
 pub use sidecar_settings::SidecarSettings;
-pub use slot_queue::{SlotDecision, SlotQueue, SlotTicket};
+pub use slot_queue::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
 pub use target_picker::TargetPicker;
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -35,8 +35,12 @@
 const REMOTE_NETWORK: f64 = 20.0;
 /// Work of a request in ms that is assumed before any answer.
 const FIRST_WORK: f64 = 100.0;
-/// Wait for a slot that is accepted while other endpoints are left to ask.
-const PROBE_PATIENCE: ClockTime = ClockTime(20);
+/// Part of its objective that a request waits for a slot while other endpoints are left to ask.
+const PROBE_PATIENCE: f64 = 0.1;
+/// Parts of the objective that an endpoint in another zone or region must be faster to be chosen:
+/// bytes between zones and regions are paid, and the link between regions is narrow.
+const ZONE_DISTANCE: f64 = 0.02;
+const REGION_DISTANCE: f64 = 0.25;
 /// Endpoints that are asked for a free slot before the shortest queue is taken.
 const PROBE_LIMIT: usize = 3;
 /// Factor by which a warming endpoint is taken to be slower.
@@ -119,7 +123,7 @@
                 return Answer::own(ResultCode::DeadlineTooShort, Some(ClockTime(0)));
             }
             let Some((record, patience)) = self.choose(request, progress, now) else {
-                return self.refuse(progress);
+                return self.refuse(request, progress);
             };
             let result = if request.rule.idempotent {
                 self.attempt_hedged(request, progress, &record, patience)
@@ -138,7 +142,7 @@
                     progress.reached = progress.reached.saturating_sub(1);
                     progress.note_refusal(&record.id, code, wait, reached);
                     if reached && !self.take_repeat(request) {
-                        return self.refuse(progress);
+                        return self.refuse(request, progress);
                     }
                 }
                 AttemptResult::Failed(answer) => {
@@ -188,7 +192,7 @@
         );
         progress.excluded.push(second.id.clone());
         progress.reached += 1;
-        let other = pin!(self.attempt(request, &second, PROBE_PATIENCE));
+        let other = pin!(self.attempt(request, &second, ClockTime(0)));
         match future::select(first, other).await {
             Either::Left((result @ AttemptResult::Answer(_), _)) => result,
             Either::Right((result @ AttemptResult::Answer(_), _)) => result,
@@ -220,6 +224,7 @@
             remaining: request.deadline - started,
             patience,
             priority: request.rule.priority,
+            objective: request.rule.objective,
             idempotent: request.rule.idempotent,
         };
         let guard = FlightGuard::new(&self.endpoints, &record.id);
@@ -425,7 +430,8 @@
             let mut excluded = progress.excluded.clone();
             excluded.extend(progress.busy.iter().map(|(id, _)| id.clone()));
             if let Some(record) = self.best(request, &excluded, now) {
-                return Some((record, PROBE_PATIENCE.min(longest)));
+                let probe = request.rule.objective.as_f64() * PROBE_PATIENCE;
+                return Some((record, ClockTime(probe as u64).min(longest)));
             }
         }
         // All have refused: the shortest queue is taken if it still serves the request in time.
@@ -474,12 +480,13 @@
             if excluded.contains(&record.id) {
                 continue;
             }
-            let prior = self.network_prior(record);
+            let (prior, distance) = self.network_prior(record);
+            let distance = distance * request.rule.objective.as_f64();
             let warm = directory.warm_up(&record.id, now) > ClockTime(0);
             let work = if warm { work * WARM_UP_FACTOR } else { work };
             let cost = endpoints.cost(&record.id, now, work, prior, record.capacity);
             // Nodes that see the same costs must not all choose the same endpoint.
-            let cost = cost * rand::random_range(0.9..1.1);
+            let cost = cost * rand::random_range(0.9..1.1) + distance;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, record));
             }
@@ -487,14 +494,15 @@
         best.map(|(_, record)| Rc::clone(record))
     }
 
-    fn network_prior(&self, record: &EndpointRecord) -> f64 {
+    /// Returns the expected network time in ms and the distance as a part of the objective.
+    fn network_prior(&self, record: &EndpointRecord) -> (f64, f64) {
         let regions = &self.settings.regions;
         if record.zone == self.settings.zone {
-            ZONE_NETWORK
+            (ZONE_NETWORK, 0.0)
         } else if regions.get(&record.zone) == regions.get(&self.settings.zone) {
-            REGION_NETWORK
+            (REGION_NETWORK, ZONE_DISTANCE)
         } else {
-            REMOTE_NETWORK
+            (REMOTE_NETWORK, REGION_DISTANCE)
         }
     }
 
@@ -539,10 +547,15 @@
         action(budget)
     }
 
-    fn refuse(&self, progress: &DispatchState) -> Answer {
+    /// Refuses a request; it is welcome again when the queues that it met have been served.
+    fn refuse(&self, request: &EntryRequest, progress: &DispatchState) -> Answer {
         let wait = progress.busy.iter().map(|(_, wait)| *wait).min();
         let code = progress.last_refusal.unwrap_or(ResultCode::NoEndpoint);
-        Answer::own(code, Some(wait.unwrap_or(EMPTY_RETRY)))
+        let wait = match wait {
+            Some(wait) => wait.max(request.rule.objective),
+            None => EMPTY_RETRY,
+        };
+        Answer::own(code, Some(wait))
     }
 
     fn log_outcome(&self, request: &EntryRequest, answer: &Answer, progress: &DispatchState) {
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -9,6 +9,7 @@
 use crate::id::EndpointId;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
+use crate::sidecar::SlotUrgency;
 use crate::sidecar::call_table::{CallRecord, CallTable};
 use crate::sidecar::endpoint_client::EndpointClient;
 use crate::sidecar::forward_message::{
@@ -111,10 +112,11 @@
         // The expected wait is an estimate; a request that waits for much longer is refused.
         let limit = ClockTime((header.patience.as_f64() * WAIT_TOLERANCE) as u64);
         let until = deadline.min(arrived + limit + WAIT_MARGIN);
-        let slot = self
-            .gate
-            .acquire(header.priority, header.patience, until)
-            .await;
+        let urgency = SlotUrgency {
+            priority: header.priority,
+            objective: header.objective,
+        };
+        let slot = self.gate.acquire(urgency, header.patience, until).await;
         let mut slot = match slot {
             Ok(slot) => slot,
             Err(refusal) => return self.reply(arrived, refused(refusal)),
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -35,6 +35,8 @@
     /// Longest wait for a slot that is worthwhile; a longer one is refused at once.
     pub(crate) patience: ClockTime,
     pub(crate) priority: u8,
+    /// Time within which an answer is on time.
+    pub(crate) objective: ClockTime,
     pub(crate) idempotent: bool,
 }
 
--- a/src/sidecar/slot_gate.rs
+++ b/src/sidecar/slot_gate.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::sidecar::forward_message::LoadReport;
-use crate::sidecar::{SlotDecision, SlotQueue, SlotTicket};
+use crate::sidecar::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
 
 /// Hands the slots of the endpoint to requests, which wait as futures.
 pub(crate) struct SlotGate {
@@ -36,9 +36,9 @@
         })
     }
 
-    /// Returns the wait that a request of the lowest priority expects.
+    /// Returns the wait behind all that wait now.
     pub(crate) fn longest_wait(&self) -> ClockTime {
-        self.queue.borrow().expected_wait(u8::MAX)
+        self.queue.borrow().expected_wait(ClockTime(u64::MAX))
     }
 
     pub(crate) fn set_capacity(&self, capacity: usize) {
@@ -77,7 +77,7 @@
     /// A refusal; the request then holds nothing.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
-        priority: u8,
+        urgency: SlotUrgency,
         patience: ClockTime,
         deadline: ClockTime,
     ) -> Result<SlotHold, SlotRefusal> {
@@ -85,7 +85,7 @@
         let decision = self
             .queue
             .borrow_mut()
-            .offer(now, priority, patience, deadline);
+            .offer(now, urgency, patience, deadline);
         let ticket = match decision {
             SlotDecision::Run => return Ok(SlotHold::new(self)),
             SlotDecision::Refuse(wait) => return Err(SlotRefusal::Busy(wait)),
--- a/src/sidecar/slot_queue.rs
+++ b/src/sidecar/slot_queue.rs
@@ -13,10 +13,29 @@
 /// Identifies a request in the queue; the order is that of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SlotTicket {
-    priority: u8,
+    due: ClockTime,
     number: u64,
 }
 
+/// States how urgent a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotUrgency {
+    /// Rank of the route; 0 goes first.
+    pub priority: u8,
+    /// Time within which an answer is on time.
+    pub objective: ClockTime,
+}
+
+impl SlotUrgency {
+    /// Returns the time at which a request that arrives now is due: its objective, stretched by
+    /// its rank.
+    ///
+    /// Short requests thus pass long ones of the same rank, and none waits for ever.
+    fn due(self, now: ClockTime) -> ClockTime {
+        now + ClockTime(self.objective.0 * (u64::from(self.priority) + 1))
+    }
+}
+
 /// States what happens to a request that asks for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SlotDecision {
@@ -28,7 +47,7 @@
     Refuse(ClockTime),
 }
 
-/// Shares the slots of one endpoint by priority, then by arrival.
+/// Shares the slots of one endpoint in the order in which requests are due.
 ///
 /// A request whose expected wait exceeds its patience is refused on arrival, because a refusal
 /// costs nothing while the sender can still try elsewhere.
@@ -88,16 +107,16 @@
         self.hold
     }
 
-    /// Returns the expected wait of a request of a priority that arrives now.
+    /// Returns the expected wait of a request that is due at a time.
     #[must_use]
-    pub fn expected_wait(&self, priority: u8) -> ClockTime {
+    pub fn expected_wait(&self, due: ClockTime) -> ClockTime {
         if self.running < self.capacity() && self.waiting.is_empty() {
             return ClockTime(0);
         }
         let ahead = self
             .waiting
             .keys()
-            .take_while(|ticket| ticket.priority <= priority)
+            .take_while(|ticket| ticket.due <= due)
             .count();
         let free = self.capacity().saturating_sub(self.running);
         let turns = (ahead + 1).saturating_sub(free) as f64;
@@ -108,7 +127,7 @@
     pub fn offer(
         &mut self,
         now: ClockTime,
-        priority: u8,
+        urgency: SlotUrgency,
         patience: ClockTime,
         deadline: ClockTime,
     ) -> SlotDecision {
@@ -116,12 +135,13 @@
             self.running += 1;
             return SlotDecision::Run;
         }
-        let wait = self.expected_wait(priority);
+        let due = urgency.due(now);
+        let wait = self.expected_wait(due);
         if wait > patience || now + wait >= deadline {
             return SlotDecision::Refuse(wait);
         }
         let ticket = SlotTicket {
-            priority,
+            due,
             number: self.next_number,
         };
         self.next_number += 1;
