Withhold no slots after refusals by endpoints

Cause: endpoints that refuse at random (srv_grey shed) cut their node's slots to one, so that nested calls were refused and their parents failed. Ruled out: a full endpoint; it queues further requests and does not refuse. Conclusion: the exact slot count suffices.

--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -127,19 +127,10 @@
         }
         mark();
         let started = self.state.clock.now();
-        let (mut outcome, body) = self.client.run(header, body, deadline).await;
+        let (outcome, body) = self.client.run(header, body, deadline).await;
         let worked = self.state.clock.now() - started;
-        match &mut outcome {
-            ForwardOutcome::Answered { .. } => slot.mark_used(),
-            ForwardOutcome::NotRun {
-                code: ResultCode::Overloaded,
-                wait,
-                ..
-            } => {
-                self.gate.withhold();
-                *wait = self.gate.longest_wait();
-            }
-            _ => {}
+        if matches!(outcome, ForwardOutcome::Answered { .. }) {
+            slot.mark_used();
         }
         drop(slot);
         let mut answer = self.reply(arrived, outcome);
--- a/src/sidecar/slot_gate.rs
+++ b/src/sidecar/slot_gate.rs
@@ -36,11 +36,6 @@
         })
     }
 
-    /// Returns the wait behind all that wait now.
-    pub(crate) fn longest_wait(&self) -> ClockTime {
-        self.queue.borrow().expected_wait(ClockTime(u64::MAX))
-    }
-
     pub(crate) fn set_capacity(&self, capacity: usize) {
         if self.queue.borrow_mut().set_capacity(capacity) {
             self.start_next();
@@ -56,11 +51,6 @@
         }
     }
 
-    /// Records that the endpoint refused a request that had a slot.
-    pub(crate) fn withhold(&self) {
-        self.queue.borrow_mut().withhold();
-    }
-
     /// Turns away all that wait.
     pub(crate) fn close_waiting(&self) {
         let senders = self.senders.take();
--- a/src/sidecar/slot_queue.rs
+++ b/src/sidecar/slot_queue.rs
@@ -7,9 +7,6 @@
 /// Hold time assumed before any request has finished, in ms.
 const FIRST_HOLD: f64 = 100.0;
 
-/// Slots that are given back after each request that the endpoint accepted, as a part of one slot.
-const RECOVERY: f64 = 0.1;
-
 /// Identifies a request in the queue; the order is that of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SlotTicket {
@@ -54,8 +51,6 @@
 #[derive(Debug)]
 pub struct SlotQueue {
     capacity: usize,
-    /// Slots that the endpoint has refused to serve although they should be free.
-    withheld: f64,
     running: usize,
     waiting: BTreeMap<SlotTicket, ClockTime>,
     next_number: u64,
@@ -68,7 +63,6 @@
     pub fn new(capacity: usize) -> Self {
         Self {
             capacity,
-            withheld: 0.0,
             running: 0,
             waiting: BTreeMap::new(),
             next_number: 0,
@@ -81,18 +75,10 @@
         std::mem::replace(&mut self.capacity, capacity) != capacity
     }
 
-    /// Returns the number of slots that the endpoint serves at present.
+    /// Returns the number of slots.
     #[must_use]
     pub fn capacity(&self) -> usize {
-        let withheld = self.withheld.ceil() as usize;
-        self.capacity.saturating_sub(withheld).max(1)
-    }
-
-    /// Records that the endpoint refused a request although a slot should be free, for example
-    /// because it still works on requests whose senders have left.
-    pub fn withhold(&mut self) {
-        let most = self.capacity.saturating_sub(1) as f64;
-        self.withheld = (self.withheld + 1.0).min(most);
+        self.capacity.max(1)
     }
 
     /// Returns the number of requests that run or wait.
@@ -152,7 +138,6 @@
     /// Frees a slot that was held for some time.
     pub fn finish(&mut self, held: ClockTime) {
         self.hold += HOLD_WEIGHT * (held.as_f64() - self.hold);
-        self.withheld = (self.withheld - RECOVERY).max(0.0);
         self.release();
     }
 
