Let short work wait longer and spend the repeat budget by what nested calls add

Cause: nested calls were refused after a tenth of a second although their parents lost more work with them; busy regions exchanged work without a gain; the budget kept 40% back for nested calls of repeated work. Change: short work waits up to four times longer; another region is asked only for a free slot; nodes measure which part of their endpoint's work is repeated; a client that an endpoint turned away may return at once.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -28,7 +28,7 @@
 
 pub use header_names::HeaderNames;
 pub use mesh_bounds::MeshBounds;
-pub use repeat_budget::RepeatBudget;
+pub use repeat_budget::{RepeatAllowance, RepeatBudget};
 pub use run::run;
 pub use sidecar_settings::SidecarSettings;
 pub use slot_queue::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -26,7 +26,7 @@
 use crate::sidecar::forward_streams::{FORWARD_PATH, RESUME_PATH};
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::route_stats::RouteStats;
-use crate::sidecar::{RepeatBudget, SidecarSettings, TargetPicker};
+use crate::sidecar::{RepeatAllowance, RepeatBudget, SidecarSettings, TargetPicker};
 
 /// Expected network time in ms to an endpoint in the same zone, region, or elsewhere, until the
 /// first answer shows it.
@@ -39,8 +39,8 @@
 const PROBE_PATIENCE: f64 = 0.1;
 /// Parts of the objective that an endpoint in another zone or region must be faster to be chosen:
 /// bytes between zones and regions are paid, and the link between regions is narrow.
-const ZONE_DISTANCE: f64 = 0.02;
-const REGION_DISTANCE: f64 = 0.25;
+const ZONE_DISTANCE: f64 = 0.05;
+const REGION_DISTANCE: f64 = 0.5;
 /// Endpoints that are asked for a free slot before the shortest queue is taken.
 const PROBE_LIMIT: usize = 3;
 /// Factor by which a warming endpoint is taken to be slower.
@@ -83,6 +83,10 @@
     /// Endpoints that the request may have reached.
     reached: u32,
     last_refusal: Option<ResultCode>,
+    /// Whether an endpoint has been sent the request before.
+    repeated: bool,
+    /// Whether the last refusal came from an endpoint and not from a queue.
+    turned_away: bool,
 }
 
 /// Is what one attempt came to.
@@ -130,7 +134,8 @@
                     .await
             } else {
                 progress.reached += 1;
-                self.attempt(request, &record, patience).await
+                let repeated = progress.repeated;
+                self.attempt(request, &record, patience, repeated).await
             };
             match result {
                 AttemptResult::Answer(answer) => return answer,
@@ -141,12 +146,15 @@
                 } => {
                     progress.reached = progress.reached.saturating_sub(1);
                     progress.note_refusal(&record.id, code, wait, reached);
+                    progress.repeated |= reached;
+                    progress.turned_away = reached;
                     if reached && !self.take_repeat(request) {
                         return self.refuse(request, progress);
                     }
                 }
                 AttemptResult::Failed(answer) => {
                     progress.excluded.push(record.id.clone());
+                    progress.repeated = true;
                     if !self.may_repeat(request, progress) {
                         return answer;
                     }
@@ -172,7 +180,7 @@
         progress.reached += 1;
         let rule = &request.rule;
         let delay = self.routes.borrow().slow_after(&rule.name, rule.objective);
-        let first = pin!(self.attempt(request, record, patience));
+        let first = pin!(self.attempt(request, record, patience, progress.repeated));
         let timer = pin!(time::sleep(delay.to_duration()));
         let first = match future::select(first, timer).await {
             Either::Left((result, _)) => return result,
@@ -192,7 +200,7 @@
         );
         progress.excluded.push(second.id.clone());
         progress.reached += 1;
-        let other = pin!(self.attempt(request, &second, ClockTime(0)));
+        let other = pin!(self.attempt(request, &second, ClockTime(0), true));
         match future::select(first, other).await {
             Either::Left((result @ AttemptResult::Answer(_), _)) => result,
             Either::Right((result @ AttemptResult::Answer(_), _)) => result,
@@ -206,6 +214,7 @@
         request: &EntryRequest,
         record: &EndpointRecord,
         patience: ClockTime,
+        repeated: bool,
     ) -> AttemptResult {
         let started = self.state.clock.now();
         let call = CallId {
@@ -223,9 +232,11 @@
             body_length: request.body.len() as u64,
             remaining: request.deadline - started,
             patience,
+            work: ClockTime(self.work(request) as u64),
             priority: request.rule.priority,
             objective: request.rule.objective,
             idempotent: request.rule.idempotent,
+            repeated,
         };
         let guard = FlightGuard::new(&self.endpoints, &record.id);
         let result = if record.address == self.exit.client.address() {
@@ -430,12 +441,15 @@
             let mut excluded = progress.excluded.clone();
             excluded.extend(progress.busy.iter().map(|(id, _)| id.clone()));
             if let Some(record) = self.best(request, &excluded, now) {
-                let probe = request.rule.objective.as_f64() * PROBE_PATIENCE;
-                return Some((record, ClockTime(probe as u64).min(longest)));
+                let patience = self.probe_patience(request, &record);
+                return Some((record, patience.min(longest)));
             }
         }
         // All have refused: the shortest queue is taken if it still serves the request in time.
-        progress.busy.sort_by_key(|(_, wait)| *wait);
+        // Distance counts here as well.
+        progress
+            .busy
+            .sort_by_key(|(id, wait)| *wait + self.distance(request, id));
         while !progress.busy.is_empty() {
             let (id, wait) = progress.busy.remove(0);
             if wait > longest {
@@ -451,13 +465,42 @@
         None
     }
 
+    /// Returns how long a request waits for a slot while other endpoints are left to ask.
+    ///
+    /// In another region only a free slot is worth the way while the own region has endpoints.
+    fn probe_patience(&self, request: &EntryRequest, record: &EndpointRecord) -> ClockTime {
+        let directory = self.state.directory.borrow();
+        let mut ready = directory.ready(&request.service);
+        if self.is_remote(record) && ready.any(|other| !self.is_remote(other)) {
+            return ClockTime(0);
+        }
+        ClockTime((request.rule.objective.as_f64() * PROBE_PATIENCE) as u64)
+    }
+
+    fn distance(&self, request: &EntryRequest, id: &EndpointId) -> ClockTime {
+        let directory = self.state.directory.borrow();
+        let record = directory.record(id);
+        let distance = record.map_or(0.0, |record| self.network_prior(record).1);
+        ClockTime((distance * request.rule.objective.as_f64()) as u64)
+    }
+
+    fn is_remote(&self, record: &EndpointRecord) -> bool {
+        let regions = &self.settings.regions;
+        regions.get(&record.zone) != regions.get(&self.settings.zone)
+    }
+
+    /// Returns the expected work of a request in ms.
+    fn work(&self, request: &EntryRequest) -> f64 {
+        let work = self.routes.borrow().work(&request.rule.name);
+        work.unwrap_or_else(|| FIRST_WORK.min(request.rule.objective.as_f64() / 2.0))
+    }
+
     /// Returns the longest wait for a slot after which the answer is still on time.
     ///
     /// Longer queues serve no more requests, they only make all of them late. A request that is
     /// late already, or whose work takes as long as its objective, may wait a part of it.
     fn longest_wait(&self, request: &EntryRequest, now: ClockTime) -> ClockTime {
-        let work = self.routes.borrow().work(&request.rule.name);
-        let work = work.unwrap_or(FIRST_WORK);
+        let work = self.work(request);
         let objective = request.rule.objective.as_f64();
         let passed = (now - request.arrived).as_f64();
         let on_time = (objective - passed - work).max(objective * LATE_WAIT_PART);
@@ -473,8 +516,7 @@
     ) -> Option<Rc<EndpointRecord>> {
         let directory = self.state.directory.borrow();
         let endpoints = self.endpoints.borrow();
-        let work = self.routes.borrow().work(&request.rule.name);
-        let work = work.unwrap_or(FIRST_WORK);
+        let work = self.work(request);
         let mut best: Option<(f64, &Rc<EndpointRecord>)> = None;
         for record in directory.ready(&request.service) {
             if excluded.contains(&record.id) {
@@ -496,10 +538,9 @@
 
     /// Returns the expected network time in ms and the distance as a part of the objective.
     fn network_prior(&self, record: &EndpointRecord) -> (f64, f64) {
-        let regions = &self.settings.regions;
         if record.zone == self.settings.zone {
             (ZONE_NETWORK, 0.0)
-        } else if regions.get(&record.zone) == regions.get(&self.settings.zone) {
+        } else if !self.is_remote(record) {
             (REGION_NETWORK, ZONE_DISTANCE)
         } else {
             (REMOTE_NETWORK, REGION_DISTANCE)
@@ -529,10 +570,12 @@
         let now = self.state.clock.now();
         let bounds = &self.settings.bounds;
         let nodes = self.state.directory.borrow().len().max(1) as f64;
-        let slack = bounds.retry_slack / nodes;
-        self.budget(&request.service, |budget| {
-            budget.take(now, bounds.retry_ratio, slack)
-        })
+        let allowance = RepeatAllowance {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack / nodes,
+            nested: self.exit.repeated_part.get(),
+        };
+        self.budget(&request.service, |budget| budget.take(now, allowance))
     }
 
     fn budget<Use, Value>(&self, service: &ServiceName, action: Use) -> Value
@@ -552,6 +595,8 @@
         let wait = progress.busy.iter().map(|(_, wait)| *wait).min();
         let code = progress.last_refusal.unwrap_or(ResultCode::NoEndpoint);
         let wait = match wait {
+            // Another attempt may meet an endpoint that accepts it.
+            _ if progress.turned_away => ClockTime(0),
             Some(wait) => wait.max(request.rule.objective),
             None => EMPTY_RETRY,
         };
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -23,6 +23,11 @@
 /// Multiple of its patience after which a waiting request is refused, and time added to it.
 const WAIT_TOLERANCE: f64 = 1.5;
 const WAIT_MARGIN: ClockTime = ClockTime(20);
+/// Largest factor by which short work waits longer than its objective suggests; the time-outs of
+/// routes are about three to four times their objectives.
+const SHORT_WORK_FACTOR: f64 = 4.0;
+/// Weight of the newest request in the mean part of repeated ones.
+const REPEATED_WEIGHT: f64 = 0.02;
 /// Difference up to which two measurements of one span may disagree.
 const AGE_MARGIN: ClockTime = ClockTime(100);
 
@@ -33,6 +38,8 @@
     pub(crate) client: EndpointClient,
     pub(crate) table: CallTable,
     pub(crate) tasks: Rc<TaskGroup>,
+    /// Mean part of repeated requests among those that the endpoint is sent.
+    pub(crate) repeated_part: Cell<f64>,
     /// Closed to other nodes while the node leaves.
     pub(crate) closed: Cell<bool>,
 }
@@ -109,14 +116,16 @@
         if let Some(code) = self.refusal(&header.endpoint) {
             return self.reply(arrived, not_run(code, ClockTime(0)));
         }
-        // The expected wait is an estimate; a request that waits for much longer is refused.
-        let limit = ClockTime((header.patience.as_f64() * WAIT_TOLERANCE) as u64);
-        let until = deadline.min(arrived + limit + WAIT_MARGIN);
         let urgency = SlotUrgency {
             priority: header.priority,
             objective: header.objective,
         };
-        let slot = self.gate.acquire(urgency, header.patience, until).await;
+        let patience = self.patience(header);
+        // The expected wait is an estimate; a request that waits for much longer is refused.
+        let limit = ClockTime((patience.as_f64() * WAIT_TOLERANCE) as u64);
+        let last_start = arrived + header.remaining - header.work;
+        let until = last_start.min(arrived + limit + WAIT_MARGIN);
+        let slot = self.gate.acquire(urgency, patience, until).await;
         let mut slot = match slot {
             Ok(slot) => slot,
             Err(refusal) => return self.reply(arrived, refused(refusal)),
@@ -126,6 +135,10 @@
             return self.reply(arrived, not_run(code, ClockTime(0)));
         }
         mark();
+        let repeated = f64::from(u8::from(header.repeated));
+        let part = self.repeated_part.get();
+        self.repeated_part
+            .set(part + REPEATED_WEIGHT * (repeated - part));
         let started = self.state.clock.now();
         let (outcome, body) = self.client.run(header, body, deadline).await;
         let worked = self.state.clock.now() - started;
@@ -140,6 +153,17 @@
         answer
     }
 
+    /// Returns the longest wait for a slot that is worthwhile.
+    ///
+    /// Work that is shorter than the usual work of the endpoint delays others little, while its
+    /// sender may lose longer work with it.
+    fn patience(&self, header: &ForwardHeader) -> ClockTime {
+        let hold = f64::from(self.gate.load().hold);
+        let ratio = hold / header.work.as_f64().max(1.0);
+        let patience = header.patience.as_f64() * ratio.clamp(1.0, SHORT_WORK_FACTOR);
+        ClockTime(patience as u64)
+    }
+
     /// Returns why the endpoint must get no new request.
     fn refusal(&self, endpoint: &EndpointId) -> Option<ResultCode> {
         let directory = self.state.directory.borrow();
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -34,10 +34,14 @@
     pub(crate) remaining: ClockTime,
     /// Longest wait for a slot that is worthwhile; a longer one is refused at once.
     pub(crate) patience: ClockTime,
+    /// Expected work of the request.
+    pub(crate) work: ClockTime,
     pub(crate) priority: u8,
     /// Time within which an answer is on time.
     pub(crate) objective: ClockTime,
     pub(crate) idempotent: bool,
+    /// Whether another endpoint has been sent the request before.
+    pub(crate) repeated: bool,
 }
 
 /// Asks what became of a forwarded request whose connection was lost.
--- a/src/sidecar/repeat_budget.rs
+++ b/src/sidecar/repeat_budget.rs
@@ -2,9 +2,19 @@
 
 use crate::clock::ClockTime;
 
-/// Part of the allowance that a node spends on its own account. The rest covers the repeats that
-/// nested calls of repeated work cause at other services.
-const OWN_PART: f64 = 0.6;
+/// Part of the allowance that is spent; the rest covers that nodes count their windows apart.
+const SPENT_PART: f64 = 0.8;
+
+/// States what a node may spend on repeats of one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RepeatAllowance {
+    /// Repeats allowed per request.
+    pub ratio: f64,
+    /// The node's share of the repeats that are allowed in addition.
+    pub slack: f64,
+    /// Part of the node's requests that are nested calls of repeated work, and thus repeats.
+    pub nested: f64,
+}
 
 /// Limits how often requests of one service are sent to a further endpoint.
 ///
@@ -35,10 +45,12 @@
     }
 
     /// Takes one repeat; returns false if the budget is spent.
-    pub fn take(&mut self, now: ClockTime, ratio: f64, slack: f64) -> bool {
+    pub fn take(&mut self, now: ClockTime, allowance: RepeatAllowance) -> bool {
         self.trim(now);
-        let allowed = OWN_PART * (ratio * self.requests.len() as f64 + slack);
-        if (self.repeats.len() as f64) + 1.0 > allowed {
+        let requests = self.requests.len() as f64;
+        let allowed = SPENT_PART * (allowance.ratio * requests + allowance.slack);
+        let spent = self.repeats.len() as f64 + allowance.nested * requests;
+        if spent + 1.0 > allowed {
             return false;
         }
         self.repeats.push_back(now);
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -84,6 +84,7 @@
         client: EndpointClient::new(settings.endpoint, clock, names, answer_limit),
         table: CallTable::default(),
         tasks: Rc::clone(&tasks),
+        repeated_part: Cell::new(0.0),
         closed: Cell::new(false),
     });
     let streams = Rc::new(ForwardStreams {
