Pass the view on between nodes, reload settings and bound the log

SIGHUP ended the process. Log lines were written by the event loop. Change: the nodes of a region form a tree by address hash; the first reads the store, the others ask the node above for changes, and read for themselves when their view is older than 2.5 read intervals. Settings are read again on SIGHUP and every two seconds. A thread writes log lines from a bounded queue.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,6 +1,7 @@
 //! Log output and protection against repeated events.
 
 mod event_gate;
+mod log_output;
 
 use std::io;
 
@@ -9,6 +10,9 @@
 use crate::error::{Error, Result, ResultCode};
 
 pub use event_gate::EventGate;
+pub use log_output::LogWriter;
+
+use log_output::LogOutput;
 
 /// Sends log lines of the given level and above to standard error.
 ///
@@ -24,3 +28,22 @@
     simplelog::WriteLogger::init(level, config, io::stderr())
         .map_err(|error| Error::new(ResultCode::SettingsOutOfRange, format!("log: {error}")))
 }
+
+/// Sends log lines of the given level and above to standard output, without ever blocking.
+///
+/// # Errors
+///
+/// `SettingsOutOfRange` if a logger has been set before or no thread can be started.
+pub fn start_structured(level: LevelFilter) -> Result<LogWriter> {
+    let failed = |what: String| Error::new(ResultCode::SettingsOutOfRange, format!("log: {what}"));
+    let (output, writer) =
+        LogOutput::start(io::stdout()).map_err(|error| failed(error.to_string()))?;
+    let config = simplelog::ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_thread_level(LevelFilter::Off)
+        .add_filter_allow_str("endive")
+        .build();
+    simplelog::WriteLogger::init(level, config, output)
+        .map_err(|error| failed(error.to_string()))?;
+    Ok(writer)
+}
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -1,6 +1,7 @@
 //! What nodes know of the mesh: the configuration in force and the endpoints of each service.
 
 mod client_limits;
+mod config_content;
 mod config_version;
 mod endpoint_record;
 mod mesh_config;
@@ -11,11 +12,12 @@
 mod service_target;
 
 pub use client_limits::ClientLimits;
+pub use config_content::ConfigContent;
 pub use config_version::ConfigVersion;
 pub use endpoint_record::{EndpointRecord, EndpointState};
 pub use mesh_config::MeshConfig;
 pub use registry_read::{RegistryChange, RegistryRead};
 pub use registry_source::RegistrySource;
 pub use route_rule::RouteRule;
-pub use service_directory::{DirectoryEvent, ServiceDirectory};
+pub use service_directory::{DirectoryDelta, DirectoryEvent, ServiceDirectory};
 pub use service_target::ServiceTarget;
--- a/src/mesh/client_limits.rs
+++ b/src/mesh/client_limits.rs
@@ -1,8 +1,10 @@
+use serde::{Deserialize, Serialize};
+
 use crate::clock::ClockTime;
 use crate::size::ByteSize;
 
 /// Bounds what a client may send, and how long it may take or stay idle.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// Largest request head.
     pub head_size: ByteSize,
--- /dev/null
+++ b/src/mesh/config_content.rs
@@ -0,0 +1,14 @@
+use serde::{Deserialize, Serialize};
+
+use crate::mesh::{ClientLimits, ConfigVersion, RouteRule};
+
+/// Is the content of a configuration as nodes exchange it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ConfigContent {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Limits for clients.
+    pub limits: ClientLimits,
+    /// All routes.
+    pub routes: Vec<RouteRule>,
+}
--- a/src/mesh/endpoint_record.rs
+++ b/src/mesh/endpoint_record.rs
@@ -1,10 +1,12 @@
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::ClockTime;
 use crate::id::{EndpointId, ServiceName, ZoneName};
 
 /// States whether an endpoint accepts new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointState {
     /// Accepts new work.
     Ready,
@@ -13,7 +15,7 @@
 }
 
 /// Is what one endpoint publishes of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Identifier of this incarnation.
     pub id: EndpointId,
--- a/src/mesh/mesh_config.rs
+++ b/src/mesh/mesh_config.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use crate::error::{Error, Result, ResultCode};
-use crate::mesh::{ClientLimits, ConfigVersion, RouteRule};
+use crate::mesh::{ClientLimits, ConfigContent, ConfigVersion, RouteRule};
 
 /// Is one whole, validated configuration.
 #[derive(Debug)]
@@ -56,6 +56,26 @@
         &self.limits
     }
 
+    /// Builds a configuration from its content.
+    ///
+    /// # Errors
+    ///
+    /// As for [`MeshConfig::new`].
+    pub fn from_content(content: ConfigContent) -> Result<Self> {
+        Self::new(content.version, content.limits, content.routes)
+    }
+
+    /// Returns the content for another node.
+    #[must_use]
+    pub fn content(&self) -> ConfigContent {
+        let rules = self.hosts.values().flat_map(HashMap::values);
+        ConfigContent {
+            version: self.version,
+            limits: self.limits.clone(),
+            routes: rules.map(|rule| rule.as_ref().clone()).collect(),
+        }
+    }
+
     /// Finds the route with the longest prefix for a host and a path.
     #[must_use]
     pub fn lookup(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
--- a/src/mesh/route_rule.rs
+++ b/src/mesh/route_rule.rs
@@ -1,10 +1,11 @@
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::clock::ClockTime;
 use crate::mesh::ServiceTarget;
 
 /// Says how the requests of one host and path prefix are treated.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name of the route in the configuration.
     pub name: String,
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -19,6 +19,41 @@
     Gone(EndpointId),
 }
 
+impl DirectoryEvent {
+    /// Returns the endpoint that the event concerns.
+    #[must_use]
+    pub fn endpoint(&self) -> &EndpointId {
+        match self {
+            Self::Ready(id) | Self::Draining(id) | Self::Missing(id) | Self::Gone(id) => id,
+        }
+    }
+
+    /// Returns the name of the event for logs.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Ready(_) => "ready",
+            Self::Draining(_) => "draining",
+            Self::Missing(_) => "missing",
+            Self::Gone(_) => "gone",
+        }
+    }
+}
+
+/// Is what changed in a directory since an earlier state of it.
+#[derive(Debug)]
+pub struct DirectoryDelta {
+    /// Whether the list is all that the directory holds.
+    pub is_whole: bool,
+    /// Endpoints, and whether the registry lost their entry in an outage.
+    pub present: Vec<(Rc<EndpointRecord>, bool)>,
+    /// Endpoints that are gone.
+    pub removed: Vec<EndpointId>,
+}
+
+/// Changes that are remembered; a node that is further behind gets the whole directory.
+const CHANGE_LIMIT: usize = 1_024;
+
 /// Endpoints that are remembered as gone. An identifier is 64 bytes at most, so they take less than
 /// a megabyte; a request for a forgotten one is refused by the endpoint itself.
 const GONE_LIMIT: usize = 4_096;
@@ -40,6 +75,8 @@
     services: HashMap<ServiceName, Vec<EndpointId>>,
     addresses: HashMap<SocketAddr, EndpointId>,
     gone: HashMap<EndpointId, Rc<EndpointRecord>>,
+    changes: VecDeque<EndpointId>,
+    number: u64,
     settle_until: ClockTime,
     position: u64,
 }
@@ -94,6 +131,9 @@
         self.claim_address(&entry.record);
         self.entries.insert(id.clone(), entry);
         self.gone.remove(&id);
+        if !unchanged {
+            self.note_change(&id);
+        }
         match state {
             _ if unchanged => None,
             EndpointState::Ready => Some(DirectoryEvent::Ready(id)),
@@ -106,6 +146,7 @@
         let entry = self.entries.get_mut(id)?;
         if now < self.settle_until && entry.record.state == EndpointState::Ready {
             let known = std::mem::replace(&mut entry.missing, true);
+            self.note_change(id);
             return (!known).then(|| DirectoryEvent::Missing(id.clone()));
         }
         self.forget(id);
@@ -203,6 +244,60 @@
         self.gone.contains_key(id)
     }
 
+    /// Removes an endpoint that another node knows to be gone.
+    pub fn discard(&mut self, id: &EndpointId) -> Option<DirectoryEvent> {
+        self.entries.contains_key(id).then(|| {
+            self.forget(id);
+            DirectoryEvent::Gone(id.clone())
+        })
+    }
+
+    /// Returns the number of the last change.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns what changed since the change of a number.
+    #[must_use]
+    pub fn delta(&self, since: Option<u64>) -> DirectoryDelta {
+        let count = since.and_then(|since| self.number.checked_sub(since));
+        let count = count.and_then(|count| usize::try_from(count).ok());
+        let Some(count) = count.filter(|count| *count <= self.changes.len()) else {
+            let entries = self.entries.values();
+            return DirectoryDelta {
+                is_whole: true,
+                present: entries
+                    .map(|entry| (Rc::clone(&entry.record), entry.missing))
+                    .collect(),
+                removed: Vec::new(),
+            };
+        };
+        let recent: HashSet<_> = self.changes.iter().rev().take(count).collect();
+        let mut delta = DirectoryDelta {
+            is_whole: false,
+            present: Vec::new(),
+            removed: Vec::new(),
+        };
+        for id in recent {
+            match self.entries.get(id) {
+                Some(entry) => delta
+                    .present
+                    .push((Rc::clone(&entry.record), entry.missing)),
+                None => delta.removed.push(id.clone()),
+            }
+        }
+        delta
+    }
+
+    fn note_change(&mut self, id: &EndpointId) {
+        self.number += 1;
+        self.changes.push_back(id.clone());
+        if self.changes.len() > CHANGE_LIMIT {
+            self.changes.pop_front();
+        }
+    }
+
     fn claim_address(&mut self, record: &EndpointRecord) {
         let holder = self.addresses.get(&record.address);
         let later = holder
@@ -236,6 +331,7 @@
 
     fn forget(&mut self, id: &EndpointId) {
         self.unlist(id);
+        self.note_change(id);
         if let Some(entry) = self.entries.remove(id) {
             self.release_address(&entry.record);
             if self.gone.len() >= GONE_LIMIT {
--- a/src/mesh/service_target.rs
+++ b/src/mesh/service_target.rs
@@ -1,7 +1,9 @@
+use serde::{Deserialize, Serialize};
+
 use crate::id::ServiceName;
 
 /// Is one service of a route with its share of the requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceTarget {
     /// Service that runs the requests.
     pub service: ServiceName,
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -568,7 +568,7 @@
     /// Takes a further arrival at an endpoint from the budget of the service.
     fn take_repeat(&self, request: &EntryRequest) -> bool {
         let now = self.state.clock.now();
-        let bounds = &self.settings.bounds;
+        let bounds = self.state.bounds();
         let nodes = self.state.directory.borrow().len().max(1) as f64;
         let allowance = RepeatAllowance {
             ratio: bounds.retry_ratio,
@@ -583,7 +583,7 @@
         Use: FnOnce(&mut RepeatBudget) -> Value,
     {
         let mut budgets = self.budgets.borrow_mut();
-        let window = self.settings.bounds.retry_window;
+        let window = self.state.bounds().retry_window;
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| RepeatBudget::new(window));
@@ -620,7 +620,7 @@
             request.rule.name,
             request.service,
             request.version,
-            self.state.age(),
+            self.state.age().unwrap_or_default(),
             answer.status,
             answer.code,
             progress.excluded.len() + progress.busy.len(),
--- a/src/sidecar/forward_streams.rs
+++ b/src/sidecar/forward_streams.rs
@@ -19,11 +19,15 @@
 use crate::sidecar::forward_message::{
     FORWARD_LIMIT, ForwardAnswer, ForwardCodec, ForwardHeader, ResumeHeader,
 };
+use crate::sidecar::view_message::{ViewCodec, ViewRequest};
+use crate::sidecar::view_service::ViewService;
 
 /// Path of forwarded requests.
 pub(crate) const FORWARD_PATH: &str = "/forward/1";
 /// Path of questions about requests whose connection was lost.
 pub(crate) const RESUME_PATH: &str = "/resume/1";
+/// Path of questions about the view of a node.
+pub(crate) const VIEW_PATH: &str = "/view/1";
 /// Longest time for a request to arrive in full.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time for the peer to take an answer, so that one that does not read holds no memory.
@@ -32,6 +36,7 @@
 /// Serves the requests that other nodes forward.
 pub(crate) struct ForwardStreams {
     pub(crate) service: Rc<ExitService>,
+    pub(crate) views: Rc<ViewService>,
     pub(crate) body_limit: usize,
 }
 
@@ -45,6 +50,7 @@
     ) -> LocalBoxFuture<'static, ()> {
         let stream = ForwardStream {
             service: Rc::clone(&self.service),
+            views: Rc::clone(&self.views),
             body_limit: self.body_limit,
             respond,
         };
@@ -54,6 +60,7 @@
 
 struct ForwardStream {
     service: Rc<ExitService>,
+    views: Rc<ViewService>,
     body_limit: usize,
     respond: SendResponse<Bytes>,
 }
@@ -66,6 +73,7 @@
         let result = match path.as_str() {
             FORWARD_PATH if post => self.forward(stream).await,
             RESUME_PATH if post => self.resume(stream).await,
+            VIEW_PATH if post => self.view(stream).await,
             _ => Err(Error::new(
                 ResultCode::PeerProtocol,
                 format!("unknown path {path}"),
@@ -121,6 +129,16 @@
         }
     }
 
+    async fn view(&mut self, stream: RecvStream) -> Result<()> {
+        let (request, _): (ViewRequest, _) = read(stream, 0).await?;
+        let views = Rc::clone(&self.views);
+        let running = views.view(&request).boxed_local();
+        match self.unless_reset(running).await {
+            Some(reply) => self.send(ViewCodec::encode(&reply)?, Bytes::new()).await,
+            None => Ok(()),
+        }
+    }
+
     /// Returns `None` when the peer resets the stream. A lost connection is no reset: the future
     /// then waits until it is dropped with the connection.
     async fn unless_reset<Answer>(
@@ -141,12 +159,16 @@
 
     async fn answer(&mut self, answer: &ForwardAnswer) -> Result<()> {
         let head = ForwardCodec::encode(&answer.reply)?;
+        self.send(head, answer.body.clone()).await
+    }
+
+    async fn send(&mut self, head: Bytes, body: Bytes) -> Result<()> {
         let sending = async {
             let mut stream = self
                 .respond
                 .send_response(Response::new(()), false)
                 .map_err(|error| call_exchange::lost(&error))?;
-            call_exchange::send_message(&mut stream, head, answer.body.clone())
+            call_exchange::send_message(&mut stream, head, body)
                 .await
                 .map_err(|error| call_exchange::lost(&error))
         };
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -1,8 +1,13 @@
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
+use futures_channel::oneshot;
+
 use crate::clock::{ClockTime, SystemClock};
 use crate::mesh::{MeshConfig, ServiceDirectory};
+use crate::sidecar::{MeshBounds, SidecarSettings};
 
 /// Holds what the node knows of the mesh; one event loop owns it.
 pub(crate) struct NodeState {
@@ -13,10 +18,13 @@
     leaving: Cell<bool>,
     /// Time of the last read that confirmed the state.
     read_at: Cell<ClockTime>,
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+    bounds: RefCell<Rc<MeshBounds>>,
+    registry: Cell<SocketAddr>,
 }
 
 impl NodeState {
-    pub(crate) fn new(clock: SystemClock) -> Self {
+    pub(crate) fn new(clock: SystemClock, settings: &SidecarSettings) -> Self {
         Self {
             clock,
             directory: RefCell::default(),
@@ -24,7 +32,29 @@
             loaded: Cell::new(false),
             leaving: Cell::new(false),
             read_at: Cell::new(ClockTime(0)),
+            waiting: RefCell::default(),
+            bounds: RefCell::new(Rc::new(settings.bounds.clone())),
+            registry: Cell::new(settings.registry),
+        }
+    }
+
+    /// Puts the settings in force that may change while the node runs; returns whether any did.
+    pub(crate) fn set_live(&self, settings: &SidecarSettings) -> bool {
+        let changed = *self.bounds() != settings.bounds || self.registry.get() != settings.registry;
+        if changed {
+            *self.bounds.borrow_mut() = Rc::new(settings.bounds.clone());
+            self.registry.set(settings.registry);
         }
+        changed
+    }
+
+    pub(crate) fn bounds(&self) -> Rc<MeshBounds> {
+        Rc::clone(&self.bounds.borrow())
+    }
+
+    /// Returns the address of the registry.
+    pub(crate) fn registry(&self) -> SocketAddr {
+        self.registry.get()
     }
 
     pub(crate) fn config(&self) -> Option<Arc<MeshConfig>> {
@@ -44,15 +74,36 @@
         true
     }
 
-    /// Records that a read confirmed the state.
-    pub(crate) fn confirm(&self, now: ClockTime) {
+    /// Records that the registry confirmed the state at a time.
+    pub(crate) fn confirm(&self, read_at: ClockTime) {
         self.loaded.set(true);
-        self.read_at.set(now);
+        if read_at <= self.read_at.get() {
+            return;
+        }
+        self.read_at.set(read_at);
+        for waiting in self.waiting.take() {
+            // A node that no longer waits needs no notice.
+            let _ = waiting.send(());
+        }
+    }
+
+    /// Returns the time since the registry confirmed the state; `None` if it never did.
+    pub(crate) fn age(&self) -> Option<ClockTime> {
+        let age = self.clock.now() - self.read_at.get();
+        self.loaded.get().then_some(age)
+    }
+
+    /// Returns the time of the last read that confirmed the state.
+    pub(crate) fn read_at(&self) -> ClockTime {
+        self.read_at.get()
     }
 
-    /// Returns the time since the last read that confirmed the state.
-    pub(crate) fn age(&self) -> ClockTime {
-        self.clock.now() - self.read_at.get()
+    /// Waits until a read confirms the state.
+    pub(crate) async fn confirmed(&self) {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().push(sender);
+        // A dropped sender means that the node ends.
+        let _ = receiver.await;
     }
 
     pub(crate) fn leave(&self) {
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -1,22 +1,32 @@
-use std::collections::HashSet;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use futures_util::future::{self, Either};
 use monoio::time;
+use rand::seq::IndexedRandom;
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
 use crate::error::{Result, ResultCode};
-use crate::mesh::{DirectoryEvent, RegistryChange, RegistryRead, RegistrySource};
-use crate::sidecar::MeshBounds;
+use crate::id::EndpointId;
+use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead};
 use crate::sidecar::dispatcher::Dispatcher;
 use crate::sidecar::exit_service::ExitService;
 use crate::sidecar::node_state::NodeState;
+use crate::sidecar::view_client::ViewClient;
+use crate::sidecar::view_message::{ViewMark, ViewReply, ViewRequest};
+use crate::sidecar::{PlatformAdapter, SidecarSettings, ViewTree};
 
-/// Part of the shortest bound after which the registry is read again, so that a change is known
+/// Part of the shortest bound after which the view is confirmed again, so that a change is known
 /// well within its bound also when one read is slow.
 const READ_PART: u64 = 4;
+/// Intervals after which a view that no other node has confirmed is confirmed by a read of the
+/// registry; together with that read it stays within the bound.
+const TRUST_INTERVALS: f64 = 2.5;
 /// First and longest pause after a failed read.
 const FIRST_PAUSE: ClockTime = ClockTime(50);
 const MAX_PAUSE: ClockTime = ClockTime(800);
@@ -26,86 +36,236 @@
 
 /// Keeps the state of the node in step with the registry.
 pub(crate) struct RegistryTask {
-    pub(crate) source: Rc<dyn RegistrySource>,
+    pub(crate) settings: Rc<SidecarSettings>,
+    pub(crate) adapter: Rc<dyn PlatformAdapter>,
     pub(crate) state: Rc<NodeState>,
     pub(crate) exit: Rc<ExitService>,
     pub(crate) dispatcher: Rc<Dispatcher>,
-    pub(crate) bounds: MeshBounds,
+    pub(crate) views: ViewClient,
+    /// State of each node's view that this node has taken over.
+    pub(crate) marks: RefCell<HashMap<IpAddr, ViewMark>>,
+    /// Position up to which the registry was read; `None` before the first read.
+    pub(crate) position: Cell<Option<u64>>,
+    pub(crate) failures: Cell<u32>,
+    pub(crate) registry_lost: Cell<bool>,
+}
+
+/// Is where the next confirmation of the view comes from.
+#[derive(Debug, Clone, Copy)]
+enum ViewSource {
+    Registry,
+    Node(IpAddr),
 }
 
 impl RegistryTask {
-    /// Reads until the signal is given.
+    /// Keeps the view up to date until the signal is given.
     pub(crate) async fn run(self, stop: StopSignal) {
-        let reading = pin!(self.read_forever());
+        let reading = pin!(self.confirm_forever());
         let stopped = pin!(stop.wait());
         match future::select(reading, stopped).await {
             Either::Left(_) | Either::Right(_) => {}
         }
     }
 
-    async fn read_forever(&self) {
-        let mut position = None;
-        let mut pause = FIRST_PAUSE;
-        let mut failed = false;
+    async fn confirm_forever(&self) {
         loop {
             let begun = self.state.clock.now();
-            match self.read(position).await {
-                Ok(read) => {
-                    if failed {
-                        log::info!("event=registry_back pause_ms={pause}");
-                        let until = self.state.clock.now() + SETTLE_TIME;
-                        self.state.directory.borrow_mut().settle(until);
-                        failed = false;
-                    }
-                    pause = FIRST_PAUSE;
-                    position = Some(read.position);
-                    self.apply(read);
+            let source = self.next_source();
+            let result = match source {
+                ViewSource::Registry => self.read_registry().await,
+                ViewSource::Node(address) => self.ask_node(address).await,
+            };
+            self.expire();
+            match (result, source) {
+                (Ok(()), ViewSource::Registry) => {
+                    self.failures.set(0);
                     self.rest(begun).await;
                 }
-                Err(error) if error.code() == ResultCode::HistoryGone => {
-                    log::info!("event=registry_history_gone position={position:?}");
-                    position = None;
+                (Ok(()), ViewSource::Node(_)) => self.failures.set(0),
+                (Err(()), _) => self.pause().await,
+            }
+        }
+    }
+
+    /// Chooses the node above in the tree while it keeps the view fresh, else the registry. After
+    /// failures the registry and other nodes are asked by turns.
+    fn next_source(&self) -> ViewSource {
+        let failures = self.failures.get();
+        if failures > 0 && failures % 2 == 1 {
+            if let Some(address) = self.random_node() {
+                return ViewSource::Node(address);
+            }
+        }
+        let trust = ClockTime((self.interval().as_f64() * TRUST_INTERVALS) as u64);
+        let fresh = self.state.age().is_some_and(|age| age < trust);
+        match self.parent() {
+            Some(address) if fresh && failures == 0 => ViewSource::Node(address),
+            _ => ViewSource::Registry,
+        }
+    }
+
+    fn parent(&self) -> Option<IpAddr> {
+        let regions = &self.settings.regions;
+        let region = regions.get(&self.settings.zone)?;
+        let directory = self.state.directory.borrow();
+        let tree = ViewTree::new(&directory, |zone| regions.get(zone).cloned(), region);
+        let own = self.settings.endpoint.ip();
+        tree.parent(own).filter(|address| *address != own)
+    }
+
+    fn random_node(&self) -> Option<IpAddr> {
+        let own = self.settings.endpoint.ip();
+        let directory = self.state.directory.borrow();
+        let known = directory.records().map(|record| record.address.ip());
+        let nodes: Vec<IpAddr> = known
+            .chain(self.settings.seeds.iter().copied())
+            .filter(|address| *address != own)
+            .collect();
+        nodes.choose(&mut rand::rng()).copied()
+    }
+
+    async fn read_registry(&self) -> std::result::Result<(), ()> {
+        match self.read().await {
+            Ok(read) => {
+                if self.registry_lost.replace(false) {
+                    log::info!("event=registry_back failures={}", self.failures.get());
+                    let until = self.state.clock.now() + SETTLE_TIME;
+                    self.state.directory.borrow_mut().settle(until);
                 }
-                Err(error) => {
-                    if !failed {
-                        log::warn!(
-                            "event=registry_lost age_ms={} cause=\"{error}\"",
-                            self.state.age()
-                        );
-                    }
-                    failed = true;
-                    let jitter = rand::random_range(0.5..1.5);
-                    let wait = ClockTime((pause.as_f64() * jitter) as u64);
-                    time::sleep(wait.to_duration()).await;
-                    pause = ClockTime(pause.0 * 2).min(MAX_PAUSE);
+                self.position.set(Some(read.position));
+                self.apply(read);
+                Ok(())
+            }
+            Err(error) if error.code() == ResultCode::HistoryGone => {
+                log::info!(
+                    "event=registry_history_gone position={:?}",
+                    self.position.get()
+                );
+                self.position.set(None);
+                Ok(())
+            }
+            Err(error) => {
+                if !self.registry_lost.replace(true) {
+                    let age = self.state.age().unwrap_or_default();
+                    log::warn!("event=registry_lost view_age_ms={age} cause=\"{error}\"");
                 }
+                Err(())
             }
-            self.expire();
         }
     }
 
-    async fn read(&self, position: Option<u64>) -> Result<RegistryRead> {
-        let interval = self.interval();
-        match position {
-            None => self.source.snapshot().await,
-            Some(position) => self.source.watch(position, ClockTime(interval.0 * 2)).await,
+    async fn read(&self) -> Result<RegistryRead> {
+        let source = self.adapter.registry(self.state.registry());
+        match self.position.get() {
+            None => source.snapshot().await,
+            Some(position) => source.watch(position, self.interval()).await,
+        }
+    }
+
+    async fn ask_node(&self, address: IpAddr) -> std::result::Result<(), ()> {
+        let request = ViewRequest {
+            mark: self.marks.borrow().get(&address).copied(),
+            version: self.state.config().map(|config| config.version()),
+            age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
+            wait: self.interval() + self.interval(),
+        };
+        let before = self.state.read_at();
+        match self.views.ask(address, &request).await {
+            Ok(reply) => {
+                self.take_over(address, reply);
+                // An answer that confirms nothing newer leaves the choice to the age of the view.
+                if self.state.read_at() > before {
+                    Ok(())
+                } else {
+                    Err(())
+                }
+            }
+            Err(error) => {
+                log::info!("event=view_source_lost node={address} cause=\"{error}\"");
+                Err(())
+            }
         }
     }
 
+    /// Takes over what another node knows, unless the own view is newer.
+    fn take_over(&self, address: IpAddr, reply: ViewReply) {
+        let Some(age) = reply.age else {
+            return;
+        };
+        if let Some(content) = reply.config {
+            match MeshConfig::from_content(content) {
+                Ok(config) => self.install(&Arc::new(config)),
+                Err(error) => log::error!("event=config_refused node={address} cause=\"{error}\""),
+            }
+        }
+        let now = self.state.clock.now();
+        let mut events = Vec::new();
+        {
+            let mut directory = self.state.directory.borrow_mut();
+            if reply.position < directory.position() {
+                return;
+            }
+            let mut named = HashSet::new();
+            let mut missing = Vec::new();
+            for entry in reply.entries {
+                named.insert(entry.record.id.clone());
+                if entry.missing {
+                    missing.push(entry.record.id.clone());
+                }
+                events.extend(directory.publish(now, entry.record));
+            }
+            if !missing.is_empty() {
+                directory.settle(now + SETTLE_TIME);
+            }
+            for id in missing {
+                events.extend(directory.remove(now, &id));
+            }
+            let absent: Vec<EndpointId> = if reply.is_whole {
+                let held = directory.records().map(|record| record.id.clone());
+                held.filter(|id| !named.contains(id)).collect()
+            } else {
+                reply.removed
+            };
+            for id in absent {
+                events.extend(directory.discard(&id));
+            }
+            directory.advance(reply.position);
+        }
+        self.marks.borrow_mut().insert(address, reply.mark);
+        self.position.set(Some(reply.position));
+        self.state.confirm(now - age);
+        self.act(events);
+    }
+
     /// Waits until the next read is due, because most changes are reports that change nothing.
     async fn rest(&self, begun: ClockTime) {
         let due = begun + self.interval();
-        let now = self.state.clock.now();
-        if due > now {
-            time::sleep((due - now).to_duration()).await;
-        }
+        let left = due - self.state.clock.now();
+        time::sleep(left.to_duration()).await;
+    }
+
+    async fn pause(&self) {
+        let failures = self.failures.get();
+        self.failures.set(failures.saturating_add(1));
+        let pause = ClockTime(FIRST_PAUSE.0 << failures.min(6)).min(MAX_PAUSE);
+        let jitter = rand::random_range(0.5..1.5);
+        let pause = ClockTime((pause.as_f64() * jitter) as u64);
+        time::sleep(pause.to_duration()).await;
     }
 
     fn interval(&self) -> ClockTime {
-        let bound = self.bounds.config_apply.min(self.bounds.drain);
+        let bounds = self.state.bounds();
+        let bound = bounds.config_apply.min(bounds.drain);
         ClockTime(bound.0 / READ_PART)
     }
 
+    fn install(&self, config: &Arc<MeshConfig>) {
+        if self.state.install(config) {
+            self.dispatcher.picker.borrow_mut().reset();
+            log::info!("event=config_in_force version={}", config.version());
+        }
+    }
+
     fn apply(&self, read: RegistryRead) {
         let now = self.state.clock.now();
         let mut events = Vec::new();
@@ -115,10 +275,7 @@
             match change {
                 RegistryChange::Config(config) => {
                     drop(directory);
-                    if self.state.install(&config) {
-                        self.dispatcher.picker.borrow_mut().reset();
-                        log::info!("event=config_in_force version={}", config.version());
-                    }
+                    self.install(&config);
                 }
                 RegistryChange::Endpoint(record) => {
                     named.insert(record.id.clone());
@@ -127,12 +284,13 @@
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
             }
         }
-        let mut directory = self.state.directory.borrow_mut();
-        if read.is_snapshot {
-            events.extend(directory.retain(now, &named));
+        {
+            let mut directory = self.state.directory.borrow_mut();
+            if read.is_snapshot {
+                events.extend(directory.retain(now, &named));
+            }
+            directory.advance(read.position);
         }
-        directory.advance(read.position);
-        drop(directory);
         self.state.confirm(now);
         self.act(events);
     }
@@ -145,30 +303,34 @@
 
     fn act(&self, events: Vec<DirectoryEvent>) {
         for event in events {
-            log::info!("event=endpoint {event:?}");
-            match event {
-                DirectoryEvent::Ready(id) => {
-                    let directory = self.state.directory.borrow();
-                    let Some(record) = directory.record(&id) else {
-                        continue;
-                    };
-                    if record.address == self.exit.client.address() {
-                        self.exit.client.reset();
-                        self.exit.gate.set_capacity(record.capacity as usize);
-                    }
-                }
-                DirectoryEvent::Draining(id) => self.turn_away(&id),
+            let id = event.endpoint();
+            log::info!("event=endpoint_{} endpoint={id}", event.name());
+            match &event {
+                DirectoryEvent::Ready(id) => self.greet(id),
+                DirectoryEvent::Draining(id) => self.turn_away(id),
                 DirectoryEvent::Missing(_) => {}
                 DirectoryEvent::Gone(id) => {
-                    self.dispatcher.endpoints.borrow_mut().forget(&id);
-                    self.turn_away(&id);
+                    self.dispatcher.endpoints.borrow_mut().forget(id);
+                    self.turn_away(id);
                 }
             }
         }
     }
 
+    /// Prepares for an endpoint that has appeared beside the node.
+    fn greet(&self, id: &EndpointId) {
+        let directory = self.state.directory.borrow();
+        let Some(record) = directory.record(id) else {
+            return;
+        };
+        if record.address == self.exit.client.address() {
+            self.exit.client.reset();
+            self.exit.gate.set_capacity(record.capacity as usize);
+        }
+    }
+
     /// Turns away what waits for an endpoint that leaves.
-    fn turn_away(&self, id: &crate::id::EndpointId) {
+    fn turn_away(&self, id: &EndpointId) {
         let directory = self.state.directory.borrow();
         let here = self.exit.client.address();
         let successor = directory
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -14,7 +14,6 @@
 use crate::error::{Error, Result, ResultCode};
 use crate::event_loop;
 use crate::id::NodeAddress;
-use crate::mesh::RegistrySource;
 use crate::node::{StopWatch, TaskGroup};
 use crate::peer::{PeerPool, PeerServer, ProbePlan};
 use crate::sidecar::call_table::CallTable;
@@ -27,9 +26,13 @@
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::ready_server::{self, ReadyPage};
 use crate::sidecar::registry_task::RegistryTask;
+use crate::sidecar::reload_task::ReloadTask;
+use crate::sidecar::reload_watch::ReloadWatch;
 use crate::sidecar::route_stats::RouteStats;
 use crate::sidecar::slot_gate::SlotGate;
-use crate::sidecar::{SidecarSettings, TargetPicker};
+use crate::sidecar::view_client::ViewClient;
+use crate::sidecar::view_service::ViewService;
+use crate::sidecar::{PlatformAdapter, SidecarSettings, TargetPicker};
 
 /// Slots of an endpoint until the registry names them.
 const FIRST_CAPACITY: usize = 1;
@@ -57,24 +60,19 @@
 ///
 /// # Errors
 ///
-/// `SettingsOutOfRange` if an address cannot be bound or the event loop cannot be started.
-pub fn run<Connect>(settings: SidecarSettings, connect: Connect) -> Result<()>
-where
-    Connect: FnOnce(SystemClock) -> Rc<dyn RegistrySource>,
-{
-    event_loop::run(serve(settings, connect))?
+/// A code of the settings; `SettingsOutOfRange` if an address cannot be bound or the event loop cannot be started.
+pub fn run(adapter: Rc<dyn PlatformAdapter>) -> Result<()> {
+    let settings = Rc::new(adapter.load_settings()?);
+    event_loop::run(serve(settings, adapter))?
 }
 
-async fn serve<Connect>(settings: SidecarSettings, connect: Connect) -> Result<()>
-where
-    Connect: FnOnce(SystemClock) -> Rc<dyn RegistrySource>,
-{
+async fn serve(settings: Rc<SidecarSettings>, adapter: Rc<dyn PlatformAdapter>) -> Result<()> {
     let clock = SystemClock::new();
-    let settings = Rc::new(settings);
     let watch = StopWatch::new()?;
+    let reload_watch = ReloadWatch::new()?;
     let clients = bind(settings.client_listen)?;
     let ready = bind(settings.ready_listen)?;
-    let state = Rc::new(NodeState::new(clock));
+    let state = Rc::new(NodeState::new(clock, &settings));
     let tasks = Rc::new(TaskGroup::new());
     let answer_limit = (settings.memory.0 / ANSWER_PART) as usize;
     let names = Rc::new(settings.headers.clone());
@@ -87,8 +85,13 @@
         repeated_part: Cell::new(0.0),
         closed: Cell::new(false),
     });
+    let process = rand::random();
     let streams = Rc::new(ForwardStreams {
         service: Rc::clone(&exit),
+        views: Rc::new(ViewService {
+            state: Rc::clone(&state),
+            process,
+        }),
         body_limit: answer_limit,
     });
     let peer_address = NodeAddress(settings.peer_listen);
@@ -99,7 +102,7 @@
         state: Rc::clone(&state),
         exit: Rc::clone(&exit),
         pool: Rc::clone(&pool),
-        sender: rand::random(),
+        sender: process,
         next_call: Cell::new(0),
         picker: RefCell::new(TargetPicker::new()),
         endpoints: RefCell::new(EndpointStats::default()),
@@ -120,13 +123,28 @@
     };
     let ready_task = monoio::spawn(ready_server::serve(ready, page, rest_stopped.clone()));
     let registry = RegistryTask {
-        source: connect(clock),
+        adapter: Rc::clone(&adapter),
         state: Rc::clone(&state),
         exit: Rc::clone(&exit),
         dispatcher,
-        bounds: settings.bounds.clone(),
+        settings: Rc::clone(&settings),
+        views: ViewClient {
+            pool: Rc::clone(&pool),
+            port: settings.peer_listen.port(),
+        },
+        marks: RefCell::default(),
+        position: Cell::new(None),
+        failures: Cell::new(0),
+        registry_lost: Cell::new(false),
+    };
+    let registry_task = monoio::spawn(registry.run(rest_stopped.clone()));
+    let reload = ReloadTask {
+        adapter,
+        state: Rc::clone(&state),
+        watch: reload_watch,
+        started_with: Rc::clone(&settings),
     };
-    let registry_task = monoio::spawn(registry.run(rest_stopped));
+    let reload_task = monoio::spawn(reload.run(rest_stopped));
     log::info!(
         "event=start node={} zone={} service={} incarnation={}",
         settings.name,
@@ -143,7 +161,7 @@
     // Clients are sent here until the platform has seen that the node is not ready.
     time::sleep((ClockTime(READY_INTERVAL.0 * READY_MISSES + 500)).to_duration()).await;
     drop(stop_clients);
-    let end = begun + settings.bounds.grace - KILL_MARGIN;
+    let end = begun + state.bounds().grace - KILL_MARGIN;
     let limit = end - clock.now();
     let drained = time::timeout(limit.to_duration(), client_task)
         .await
@@ -157,6 +175,7 @@
     if drained && finished {
         ready_task.await;
         registry_task.await;
+        reload_task.await;
         pool.close().await;
     }
     log::info!(
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -1,5 +1,5 @@
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use crate::id::{RegionName, ServiceName, ZoneName};
 use crate::sidecar::{HeaderNames, MeshBounds};
@@ -18,6 +18,10 @@
     pub service: ServiceName,
     /// Address of the endpoint beside the node.
     pub endpoint: SocketAddr,
+    /// Address of the registry.
+    pub registry: SocketAddr,
+    /// Nodes that may know the mesh before this one has read the registry.
+    pub seeds: Vec<IpAddr>,
     /// Address for clients and for the endpoint's own calls.
     pub client_listen: SocketAddr,
     /// Address for other nodes; all nodes use the same port.
