--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -15,6 +15,7 @@
 mod header_names;
 mod mesh_bounds;
 mod node_state;
+mod peer_clock;
 mod platform_adapter;
 mod ready_server;
 mod registry_task;
@@ -35,6 +36,7 @@
 
 pub use header_names::HeaderNames;
 pub use mesh_bounds::MeshBounds;
+pub use peer_clock::{PeerClock, RemoteTime};
 pub use platform_adapter::PlatformAdapter;
 pub use repeat_budget::{RepeatAllowance, RepeatBudget};
 pub use run::run;
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -26,7 +26,9 @@
 use crate::sidecar::forward_streams::{FORWARD_PATH, RESUME_PATH};
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::route_stats::RouteStats;
-use crate::sidecar::{RepeatAllowance, RepeatBudget, SidecarSettings, TargetPicker};
+use crate::sidecar::{
+    PeerClock, RemoteTime, RepeatAllowance, RepeatBudget, SidecarSettings, TargetPicker,
+};
 
 /// Expected network time in ms to an endpoint in the same zone, region, or elsewhere, until the
 /// first answer shows it.
@@ -65,6 +67,7 @@
     pub(crate) pool: Rc<PeerPool>,
     pub(crate) sender: u64,
     pub(crate) next_call: Cell<u64>,
+    pub(crate) clocks: RefCell<HashMap<NodeAddress, PeerClock>>,
     pub(crate) picker: RefCell<TargetPicker>,
     pub(crate) endpoints: RefCell<EndpointStats>,
     pub(crate) routes: RefCell<RouteStats>,
@@ -231,6 +234,7 @@
             headers: request.headers.clone(),
             body_length: request.body.len() as u64,
             remaining: request.deadline - started,
+            sent_at: self.remote_time(self.node_of(record)),
             patience,
             work: ClockTime(self.work(request) as u64),
             priority: request.rule.priority,
@@ -318,6 +322,12 @@
         }
     }
 
+    /// Returns the present time on the clock of another node, if an answer has shown it.
+    fn remote_time(&self, node: NodeAddress) -> Option<RemoteTime> {
+        let now = self.state.clock.now();
+        self.clocks.borrow().get(&node).map(|clock| clock.at(now))
+    }
+
     /// Asks over a new connection what became of a request that must not run twice.
     async fn resume(
         &self,
@@ -366,6 +376,8 @@
         let now = self.state.clock.now();
         let reply = answer.reply;
         let network = elapsed.as_f64() - reply.elapsed.as_f64();
+        let clock = PeerClock::new(reply.answered_at, now);
+        self.clocks.borrow_mut().insert(self.node_of(record), clock);
         let mut endpoints = self.endpoints.borrow_mut();
         endpoints.heard(&record.id, now, reply.load, network.max(0.0));
         match reply.outcome {
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -8,6 +8,9 @@
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// Time after which a load report has lost most of its meaning: a few requests have ended since.
 const REPORT_DECAY: f64 = 400.0;
+/// Time after which what an endpoint has shown has lost most of its meaning, in ms, so that one that
+/// was slow or failed is tried again.
+const KNOWLEDGE_DECAY: f64 = 5_000.0;
 /// First and longest time for which an endpoint that cannot be reached is passed over.
 const FIRST_AVOID: ClockTime = ClockTime(200);
 const MAX_AVOID: ClockTime = ClockTime(2_000);
@@ -110,18 +113,17 @@
         let outstanding = (reported + f64::from(view.sent_since)).max(f64::from(view.in_flight));
         let hold = f64::from(view.report.hold).max(1.0);
         let wait = (outstanding - capacity + 1.0).max(0.0) * hold / capacity;
-        let slowness = view.slowness.unwrap_or(1.0);
+        let known = (-age / KNOWLEDGE_DECAY).exp();
+        let slowness = 1.0 + (view.slowness.unwrap_or(1.0) - 1.0) * known;
+        let network = view.network.unwrap_or(network_prior);
+        let network = network_prior + (network - network_prior) * known;
         let crowded = 1.0 + FULL_PENALTY * (outstanding / capacity).min(1.0);
         let avoided = if view.avoid_until > now {
             AVOID_COST
         } else {
             0.0
         };
-        view.network.unwrap_or(network_prior)
-            + work * slowness * crowded
-            + wait
-            + FAILURE_COST * view.failures
-            + avoided
+        network + work * slowness * crowded + wait + FAILURE_COST * view.failures * known + avoided
     }
 
     /// Forgets endpoints that are gone.
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -9,7 +9,6 @@
 use crate::id::EndpointId;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
-use crate::sidecar::SlotUrgency;
 use crate::sidecar::call_table::{CallRecord, CallTable};
 use crate::sidecar::endpoint_client::EndpointClient;
 use crate::sidecar::forward_message::{
@@ -17,6 +16,7 @@
 };
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::slot_gate::{SlotGate, SlotRefusal};
+use crate::sidecar::{RemoteTime, SlotUrgency};
 
 /// Time for which a fence outlives the request that it refuses. No request is sent with more.
 const FENCE_TIME: ClockTime = ClockTime(60_000);
@@ -34,6 +34,8 @@
 /// Runs requests on the endpoint beside the node, within its slots.
 pub(crate) struct ExitService {
     pub(crate) state: Rc<NodeState>,
+    /// Random number of the process.
+    pub(crate) process: u64,
     pub(crate) gate: Rc<SlotGate>,
     pub(crate) client: EndpointClient,
     pub(crate) table: CallTable,
@@ -113,6 +115,9 @@
     ) -> ForwardAnswer {
         let arrived = self.state.clock.now();
         let deadline = arrived + header.remaining;
+        if header.remaining == ClockTime(0) {
+            return self.reply(arrived, not_run(ResultCode::DeadlineTooShort, ClockTime(0)));
+        }
         if let Some(code) = self.refusal(&header.endpoint) {
             return self.reply(arrived, not_run(code, ClockTime(0)));
         }
@@ -189,6 +194,10 @@
             reply: ForwardReply {
                 outcome,
                 load: self.gate.load(),
+                answered_at: RemoteTime {
+                    process: self.process,
+                    time: self.state.clock.now(),
+                },
                 elapsed: self.state.clock.now() - arrived,
                 worked: None,
                 body_length: 0,
@@ -197,6 +206,15 @@
         }
     }
 
+    /// Returns the time that is left for a request that has just been read.
+    ///
+    /// The request may have waited in the socket while the process was paused.
+    pub(crate) fn remaining(&self, header: &ForwardHeader) -> ClockTime {
+        let sent = header.sent_at.filter(|sent| sent.process == self.process);
+        let age = sent.map_or(ClockTime(0), |sent| self.state.clock.now() - sent.time);
+        header.remaining - age
+    }
+
     /// Returns the refusal of a node that leaves.
     pub(crate) fn leaving(&self) -> ForwardAnswer {
         let now = self.state.clock.now();
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -5,6 +5,7 @@
 use crate::error::ResultCode;
 use crate::id::{EndpointId, ServiceName};
 use crate::peer::FrameCodec;
+use crate::sidecar::RemoteTime;
 use crate::sidecar::call_id::CallId;
 
 /// Longest head of a forwarded request or its answer, in bytes.
@@ -30,8 +31,10 @@
     pub(crate) target: String,
     pub(crate) headers: HeaderFields,
     pub(crate) body_length: u64,
-    /// Time that is left for the request.
+    /// Time that was left for the request when it was sent.
     pub(crate) remaining: ClockTime,
+    /// Time of sending on the clock of the receiver, as far as the sender knows it.
+    pub(crate) sent_at: Option<RemoteTime>,
     /// Longest wait for a slot that is worthwhile; a longer one is refused at once.
     pub(crate) patience: ClockTime,
     /// Expected work of the request.
@@ -87,6 +90,8 @@
     pub(crate) load: LoadReport,
     /// Time from the arrival at the node to the answer.
     pub(crate) elapsed: ClockTime,
+    /// Time of the answer on the clock of the node that sends it.
+    pub(crate) answered_at: RemoteTime,
     /// Time for which the endpoint worked on the request, if it answered.
     pub(crate) worked: Option<ClockTime>,
     pub(crate) body_length: u64,
--- a/src/sidecar/forward_streams.rs
+++ b/src/sidecar/forward_streams.rs
@@ -93,8 +93,10 @@
             let message = "the body of a request has another length";
             return Err(Error::new(ResultCode::PeerProtocol, message));
         }
-        header.remaining = header.remaining - (clock.now() - start);
         let service = Rc::clone(&self.service);
+        // Without a common clock, at least the time since the first bytes were read counts.
+        let read = header.remaining - (clock.now() - start);
+        header.remaining = service.remaining(&header).min(read);
         if service.closed.get() {
             return self.answer(&service.leaving()).await;
         }
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -76,7 +76,9 @@
     let tasks = Rc::new(TaskGroup::new());
     let answer_limit = (settings.memory.0 / ANSWER_PART) as usize;
     let names = Rc::new(settings.headers.clone());
+    let process = rand::random();
     let exit = Rc::new(ExitService {
+        process,
         state: Rc::clone(&state),
         gate: SlotGate::new(clock, FIRST_CAPACITY),
         client: EndpointClient::new(settings.endpoint, clock, names, answer_limit),
@@ -85,7 +87,6 @@
         repeated_part: Cell::new(0.0),
         closed: Cell::new(false),
     });
-    let process = rand::random();
     let streams = Rc::new(ForwardStreams {
         service: Rc::clone(&exit),
         views: Rc::new(ViewService {
@@ -104,6 +105,7 @@
         pool: Rc::clone(&pool),
         sender: process,
         next_call: Cell::new(0),
+        clocks: RefCell::default(),
         picker: RefCell::new(TargetPicker::new()),
         endpoints: RefCell::new(EndpointStats::default()),
         routes: RefCell::new(RouteStats::default()),
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -65,7 +65,19 @@
     /// # Errors
     ///
     /// Returns an error if the program does not start, ends, or prints no ready line in time.
-    pub fn start_command(mut command: Command) -> io::Result<ProcessGuard> {
+    pub fn start_command(command: Command) -> io::Result<ProcessGuard> {
+        ProcessGuard::start_until(command, |line| line.starts_with("ready"))
+    }
+
+    /// Starts a prepared command and waits up to 10 s for a line that says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program does not start, ends, or prints no such line in time.
+    pub fn start_until<Ready>(mut command: Command, is_ready: Ready) -> io::Result<ProcessGuard>
+    where
+        Ready: Fn(&str) -> bool + Send + 'static,
+    {
         command.stdin(Stdio::null()).stdout(Stdio::piped());
         let spawning = wire::lock(&port_range::SPAWN_LOCK);
         let mut child = command.spawn()?;
@@ -82,7 +94,7 @@
         guard.reader = Some(thread::spawn(move || {
             let output = output?;
             let mut lines = BufReader::new(output).lines().map_while(Result::ok);
-            let ready = lines.find(|line| line.starts_with("ready"));
+            let ready = lines.find(|line| is_ready(line));
             let _ = sender.send(ready);
             // Reading on keeps the process from blocking on a full pipe.
             lines.last()
--- a/testkit/src/wire/wire_client.rs
+++ b/testkit/src/wire/wire_client.rs
@@ -49,7 +49,7 @@
         stream.set_nonblocking(false).is_ok() && quiet
     }
 
-    /// Sends a request and reads its whole answer.
+    /// Sends a request and reads its whole answer; without a header `host` it names the address.
     ///
     /// # Errors
     ///
@@ -62,7 +62,10 @@
         headers: &[(&str, String)],
         body: &[u8],
     ) -> io::Result<WireAnswer> {
-        let mut text = format!("{method} {target} HTTP/1.1\r\nhost: {}\r\n", self.address);
+        let mut text = format!("{method} {target} HTTP/1.1\r\n");
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            text.push_str(&format!("host: {}\r\n", self.address));
+        }
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
