Avoid nodes that owe an answer and let nested calls wait at the entry as well

Cause: a node that was cut off refused nothing and attracted what busy ones refused; the entry compared a wait with the patience of long work before it asked; a stopping node refused other nodes three seconds too early and waited for connections of lost nodes until it was killed.

--- a/src/peer/link_probe.rs
+++ b/src/peer/link_probe.rs
@@ -41,6 +41,11 @@
         self.waiting
     }
 
+    /// Returns whether a PING has been unanswered for at least one tick.
+    pub(crate) fn is_overdue(&self) -> bool {
+        self.waiting && self.count > 0
+    }
+
     /// Completes when the connection is silent; sends PINGs at the idle interval while `active` is
     /// false.
     ///
--- a/src/peer/peer_connection.rs
+++ b/src/peer/peer_connection.rs
@@ -34,6 +34,8 @@
     pub(crate) counter: Rc<LinkCounter>,
     pub(crate) outstanding: Cell<usize>,
     pub(crate) last_used: Cell<ClockTime>,
+    /// Whether the peer owes the answer to a PING.
+    pub(crate) overdue: Cell<bool>,
     retired: Cell<bool>,
     closer: RefCell<Option<oneshot::Sender<()>>>,
 }
@@ -53,6 +55,7 @@
             counter: Rc::new(LinkCounter::default()),
             outstanding: Cell::new(0),
             last_used: Cell::new(now),
+            overdue: Cell::new(false),
             retired: Cell::new(false),
             closer: RefCell::new(Some(closer)),
         });
@@ -110,7 +113,9 @@
             return Poll::Ready(true);
         }
         let active = connection.outstanding.get() > 0;
-        if probe.poll_silent(context, active).is_ready() {
+        let silent = probe.poll_silent(context, active).is_ready();
+        connection.overdue.set(probe.is_overdue());
+        if silent {
             log::info!("connection to {to} is silent and is closed");
             return Poll::Ready(true);
         }
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -94,6 +94,13 @@
         self.table.len()
     }
 
+    /// Returns whether a peer owes the answer to a PING, so that it may be cut off or paused.
+    #[must_use]
+    pub fn is_overdue(&self, to: NodeAddress) -> bool {
+        let connection = self.table.get(to);
+        connection.is_some_and(|connection| connection.overdue.get())
+    }
+
     /// Closes every connection and joins its task; later calls are refused.
     ///
     /// Running calls end as `ConnectionLost`. Control links must be dropped before, or this waits
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -35,6 +35,12 @@
 const ZONE_NETWORK: f64 = 1.0;
 const REGION_NETWORK: f64 = 4.0;
 const REMOTE_NETWORK: f64 = 20.0;
+/// Cost in ms of a node that owes an answer on its connection, above that of any other one that
+/// can be reached.
+const SILENCE_COST: f64 = 50_000.0;
+/// Multiple of its slots that one node may have under way at an endpoint: those that run, and a
+/// queue that is served in the time of one request.
+const HELD_FACTOR: u32 = 2;
 /// Work of a request in ms that is assumed before any answer.
 const FIRST_WORK: f64 = 100.0;
 /// Part of its objective that a request waits for a slot while other endpoints are left to ask.
@@ -49,6 +55,9 @@
 const WARM_UP_FACTOR: f64 = 2.0;
 /// Part of its objective that a request may wait for a slot when it cannot be on time.
 const LATE_WAIT_PART: f64 = 0.25;
+/// Largest factor by which short work waits longer than its objective suggests; the time-outs of
+/// routes are about three to four times their objectives.
+const SHORT_WORK_FACTOR: f64 = 4.0;
 /// Multiple of the mean work for which time must be left, so that the endpoint is not given work
 /// that it has to break off.
 const TAIL_FACTOR: f64 = 1.5;
@@ -83,6 +92,8 @@
     excluded: EndpointList,
     /// Endpoints that refused with the wait that they expect.
     busy: SmallVec<[(EndpointId, ClockTime); 4]>,
+    /// Endpoints in whose queue the request waited in vain.
+    queued: EndpointList,
     /// Endpoints that the request may have reached.
     reached: u32,
     last_refusal: Option<ResultCode>,
@@ -161,6 +172,7 @@
                     if !self.may_repeat(request, progress) {
                         return answer;
                     }
+                    progress.forget_refusals();
                     log::info!(
                         "event=repeat request={} endpoint={} code={}",
                         request.id,
@@ -192,6 +204,7 @@
         progress.excluded.push(record.id.clone());
         let now = self.state.clock.now();
         let second = self.best(request, &progress.excluded, now);
+        let second = second.filter(|second| self.is_worth_asking(request, progress, second, now));
         let Some(second) = second.filter(|_| self.may_repeat(request, progress)) else {
             return first.await;
         };
@@ -448,13 +461,15 @@
         progress: &mut DispatchState,
         now: ClockTime,
     ) -> Option<(Rc<EndpointRecord>, ClockTime)> {
-        let longest = self.longest_wait(request, now);
         if progress.busy.len() < PROBE_LIMIT {
             let mut excluded = progress.excluded.clone();
             excluded.extend(progress.busy.iter().map(|(id, _)| id.clone()));
-            if let Some(record) = self.best(request, &excluded, now) {
-                let patience = self.probe_patience(request, &record);
-                return Some((record, patience.min(longest)));
+            let next = self.best(request, &excluded, now);
+            let next = next.filter(|record| self.is_worth_asking(request, progress, record, now));
+            if let Some(record) = next {
+                let probe = self.probe_patience(request, &record);
+                let longest = self.longest_wait(request, &record.id, now);
+                return Some((record, probe.min(longest)));
             }
         }
         // All have refused: the shortest queue is taken if it still serves the request in time.
@@ -464,6 +479,7 @@
             .sort_by_key(|(id, wait)| *wait + self.distance(request, id));
         while !progress.busy.is_empty() {
             let (id, wait) = progress.busy.remove(0);
+            let longest = self.longest_wait(request, &id, now);
             if wait > longest {
                 progress.busy.insert(0, (id, wait));
                 return None;
@@ -477,6 +493,30 @@
         None
     }
 
+    /// Returns whether a request should be sent to an endpoint that may not answer.
+    ///
+    /// A node that is cut off refuses nothing and would attract all that busy ones refuse.
+    fn is_worth_asking(
+        &self,
+        request: &EntryRequest,
+        progress: &DispatchState,
+        record: &EndpointRecord,
+        now: ClockTime,
+    ) -> bool {
+        let overdue = self.pool.is_overdue(self.node_of(record));
+        let avoided = self.endpoints.borrow().is_avoided(&record.id, now);
+        let held = self.endpoints.borrow().in_flight(&record.id);
+        if held >= record.capacity * HELD_FACTOR {
+            return false;
+        }
+        let lonely = progress.busy.is_empty();
+        match (overdue, avoided) {
+            (true, _) => lonely && request.rule.idempotent,
+            (false, true) => lonely,
+            (false, false) => true,
+        }
+    }
+
     /// Returns how long a request waits for a slot while other endpoints are left to ask.
     ///
     /// In another region only a free slot is worth the way while the own region has endpoints.
@@ -486,7 +526,8 @@
         if self.is_remote(record) && ready.any(|other| !self.is_remote(other)) {
             return ClockTime(0);
         }
-        ClockTime((request.rule.objective.as_f64() * PROBE_PATIENCE) as u64)
+        let factor = self.short_work_factor(&record.id, self.work(request));
+        ClockTime((request.rule.objective.as_f64() * PROBE_PATIENCE * factor) as u64)
     }
 
     fn distance(&self, request: &EntryRequest, id: &EndpointId) -> ClockTime {
@@ -501,6 +542,11 @@
         regions.get(&record.zone) != regions.get(&self.settings.zone)
     }
 
+    fn short_work_factor(&self, id: &EndpointId, work: f64) -> f64 {
+        let hold = self.endpoints.borrow().hold(id).unwrap_or(work);
+        (hold / work.max(1.0)).clamp(1.0, SHORT_WORK_FACTOR)
+    }
+
     /// Returns the expected work of a request in ms.
     fn work(&self, request: &EntryRequest) -> f64 {
         let work = self.routes.borrow().work(&request.rule.name);
@@ -510,14 +556,17 @@
     /// Returns the longest wait for a slot after which the answer is still on time.
     ///
     /// Longer queues serve no more requests, they only make all of them late. A request that is
-    /// late already, or whose work takes as long as its objective, may wait a part of it.
-    fn longest_wait(&self, request: &EntryRequest, now: ClockTime) -> ClockTime {
+    /// late already, or whose work takes as long as its objective, may wait a part of it. Work that
+    /// is shorter than the usual work of the endpoint delays others little, while its sender may
+    /// lose longer work with it.
+    fn longest_wait(&self, request: &EntryRequest, id: &EndpointId, now: ClockTime) -> ClockTime {
         let work = self.work(request);
         let objective = request.rule.objective.as_f64();
         let passed = (now - request.arrived).as_f64();
         let on_time = (objective - passed - work).max(objective * LATE_WAIT_PART);
         let left = (request.deadline - now).as_f64() - work * TAIL_FACTOR;
-        ClockTime(on_time.min(left).max(0.0) as u64)
+        let patience = on_time * self.short_work_factor(id, work);
+        ClockTime(patience.min(left).max(0.0) as u64)
     }
 
     fn best(
@@ -540,7 +589,9 @@
             let work = if warm { work * WARM_UP_FACTOR } else { work };
             let cost = endpoints.cost(&record.id, now, work, prior, record.capacity);
             // Nodes that see the same costs must not all choose the same endpoint.
-            let cost = cost * rand::random_range(0.9..1.1) + distance;
+            let overdue = self.pool.is_overdue(self.node_of(record));
+            let silence = if overdue { SILENCE_COST } else { 0.0 };
+            let cost = cost * rand::random_range(0.9..1.1) + distance + silence;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, record));
             }
@@ -567,11 +618,7 @@
     fn may_repeat(&self, request: &EntryRequest, progress: &DispatchState) -> bool {
         let rule: &RouteRule = &request.rule;
         let now = self.state.clock.now();
-        if !rule.idempotent
-            || progress.reached >= rule.max_attempts
-            || now >= request.deadline
-            || self.best(request, &progress.excluded, now).is_none()
-        {
+        if !rule.idempotent || progress.reached >= rule.max_attempts || now >= request.deadline {
             return false;
         }
         self.take_repeat(request)
@@ -641,12 +688,24 @@
 }
 
 impl DispatchState {
+    /// Lets the endpoints be asked again that had no slot.
+    fn forget_refusals(&mut self) {
+        self.busy.clear();
+        let asked = std::mem::take(&mut self.queued);
+        self.excluded.retain(|id| !asked.contains(id));
+    }
+
     fn note_refusal(&mut self, id: &EndpointId, code: ResultCode, wait: ClockTime, reached: bool) {
         self.last_refusal = Some(code);
         if code == ResultCode::Overloaded && !reached && !self.excluded.contains(id) {
             self.busy.push((id.clone(), wait));
-        } else if !self.excluded.contains(id) {
-            self.excluded.push(id.clone());
+        } else {
+            if !reached {
+                self.queued.push(id.clone());
+            }
+            if !self.excluded.contains(id) {
+                self.excluded.push(id.clone());
+            }
         }
     }
 }
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -13,7 +13,7 @@
 const KNOWLEDGE_DECAY: f64 = 5_000.0;
 /// First and longest time for which an endpoint that cannot be reached is passed over.
 const FIRST_AVOID: ClockTime = ClockTime(200);
-const MAX_AVOID: ClockTime = ClockTime(2_000);
+const MAX_AVOID: ClockTime = ClockTime(1_000);
 /// Part of the work that a nearly full endpoint takes longer.
 const FULL_PENALTY: f64 = 0.3;
 /// Time in ms that a certain failure costs the caller, who has to begin again.
@@ -95,6 +95,24 @@
         view.avoid_until = now + ClockTime(pause).min(MAX_AVOID);
     }
 
+    /// Returns the number of requests that are under way at the endpoint.
+    pub(crate) fn in_flight(&self, id: &EndpointId) -> u32 {
+        self.views.get(id).map_or(0, |view| view.in_flight)
+    }
+
+    /// Returns the mean time in ms for which requests hold a slot of the endpoint, if it is known.
+    pub(crate) fn hold(&self, id: &EndpointId) -> Option<f64> {
+        let hold = self.views.get(id).map(|view| f64::from(view.report.hold));
+        hold.filter(|hold| *hold > 0.0)
+    }
+
+    /// Returns whether the endpoint could not be reached lately.
+    pub(crate) fn is_avoided(&self, id: &EndpointId, now: ClockTime) -> bool {
+        self.views
+            .get(id)
+            .is_some_and(|view| view.avoid_until > now)
+    }
+
     /// Returns the expected time in ms of a request with `work` ms on an average endpoint.
     pub(crate) fn cost(
         &self,
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -23,9 +23,6 @@
 /// Multiple of its patience after which a waiting request is refused, and time added to it.
 const WAIT_TOLERANCE: f64 = 1.5;
 const WAIT_MARGIN: ClockTime = ClockTime(20);
-/// Largest factor by which short work waits longer than its objective suggests; the time-outs of
-/// routes are about three to four times their objectives.
-const SHORT_WORK_FACTOR: f64 = 4.0;
 /// Weight of the newest request in the mean part of repeated ones.
 const REPEATED_WEIGHT: f64 = 0.02;
 /// Difference up to which two measurements of one span may disagree.
@@ -125,12 +122,11 @@
             priority: header.priority,
             objective: header.objective,
         };
-        let patience = self.patience(header);
         // The expected wait is an estimate; a request that waits for much longer is refused.
-        let limit = ClockTime((patience.as_f64() * WAIT_TOLERANCE) as u64);
+        let limit = ClockTime((header.patience.as_f64() * WAIT_TOLERANCE) as u64);
         let last_start = arrived + header.remaining - header.work;
         let until = last_start.min(arrived + limit + WAIT_MARGIN);
-        let slot = self.gate.acquire(urgency, patience, until).await;
+        let slot = self.gate.acquire(urgency, header.patience, until).await;
         let mut slot = match slot {
             Ok(slot) => slot,
             Err(refusal) => return self.reply(arrived, refused(refusal)),
@@ -158,17 +154,6 @@
         answer
     }
 
-    /// Returns the longest wait for a slot that is worthwhile.
-    ///
-    /// Work that is shorter than the usual work of the endpoint delays others little, while its
-    /// sender may lose longer work with it.
-    fn patience(&self, header: &ForwardHeader) -> ClockTime {
-        let hold = f64::from(self.gate.load().hold);
-        let ratio = hold / header.work.as_f64().max(1.0);
-        let patience = header.patience.as_f64() * ratio.clamp(1.0, SHORT_WORK_FACTOR);
-        ClockTime(patience as u64)
-    }
-
     /// Returns why the endpoint must get no new request.
     fn refusal(&self, endpoint: &EndpointId) -> Option<ResultCode> {
         let directory = self.state.directory.borrow();
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -53,8 +53,14 @@
 /// Questions about readiness that must have failed before clients stay away, and their interval.
 const READY_INTERVAL: ClockTime = ClockTime(1_000);
 const READY_MISSES: u64 = 2;
-/// Time before SIGKILL at which what is left is cut.
-const KILL_MARGIN: ClockTime = ClockTime(300);
+/// Time between two looks whether the endpoint still works on requests of a stopping node.
+const WORK_POLL: ClockTime = ClockTime(20);
+/// Time for other nodes to take the last answers. A connection to a node that is cut off or gone
+/// does not end by itself.
+const ANSWER_TIME: ClockTime = ClockTime(300);
+/// Last part of the grace time, in which what is left is cut and the process ends: a sixth, within
+/// which the platform does not expect answers any more.
+const KILL_PART: u64 = 6;
 
 /// Runs a node until SIGTERM.
 ///
@@ -159,16 +165,20 @@
     let begun = clock.now();
     log::info!("event=stop_begun node={}", settings.name);
     state.leave();
-    exit.closed.set(true);
     // Clients are sent here until the platform has seen that the node is not ready.
     time::sleep((ClockTime(READY_INTERVAL.0 * READY_MISSES + 500)).to_duration()).await;
     drop(stop_clients);
-    let end = begun + state.bounds().grace - KILL_MARGIN;
+    exit.closed.set(true);
+    let grace = state.bounds().grace;
+    let end = begun + grace - ClockTime(grace.0 / KILL_PART);
     let limit = end - clock.now();
     let drained = time::timeout(limit.to_duration(), client_task)
         .await
         .is_ok();
-    let cut = peers.shutdown(end - clock.now()).await;
+    while exit.gate.load().outstanding > 0 && clock.now() < end {
+        time::sleep(WORK_POLL.to_duration()).await;
+    }
+    let cut = peers.shutdown(ANSWER_TIME.min(end - clock.now())).await;
     let rest = end - clock.now();
     let finished = time::timeout(rest.to_duration(), tasks.join())
         .await
