--- a/src/metrics/node_metrics.rs
+++ b/src/metrics/node_metrics.rs
@@ -1,11 +1,12 @@
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use prometheus::Registry;
 
 use crate::burn::BurnReport;
-use crate::error::{Error, Result, ResultCode};
+use crate::error::{Result, ResultCode};
 use crate::id::{KindName, ServiceName};
+use crate::metrics::instruments::{self, counter, gauge};
 
 /// Upper bounds of the latency histogram in seconds, dense around the stated 1.7 ms.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -69,29 +70,21 @@
     ///
     /// `PlatformInvalid` if the exporter cannot be registered.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()
-            .map_err(exposition_error)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("endivelanding");
+        let (registry, provider, meter) = instruments::registry()?;
         Ok(Self {
             calls: counter(&meter, "endive_calls", "Calls from callers by result code"),
-            call_duration: meter
-                .f64_histogram("endive_call_duration")
-                .with_description("Time from the request to the whole answer")
-                .with_unit("s")
-                .with_boundaries(LATENCY_BOUNDS.to_vec())
-                .build(),
-            queue_wait: meter
-                .f64_histogram("endive_queue_wait")
-                .with_description("Time that calls waited for a slot")
-                .with_unit("s")
-                .with_boundaries(WAIT_BOUNDS.to_vec())
-                .build(),
+            call_duration: instruments::duration(
+                &meter,
+                "endive_call_duration",
+                "Time from the request to the whole answer",
+                &LATENCY_BOUNDS,
+            ),
+            queue_wait: instruments::duration(
+                &meter,
+                "endive_queue_wait",
+                "Time that calls waited for a slot",
+                &WAIT_BOUNDS,
+            ),
             resends: counter(&meter, "endive_resends", "Retries and hedges"),
             control_bytes: meter
                 .u64_counter("endive_control")
@@ -242,26 +235,6 @@
     ///
     /// `PlatformInvalid` if the registry cannot be encoded.
     pub fn exposition(&self) -> Result<String> {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .map_err(exposition_error)
+        instruments::exposition(&self.registry)
     }
 }
-
-fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
-    meter
-        .u64_counter(name)
-        .with_description(description)
-        .build()
-}
-
-fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
-    meter.u64_gauge(name).with_description(description).build()
-}
-
-fn exposition_error<Cause>(cause: Cause) -> Error
-where
-    Cause: std::fmt::Display,
-{
-    Error::new(ResultCode::PlatformInvalid, format!("metrics: {cause}"))
-}
--- /dev/null
+++ b/src/metrics/sidecar_metrics.rs
@@ -0,0 +1,156 @@
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+
+use crate::clock::ClockTime;
+use crate::error::{Result, ResultCode};
+use crate::metrics::instruments;
+
+/// Upper bounds of the histograms in seconds, around objectives of 0.1 to 1 s.
+const TIME_BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0,
+];
+
+/// Holds all instruments of a node on the platform.
+#[derive(Debug)]
+pub struct SidecarMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    request_duration: Histogram<f64>,
+    attempts: Counter<u64>,
+    repeats: Counter<u64>,
+    slot_wait: Histogram<f64>,
+    registry_reads: Counter<u64>,
+    view_questions: Counter<u64>,
+    endpoint_events: Counter<u64>,
+    config_version: Gauge<u64>,
+    view_age: Gauge<f64>,
+    endpoints: Gauge<u64>,
+    outstanding: Gauge<u64>,
+    ready: Gauge<u64>,
+}
+
+/// Is the state of a node that its gauges show.
+#[derive(Debug, Clone, Copy)]
+pub struct GaugeState {
+    /// Number of the configuration in force, 0 without one.
+    pub config_version: u64,
+    /// Time since the registry confirmed the view.
+    pub view_age: ClockTime,
+    /// Endpoints known.
+    pub endpoints: usize,
+    /// Requests that run or wait at the endpoint beside the node.
+    pub outstanding: u32,
+    /// Whether new clients should use the node.
+    pub ready: bool,
+}
+
+impl SidecarMetrics {
+    /// Creates all instruments on a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformInvalid` if the exporter cannot be registered.
+    pub fn new() -> Result<Self> {
+        let (registry, provider, meter) = instruments::registry()?;
+        let counter = |name, description| instruments::counter(&meter, name, description);
+        let gauge = |name, description| instruments::gauge(&meter, name, description);
+        let duration =
+            |name, description| instruments::duration(&meter, name, description, &TIME_BOUNDS);
+        Ok(Self {
+            requests: counter("endive_requests", "Requests of clients by result code"),
+            request_duration: duration(
+                "endive_request_duration",
+                "Time from the head of a request to its final answer",
+            ),
+            attempts: counter("endive_attempts", "Requests at the endpoint by result code"),
+            repeats: counter("endive_repeats", "Requests sent to a further endpoint"),
+            slot_wait: duration("endive_slot_wait", "Time that requests waited for a slot"),
+            registry_reads: counter("endive_registry_reads", "Reads of the registry by result"),
+            view_questions: counter(
+                "endive_view_questions",
+                "Questions to other nodes for their view by result",
+            ),
+            endpoint_events: counter(
+                "endive_endpoint_events",
+                "Endpoints that became ready, draining, missing or gone",
+            ),
+            config_version: gauge("endive_config_version", "Configuration in force"),
+            view_age: meter
+                .f64_gauge("endive_view_age")
+                .with_description("Time since the registry confirmed the view")
+                .with_unit("s")
+                .build(),
+            endpoints: gauge("endive_endpoints", "Endpoints known"),
+            outstanding: gauge(
+                "endive_outstanding",
+                "Requests that run or wait at the endpoint beside the node",
+            ),
+            ready: gauge("endive_ready", "1 if new clients should use the node"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request of a client and its duration.
+    pub fn record_request(&self, idempotent: bool, code: ResultCode, duration: ClockTime) {
+        let idempotent = KeyValue::new("idempotent", idempotent);
+        let labels = [idempotent.clone(), code_label(code)];
+        self.requests.add(1, &labels);
+        self.request_duration
+            .record(duration.as_f64() / 1_000.0, &[idempotent]);
+    }
+
+    /// Counts a request that reached the node beside the endpoint.
+    pub fn record_attempt(&self, code: ResultCode) {
+        self.attempts.add(1, &[code_label(code)]);
+    }
+
+    /// Counts a request that is sent to a further endpoint, with the reason.
+    pub fn record_repeat(&self, reason: &'static str) {
+        self.repeats.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records how long a request waited for its slot.
+    pub fn record_slot_wait(&self, wait: ClockTime) {
+        self.slot_wait.record(wait.as_f64() / 1_000.0, &[]);
+    }
+
+    /// Counts a read of the registry.
+    pub fn record_registry_read(&self, result: &'static str) {
+        let labels = [KeyValue::new("result", result)];
+        self.registry_reads.add(1, &labels);
+    }
+
+    /// Counts a question to another node for its view.
+    pub fn record_view_question(&self, result: &'static str) {
+        let labels = [KeyValue::new("result", result)];
+        self.view_questions.add(1, &labels);
+    }
+
+    /// Counts a change of what is known of an endpoint.
+    pub fn record_endpoint_event(&self, event: &'static str) {
+        self.endpoint_events
+            .add(1, &[KeyValue::new("event", event)]);
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformInvalid` if the registry cannot be encoded.
+    pub fn exposition(&self, state: GaugeState) -> Result<String> {
+        self.config_version.record(state.config_version, &[]);
+        self.view_age.record(state.view_age.as_f64() / 1_000.0, &[]);
+        self.endpoints.record(state.endpoints as u64, &[]);
+        self.outstanding.record(u64::from(state.outstanding), &[]);
+        self.ready.record(u64::from(state.ready), &[]);
+        instruments::exposition(&self.registry)
+    }
+}
+
+fn code_label(code: ResultCode) -> KeyValue {
+    KeyValue::new("code", i64::from(code.number()))
+}
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -165,6 +165,9 @@
                     if reached && !self.take_repeat(request) {
                         return self.refuse(request, progress);
                     }
+                    if reached {
+                        self.state.metrics.record_repeat("refused");
+                    }
                 }
                 AttemptResult::Failed(answer) => {
                     progress.excluded.push(record.id.clone());
@@ -173,6 +176,7 @@
                         return answer;
                     }
                     progress.forget_refusals();
+                    self.state.metrics.record_repeat("failed");
                     log::info!(
                         "event=repeat request={} endpoint={} code={}",
                         request.id,
@@ -208,6 +212,7 @@
         let Some(second) = second.filter(|_| self.may_repeat(request, progress)) else {
             return first.await;
         };
+        self.state.metrics.record_repeat("slow");
         log::info!(
             "event=hedge request={} endpoint={} second={} delay_ms={delay}",
             request.id,
@@ -665,6 +670,8 @@
     fn log_outcome(&self, request: &EntryRequest, answer: &Answer, progress: &DispatchState) {
         let clock: SystemClock = self.state.clock;
         let elapsed = clock.now() - request.arrived;
+        let metrics = &self.state.metrics;
+        metrics.record_request(request.rule.idempotent, answer.code, elapsed);
         if answer.code == ResultCode::Ok {
             log::debug!(
                 "event=served request={} status={} elapsed_ms={elapsed}",
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -136,6 +136,8 @@
             return self.reply(arrived, not_run(code, ClockTime(0)));
         }
         mark();
+        let waited = self.state.clock.now() - arrived;
+        self.state.metrics.record_slot_wait(waited);
         let repeated = f64::from(u8::from(header.repeated));
         let part = self.repeated_part.get();
         self.repeated_part
@@ -175,6 +177,11 @@
     }
 
     fn reply(&self, arrived: ClockTime, outcome: ForwardOutcome) -> ForwardAnswer {
+        let code = match &outcome {
+            ForwardOutcome::Answered { .. } => ResultCode::Ok,
+            ForwardOutcome::NotRun { code, .. } | ForwardOutcome::Unknown { code } => *code,
+        };
+        self.state.metrics.record_attempt(code);
         ForwardAnswer {
             reply: ForwardReply {
                 outcome,
--- /dev/null
+++ b/src/sidecar/node_pages.rs
@@ -0,0 +1,75 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::future::{self, FutureExt, LocalBoxFuture};
+use http::{Method, StatusCode};
+use monoio::net::TcpListener;
+
+use crate::caller::{HttpServer, RequestService, ServerLimits, StopSignal};
+use crate::metrics::GaugeState;
+use crate::sidecar::exit_service::ExitService;
+use crate::sidecar::node_state::NodeState;
+
+/// Path of the metrics page.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers the platform's question whether new clients should use the node, and shows the metrics.
+pub(crate) struct NodePages {
+    pub(crate) ready_path: String,
+    pub(crate) state: Rc<NodeState>,
+    pub(crate) exit: Rc<ExitService>,
+}
+
+impl NodePages {
+    fn page(&self, request: &http::Request<Bytes>) -> (StatusCode, Bytes) {
+        let path = request.uri().path();
+        if path != self.ready_path && path != METRICS_PATH {
+            return (StatusCode::NOT_FOUND, Bytes::new());
+        }
+        if request.method() != Method::GET {
+            return (StatusCode::METHOD_NOT_ALLOWED, Bytes::new());
+        }
+        if path == METRICS_PATH {
+            return self.metrics();
+        }
+        let status = if self.state.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        (status, Bytes::new())
+    }
+
+    fn metrics(&self) -> (StatusCode, Bytes) {
+        let config = self.state.config();
+        let state = GaugeState {
+            config_version: config.map_or(0, |config| config.version().0),
+            view_age: self.state.age().unwrap_or_default(),
+            endpoints: self.state.directory.borrow().len(),
+            outstanding: self.exit.gate.load().outstanding,
+            ready: self.state.is_ready(),
+        };
+        match self.state.metrics.exposition(state) {
+            Ok(text) => (StatusCode::OK, Bytes::from(text)),
+            Err(error) => {
+                log::error!("event=metrics_failed cause=\"{error}\"");
+                (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+            }
+        }
+    }
+}
+
+impl RequestService for NodePages {
+    fn serve(&self, request: http::Request<Bytes>) -> LocalBoxFuture<'_, http::Response<Bytes>> {
+        let (status, body) = self.page(&request);
+        let mut response = http::Response::new(body);
+        *response.status_mut() = status;
+        future::ready(response).boxed_local()
+    }
+}
+
+/// Serves the pages until the signal is given.
+pub(crate) async fn serve(listener: TcpListener, pages: Rc<NodePages>, stop: StopSignal) {
+    let server = HttpServer::new(pages, ServerLimits::default());
+    server.serve(listener, stop).await;
+}
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -6,12 +6,15 @@
 use futures_channel::oneshot;
 
 use crate::clock::{ClockTime, SystemClock};
+use crate::error::Result;
 use crate::mesh::{MeshConfig, ServiceDirectory};
+use crate::metrics::SidecarMetrics;
 use crate::sidecar::{MeshBounds, SidecarSettings};
 
 /// Holds what the node knows of the mesh; one event loop owns it.
 pub(crate) struct NodeState {
     pub(crate) clock: SystemClock,
+    pub(crate) metrics: SidecarMetrics,
     pub(crate) directory: RefCell<ServiceDirectory>,
     config: RefCell<Option<Arc<MeshConfig>>>,
     loaded: Cell<bool>,
@@ -24,8 +27,14 @@
 }
 
 impl NodeState {
-    pub(crate) fn new(clock: SystemClock, settings: &SidecarSettings) -> Self {
-        Self {
+    /// Creates the state of a node that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// `PlatformInvalid` if the metrics cannot be registered.
+    pub(crate) fn new(clock: SystemClock, settings: &SidecarSettings) -> Result<Self> {
+        Ok(Self {
+            metrics: SidecarMetrics::new()?,
             clock,
             directory: RefCell::default(),
             config: RefCell::default(),
@@ -35,7 +44,7 @@
             waiting: RefCell::default(),
             bounds: RefCell::new(Rc::new(settings.bounds.clone())),
             registry: Cell::new(settings.registry),
-        }
+        })
     }
 
     /// Puts the settings in force that may change while the node runs; returns whether any did.
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -125,8 +125,10 @@
     }
 
     async fn read_registry(&self) -> std::result::Result<(), ()> {
+        let metrics = &self.state.metrics;
         match self.read().await {
             Ok(read) => {
+                metrics.record_registry_read("ok");
                 if self.registry_lost.replace(false) {
                     log::info!("event=registry_back failures={}", self.failures.get());
                     let until = self.state.clock.now() + SETTLE_TIME;
@@ -137,6 +139,7 @@
                 Ok(())
             }
             Err(error) if error.code() == ResultCode::HistoryGone => {
+                metrics.record_registry_read("history_gone");
                 log::info!(
                     "event=registry_history_gone position={:?}",
                     self.position.get()
@@ -145,6 +148,7 @@
                 Ok(())
             }
             Err(error) => {
+                metrics.record_registry_read("failed");
                 if !self.registry_lost.replace(true) {
                     let age = self.state.age().unwrap_or_default();
                     log::warn!("event=registry_lost view_age_ms={age} cause=\"{error}\"");
@@ -170,17 +174,21 @@
             wait: self.interval() + self.interval(),
         };
         let before = self.state.read_at();
+        let metrics = &self.state.metrics;
         match self.views.ask(address, &request).await {
             Ok(reply) => {
                 self.take_over(address, reply);
                 // An answer that confirms nothing newer leaves the choice to the age of the view.
                 if self.state.read_at() > before {
+                    metrics.record_view_question("fresher");
                     Ok(())
                 } else {
+                    metrics.record_view_question("not_fresher");
                     Err(())
                 }
             }
             Err(error) => {
+                metrics.record_view_question("failed");
                 log::info!("event=view_source_lost node={address} cause=\"{error}\"");
                 Err(())
             }
@@ -304,6 +312,7 @@
     fn act(&self, events: Vec<DirectoryEvent>) {
         for event in events {
             let id = event.endpoint();
+            self.state.metrics.record_endpoint_event(event.name());
             log::info!("event=endpoint_{} endpoint={id}", event.name());
             match &event {
                 DirectoryEvent::Ready(id) => self.greet(id),
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -23,8 +23,8 @@
 use crate::sidecar::endpoint_stats::EndpointStats;
 use crate::sidecar::exit_service::ExitService;
 use crate::sidecar::forward_streams::ForwardStreams;
+use crate::sidecar::node_pages::{self, NodePages};
 use crate::sidecar::node_state::NodeState;
-use crate::sidecar::ready_server::{self, ReadyPage};
 use crate::sidecar::registry_task::RegistryTask;
 use crate::sidecar::reload_task::ReloadTask;
 use crate::sidecar::reload_watch::ReloadWatch;
@@ -78,7 +78,8 @@
     let reload_watch = ReloadWatch::new()?;
     let clients = bind(settings.client_listen)?;
     let ready = bind(settings.ready_listen)?;
-    let state = Rc::new(NodeState::new(clock, &settings));
+    let metrics = bind(settings.metrics_listen)?;
+    let state = Rc::new(NodeState::new(clock, &settings)?);
     let tasks = Rc::new(TaskGroup::new());
     let answer_limit = (settings.memory.0 / ANSWER_PART) as usize;
     let names = Rc::new(settings.headers.clone());
@@ -125,11 +126,17 @@
         dispatcher: Rc::clone(&dispatcher),
     });
     let client_task = monoio::spawn(client_server::serve(clients, context, clients_stopped));
-    let page = ReadyPage {
-        path: settings.ready_path.clone(),
+    let pages = Rc::new(NodePages {
+        ready_path: settings.ready_path.clone(),
         state: Rc::clone(&state),
-    };
-    let ready_task = monoio::spawn(ready_server::serve(ready, page, rest_stopped.clone()));
+        exit: Rc::clone(&exit),
+    });
+    let ready_task = monoio::spawn(node_pages::serve(
+        ready,
+        Rc::clone(&pages),
+        rest_stopped.clone(),
+    ));
+    let metrics_task = monoio::spawn(node_pages::serve(metrics, pages, rest_stopped.clone()));
     let registry = RegistryTask {
         adapter: Rc::clone(&adapter),
         state: Rc::clone(&state),
@@ -186,6 +193,7 @@
     drop(stop_rest);
     if drained && finished {
         ready_task.await;
+        metrics_task.await;
         registry_task.await;
         reload_task.await;
         pool.close().await;
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -28,6 +28,8 @@
     pub peer_listen: SocketAddr,
     /// Address of the readiness page.
     pub ready_listen: SocketAddr,
+    /// Address of the metrics page.
+    pub metrics_listen: SocketAddr,
     /// Path of the readiness page.
     pub ready_path: String,
     /// Memory that the process may use.
--- /dev/null
+++ b/tests/repeat_rules.rs
@@ -0,0 +1,80 @@
+//! Guards the budget of repeats, which all nodes share without talking about it.
+
+use endivelanding::clock::ClockTime;
+use endivelanding::sidecar::{PeerClock, RemoteTime, RepeatAllowance, RepeatBudget};
+use proptest::prelude::*;
+
+const WINDOW: ClockTime = ClockTime(10_000);
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 60.0;
+
+#[test]
+fn nested_calls_of_repeated_work_are_counted_before_own_repeats() {
+    let mut budget = RepeatBudget::new(WINDOW);
+    for time in 0..100 {
+        budget.record(ClockTime(time));
+    }
+    let mut allowance = RepeatAllowance {
+        ratio: RATIO,
+        slack: 0.0,
+        nested: 0.2,
+    };
+    assert!(!budget.take(ClockTime(100), allowance));
+    allowance.nested = 0.0;
+    assert!(budget.take(ClockTime(100), allowance));
+}
+
+proptest! {
+    /// The rule counts the repeats of any window against the requests of that window, the one
+    /// before it, or the one half a window before it.
+    #[test]
+    fn nodes_together_stay_within_the_budget_in_every_window(
+        seeds in prop::collection::vec((0u64..40_000, 0usize..8, any::<bool>()), 1..3_000),
+    ) {
+        let nodes = 8;
+        let mut events = seeds;
+        events.sort_unstable();
+        let mut budgets: Vec<_> = (0..nodes).map(|_| RepeatBudget::new(WINDOW)).collect();
+        let allowance = RepeatAllowance {
+            ratio: RATIO,
+            slack: SLACK / nodes as f64,
+            nested: 0.0,
+        };
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (time, node, repeat) in events {
+            let now = ClockTime(time);
+            if repeat {
+                if budgets[node].take(now, allowance) {
+                    repeats.push(time);
+                }
+            } else {
+                budgets[node].record(now);
+                requests.push(time);
+            }
+        }
+        let within = |times: &[u64], start: i64| {
+            let span = start..start + WINDOW.0 as i64;
+            times.iter().filter(|time| span.contains(&(**time as i64))).count() as f64
+        };
+        for start in repeats.iter().map(|time| *time as i64) {
+            let counted = [0, 5_000, 10_000].map(|back| within(&requests, start - back));
+            let most = counted.into_iter().fold(0.0, f64::max);
+            prop_assert!(within(&repeats, start) <= RATIO * most + SLACK + 1.0);
+        }
+    }
+}
+
+#[test]
+fn a_peer_clock_never_runs_ahead_of_the_peer() {
+    // The peer answered at 5,000 of its clock; the answer took 8 ms to arrive.
+    let answered = RemoteTime {
+        process: 7,
+        time: ClockTime(5_000),
+    };
+    let clock = PeerClock::new(answered, ClockTime(108));
+    let now = clock.at(ClockTime(608));
+    assert_eq!(now.process, 7);
+    assert_eq!(now.time, ClockTime(5_500));
+    assert!(now.time <= ClockTime(5_508));
+}
--- /dev/null
+++ b/tests/slot_rules.rs
@@ -0,0 +1,113 @@
+//! Guards the sharing of slots: never too many, urgent work first, no endless queue.
+
+use endivelanding::clock::ClockTime;
+use endivelanding::sidecar::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
+use proptest::prelude::*;
+
+const LATER: ClockTime = ClockTime(60_000);
+
+fn urgency(priority: u8, objective: u64) -> SlotUrgency {
+    SlotUrgency {
+        priority,
+        objective: ClockTime(objective),
+    }
+}
+
+fn waits(queue: &mut SlotQueue, now: u64, urgency: SlotUrgency) -> SlotTicket {
+    match queue.offer(ClockTime(now), urgency, LATER, LATER) {
+        SlotDecision::Wait(ticket) => ticket,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn short_and_urgent_work_passes_what_waits() {
+    let mut queue = SlotQueue::new(1);
+    let now = ClockTime(0);
+    assert_eq!(
+        queue.offer(now, urgency(0, 300), LATER, LATER),
+        SlotDecision::Run
+    );
+    let long = waits(&mut queue, 0, urgency(2, 400));
+    let order = waits(&mut queue, 1, urgency(0, 300));
+    let nested = waits(&mut queue, 2, urgency(1, 120));
+    let mut served = Vec::new();
+    for _ in 0..3 {
+        queue.finish(ClockTime(100));
+        served.extend(queue.next(ClockTime(10)));
+    }
+    assert_eq!(served, [nested, order, long]);
+}
+
+#[test]
+fn work_that_has_waited_long_is_passed_no_more() {
+    let mut queue = SlotQueue::new(1);
+    queue.offer(ClockTime(0), urgency(0, 300), LATER, LATER);
+    let long = waits(&mut queue, 0, urgency(2, 400));
+    let short = waits(&mut queue, 1_100, urgency(1, 120));
+    queue.finish(ClockTime(100));
+    assert_eq!(queue.next(ClockTime(1_200)), Some(long));
+    assert_ne!(long, short);
+}
+
+#[test]
+fn a_wait_beyond_the_patience_is_refused_with_the_wait() {
+    let mut queue = SlotQueue::new(2);
+    for _ in 0..2 {
+        queue.offer(ClockTime(0), urgency(0, 300), LATER, LATER);
+    }
+    // Half of the first hold time of 100 ms passes until one of two slots is free.
+    let refused = queue.offer(ClockTime(0), urgency(0, 300), ClockTime(49), LATER);
+    assert_eq!(refused, SlotDecision::Refuse(ClockTime(50)));
+    let late = queue.offer(ClockTime(0), urgency(0, 300), LATER, ClockTime(50));
+    assert_eq!(late, SlotDecision::Refuse(ClockTime(50)));
+}
+
+#[test]
+fn expired_work_gets_no_slot() {
+    let mut queue = SlotQueue::new(1);
+    queue.offer(ClockTime(0), urgency(0, 300), LATER, LATER);
+    let expired = queue.offer(ClockTime(0), urgency(0, 10), LATER, ClockTime(150));
+    assert!(matches!(expired, SlotDecision::Wait(_)));
+    let live = waits(&mut queue, 0, urgency(0, 300));
+    queue.finish(ClockTime(200));
+    assert_eq!(queue.next(ClockTime(200)), Some(live));
+}
+
+proptest! {
+    #[test]
+    fn slots_are_never_exceeded_and_never_idle(
+        capacity in 1usize..6,
+        steps in prop::collection::vec((0u8..4, 0u8..3, 50u64..500), 1..200),
+    ) {
+        let mut queue = SlotQueue::new(capacity);
+        let mut running = 0usize;
+        let mut waiting: Vec<SlotTicket> = Vec::new();
+        for (number, (action, priority, objective)) in steps.into_iter().enumerate() {
+            let now = ClockTime(number as u64);
+            match action {
+                0 | 1 => match queue.offer(now, urgency(priority, objective), LATER, LATER) {
+                    SlotDecision::Run => running += 1,
+                    SlotDecision::Wait(ticket) => waiting.push(ticket),
+                    SlotDecision::Refuse(_) => prop_assert!(running >= capacity),
+                },
+                2 if running > 0 => {
+                    queue.finish(ClockTime(objective));
+                    running -= 1;
+                }
+                _ => {
+                    if let Some(ticket) = waiting.pop() {
+                        prop_assert!(queue.cancel(ticket));
+                    }
+                }
+            }
+            while let Some(ticket) = queue.next(now) {
+                waiting.retain(|other| *other != ticket);
+                running += 1;
+            }
+            prop_assert!(running <= capacity);
+            prop_assert!(waiting.is_empty() || running == capacity);
+            prop_assert_eq!(queue.outstanding(), running + waiting.len());
+        }
+    }
+}
