--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -91,10 +91,9 @@
     /// failures the registry and other nodes are asked by turns.
     fn next_source(&self) -> ViewSource {
         let failures = self.failures.get();
-        if failures > 0 && failures % 2 == 1 {
-            if let Some(address) = self.random_node() {
-                return ViewSource::Node(address);
-            }
+        let other = (failures % 2 == 1).then(|| self.random_node()).flatten();
+        if let Some(address) = other {
+            return ViewSource::Node(address);
         }
         let trust = ClockTime((self.interval().as_f64() * TRUST_INTERVALS) as u64);
         let fresh = self.state.age().is_some_and(|age| age < trust);
