Ask the registry and another node at once when a view gets old

It asked its parent and then a random node, both without news because the store had left them without answer, and each held the question for a second. Ruled out: the store, which answered that node. Log lines name what each asked endpoint said.

--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -1,5 +1,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -97,6 +98,8 @@
     /// Endpoints that the request may have reached.
     reached: u32,
     last_refusal: Option<ResultCode>,
+    /// What each asked endpoint said, for the log.
+    trail: String,
     /// Whether an endpoint has been sent the request before.
     repeated: bool,
     /// Whether the last refusal came from an endpoint and not from a queue.
@@ -171,6 +174,7 @@
                 }
                 AttemptResult::Failed(answer) => {
                     progress.excluded.push(record.id.clone());
+                    progress.note(&record.id, answer.code, ClockTime(0));
                     progress.repeated = true;
                     if !self.may_repeat(request, progress) {
                         return answer;
@@ -680,16 +684,17 @@
             );
             return;
         }
+        let Self { state, .. } = self;
+        let (config, directory) = (request.version, state.directory.borrow().position());
+        let age = state.age().unwrap_or_default();
         log::info!(
-            "event=not_served request={} route={} service={} version={} view_age_ms={} status={} code={} asked={} elapsed_ms={elapsed}",
+            "event=not_served request={} route={} service={} config={config} directory={directory} view_age_ms={age} status={} code={} asked={} elapsed_ms={elapsed}",
             request.id,
             request.rule.name,
             request.service,
-            request.version,
-            self.state.age().unwrap_or_default(),
             answer.status,
             answer.code,
-            progress.excluded.len() + progress.busy.len(),
+            progress.trail,
         );
     }
 }
@@ -702,8 +707,16 @@
         self.excluded.retain(|id| !asked.contains(id));
     }
 
+    /// Adds what an endpoint said to the trail of the request.
+    fn note(&mut self, id: &EndpointId, code: ResultCode, wait: ClockTime) {
+        let comma = if self.trail.is_empty() { "" } else { "," };
+        // Writing to a string cannot fail.
+        let _ = write!(self.trail, "{comma}{id}:{code}:{wait}");
+    }
+
     fn note_refusal(&mut self, id: &EndpointId, code: ResultCode, wait: ClockTime, reached: bool) {
         self.last_refusal = Some(code);
+        self.note(id, code, wait);
         if code == ResultCode::Overloaded && !reached && !self.excluded.contains(id) {
             self.busy.push((id.clone(), wait));
         } else {
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -145,6 +145,7 @@
         let started = self.state.clock.now();
         let (outcome, body) = self.client.run(header, body, deadline).await;
         let worked = self.state.clock.now() - started;
+        log_run(header, &outcome, waited, worked);
         if matches!(outcome, ForwardOutcome::Answered { .. }) {
             slot.mark_used();
         }
@@ -214,6 +215,20 @@
     }
 }
 
+/// Logs a request that the endpoint was sent and did not serve.
+fn log_run(header: &ForwardHeader, outcome: &ForwardOutcome, waited: ClockTime, worked: ClockTime) {
+    let (request, endpoint) = (&header.request_id, &header.endpoint);
+    let result = match outcome {
+        ForwardOutcome::Answered { status, .. } if *status < 500 => return,
+        ForwardOutcome::Answered { status, .. } => format!("status={status}"),
+        ForwardOutcome::NotRun { code, .. } => format!("not_run={code}"),
+        ForwardOutcome::Unknown { code } => format!("unknown={code}"),
+    };
+    log::info!(
+        "event=endpoint_result request={request} endpoint={endpoint} {result} waited_ms={waited} worked_ms={worked}"
+    );
+}
+
 fn not_run(code: ResultCode, wait: ClockTime) -> ForwardOutcome {
     ForwardOutcome::NotRun {
         code,
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -55,6 +55,8 @@
 enum ViewSource {
     Registry,
     Node(IpAddr),
+    /// The registry or any other node, whichever answers first.
+    Any,
 }
 
 impl RegistryTask {
@@ -74,35 +76,56 @@
             let result = match source {
                 ViewSource::Registry => self.read_registry().await,
                 ViewSource::Node(address) => self.ask_node(address).await,
+                ViewSource::Any => self.ask_any().await,
             };
             self.expire();
             match (result, source) {
-                (Ok(()), ViewSource::Registry) => {
+                (Ok(()), ViewSource::Node(_)) => self.failures.set(0),
+                (Ok(()), _) => {
                     self.failures.set(0);
                     self.rest(begun).await;
                 }
-                (Ok(()), ViewSource::Node(_)) => self.failures.set(0),
+                // The view has just become too old to wait any longer.
+                (Err(()), ViewSource::Node(_)) => self.failures.set(1),
                 (Err(()), _) => self.pause().await,
             }
         }
     }
 
-    /// Chooses the node above in the tree while it keeps the view fresh, else the registry. After
-    /// failures the registry and other nodes are asked by turns.
+    /// Chooses the node above in the tree while it keeps the view fresh, else the registry; after
+    /// a failure, all that may know more.
     fn next_source(&self) -> ViewSource {
-        let failures = self.failures.get();
-        let other = (failures % 2 == 1).then(|| self.random_node()).flatten();
-        if let Some(address) = other {
-            return ViewSource::Node(address);
+        if self.failures.get() > 0 {
+            return ViewSource::Any;
         }
-        let trust = ClockTime((self.interval().as_f64() * TRUST_INTERVALS) as u64);
-        let fresh = self.state.age().is_some_and(|age| age < trust);
+        let fresh = self.trust_left() > ClockTime(0);
         match self.parent() {
-            Some(address) if fresh && failures == 0 => ViewSource::Node(address),
+            Some(address) if fresh => ViewSource::Node(address),
             _ => ViewSource::Registry,
         }
     }
 
+    /// Returns the time until the view must be confirmed by a read of the registry.
+    fn trust_left(&self) -> ClockTime {
+        let trust = ClockTime((self.interval().as_f64() * TRUST_INTERVALS) as u64);
+        self.state.age().map_or(ClockTime(0), |age| trust - age)
+    }
+
+    async fn ask_any(&self) -> std::result::Result<(), ()> {
+        let registry = pin!(self.read_registry());
+        let node = pin!(async {
+            match self.random_node() {
+                Some(address) => self.ask_node(address).await,
+                None => Err(()),
+            }
+        });
+        match future::select(registry, node).await {
+            Either::Left((Ok(()), _)) | Either::Right((Ok(()), _)) => Ok(()),
+            Either::Left((Err(()), node)) => node.await,
+            Either::Right((Err(()), registry)) => registry.await,
+        }
+    }
+
     fn parent(&self) -> Option<IpAddr> {
         let regions = &self.settings.regions;
         let region = regions.get(&self.settings.zone)?;
@@ -144,7 +167,8 @@
                     self.position.get()
                 );
                 self.position.set(None);
-                Ok(())
+                // The next read is a snapshot, which cannot meet this error.
+                Box::pin(self.read_registry()).await
             }
             Err(error) => {
                 metrics.record_registry_read("failed");
@@ -170,7 +194,7 @@
             mark: self.marks.borrow().get(&address).copied(),
             version: self.state.config().map(|config| config.version()),
             age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
-            wait: self.interval() + self.interval(),
+            wait: self.trust_left(),
         };
         let before = self.state.read_at();
         let metrics = &self.state.metrics;
