Bound the request bodies that a node holds by a part of its memory

Cause: the configuration may allow bodies of 64 MB while a process has 260 MB or less; several of them at once would end it. A body above 64 kB was also cut off when the socket's readiness was out of date. Change: all bodies together take a quarter of the memory, beyond it requests are refused as not run; only a read tells that an answer has come early.

--- a/src/caller/wire_stream.rs
+++ b/src/caller/wire_stream.rs
@@ -2,7 +2,7 @@
 use std::pin::pin;
 
 use bytes::{Buf, Bytes, BytesMut};
-use futures_util::future::{self, Either, FutureExt};
+use futures_util::future::{self, FutureExt};
 use monoio::buf::IoBuf;
 use monoio::io::{AsyncReadRent, AsyncWriteRent};
 use monoio::net::TcpStream;
@@ -172,13 +172,13 @@
         let mut rest = Bytes::from(bytes);
         let mut started = false;
         while !rest.is_empty() {
-            let answered = {
+            {
                 let readable = pin!(self.stream.readable(false));
                 let writable = pin!(self.stream.writable(false));
-                let first = future::select(readable, writable).await;
-                matches!(first, Either::Left(_))
-            };
-            if answered {
+                future::select(readable, writable).await;
+            }
+            // Only a read tells whether bytes have arrived: readiness may be out of date.
+            if !self.is_quiet() {
                 return Ok(false);
             }
             let (result, _) = self.stream.write(rest.clone()).await;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,6 +1,7 @@
 //! The node beside an endpoint: takes requests from clients and carries them to endpoints.
 
 mod answer;
+mod body_budget;
 mod call_id;
 mod call_table;
 mod client_server;
--- /dev/null
+++ b/src/sidecar/body_budget.rs
@@ -0,0 +1,51 @@
+use std::cell::Cell;
+use std::rc::Rc;
+
+use crate::size::ByteSize;
+
+/// Bounds the bytes of request bodies that a node holds at the same time.
+#[derive(Debug)]
+pub(crate) struct BodyBudget {
+    limit: u64,
+    held: Cell<u64>,
+}
+
+/// Holds bytes of the budget until it is dropped.
+#[derive(Debug)]
+pub(crate) struct BodyHold {
+    budget: Rc<BodyBudget>,
+    size: u64,
+}
+
+impl BodyBudget {
+    pub(crate) fn new(limit: ByteSize) -> Rc<Self> {
+        Rc::new(Self {
+            limit: limit.0,
+            held: Cell::new(0),
+        })
+    }
+
+    /// Returns the bytes that are free.
+    pub(crate) fn free(&self) -> u64 {
+        self.limit.saturating_sub(self.held.get())
+    }
+
+    /// Takes bytes of the budget; `None` if fewer are free.
+    pub(crate) fn take(self: &Rc<Self>, size: u64) -> Option<BodyHold> {
+        if size > self.free() {
+            return None;
+        }
+        self.held.set(self.held.get() + size);
+        Some(BodyHold {
+            budget: Rc::clone(self),
+            size,
+        })
+    }
+}
+
+impl Drop for BodyHold {
+    fn drop(&mut self) {
+        let held = &self.budget.held;
+        held.set(held.get().saturating_sub(self.size));
+    }
+}
--- a/src/sidecar/client_server.rs
+++ b/src/sidecar/client_server.rs
@@ -9,6 +9,7 @@
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
 use crate::sidecar::SidecarSettings;
+use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::client_session::ClientSession;
 use crate::sidecar::dispatcher::Dispatcher;
 use crate::sidecar::node_state::NodeState;
@@ -21,6 +22,7 @@
     pub(crate) settings: Rc<SidecarSettings>,
     pub(crate) state: Rc<NodeState>,
     pub(crate) dispatcher: Rc<Dispatcher>,
+    pub(crate) bodies: Rc<BodyBudget>,
 }
 
 /// Serves clients until the signal is given and every running request is answered.
--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -33,7 +33,7 @@
 /// Pipelined bytes read ahead while a request runs. Reading on is how a closed connection is
 /// noticed; beyond this size the connection is read again only after the answer.
 const READ_AHEAD: usize = 64 * 1024;
-/// Wait that is suggested while no configuration is known.
+/// Wait that is suggested while no configuration is known or no room for a body is left.
 const START_RETRY: ClockTime = ClockTime(300);
 
 /// Serves the requests of one client connection one after the other.
@@ -93,10 +93,18 @@
             Err(error) => return self.refuse_broken(&error).await,
         };
         let arrived = self.context.state.clock.now();
-        let body = match self.receive_body(&head, &limits).await {
+        let free = self.context.bodies.free();
+        let body = match self.receive_body(&head, &limits, free).await {
             Ok(body) => body,
+            // The body is within the limit for clients and has no room at present.
+            Err(WireError::TooLarge) if free < limits.body_size.0 => {
+                return self.refuse(ResultCode::Overloaded).await;
+            }
             Err(error) => return self.refuse_broken(&error).await,
         };
+        let Some(_hold) = self.context.bodies.take(body.len() as u64) else {
+            return self.refuse(ResultCode::Overloaded).await;
+        };
         let is_head = head.method == http::Method::HEAD;
         let keep = head.keep;
         // A configuration that came in force while the body arrived applies.
@@ -198,8 +206,9 @@
         &mut self,
         head: &RequestHead,
         limits: &ClientLimits,
+        free: u64,
     ) -> Result<Bytes, WireError> {
-        let limit = limits.body_size.0 as usize;
+        let limit = limits.body_size.0.min(free) as usize;
         if matches!(head.length, BodyLength::Fixed(length) if length > limit) {
             return Err(WireError::TooLarge);
         }
@@ -226,7 +235,9 @@
     }
 
     async fn refuse(&mut self, code: ResultCode) -> NextStep {
-        if self.write(&Answer::own(code, None), false, false).await {
+        let retry_after = (code == ResultCode::Overloaded).then_some(START_RETRY);
+        let answer = Answer::own(code, retry_after);
+        if self.write(&answer, false, false).await {
             NextStep::Close
         } else {
             NextStep::Drop
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -16,6 +16,7 @@
 use crate::id::NodeAddress;
 use crate::node::{StopWatch, TaskGroup};
 use crate::peer::{PeerPool, PeerServer, ProbePlan};
+use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::call_table::CallTable;
 use crate::sidecar::client_server::{self, ClientContext};
 use crate::sidecar::dispatcher::Dispatcher;
@@ -33,11 +34,15 @@
 use crate::sidecar::view_client::ViewClient;
 use crate::sidecar::view_service::ViewService;
 use crate::sidecar::{PlatformAdapter, SidecarSettings, TargetPicker};
+use crate::size::ByteSize;
 
 /// Slots of an endpoint until the registry names them.
 const FIRST_CAPACITY: usize = 1;
 /// Largest answer that is held, as a part of the memory.
 const ANSWER_PART: u64 = 8;
+/// All request bodies that are held, as a part of the memory; another such part is left for those
+/// that other nodes forward.
+const BODY_PART: u64 = 4;
 /// Connections of other nodes accepted in a second: a restarted fleet of some hundred nodes
 /// connects within seconds.
 const ACCEPT_RATE: usize = 500;
@@ -100,7 +105,7 @@
             state: Rc::clone(&state),
             process,
         }),
-        body_limit: answer_limit,
+        body_limit: (settings.memory.0 / BODY_PART) as usize,
     });
     let peer_address = NodeAddress(settings.peer_listen);
     let peers = PeerServer::bind_streams(peer_address, streams, ACCEPT_RATE, clock)?;
@@ -124,6 +129,7 @@
         settings: Rc::clone(&settings),
         state: Rc::clone(&state),
         dispatcher: Rc::clone(&dispatcher),
+        bodies: BodyBudget::new(ByteSize(settings.memory.0 / BODY_PART)),
     });
     let client_task = monoio::spawn(client_server::serve(clients, context, clients_stopped));
     let pages = Rc::new(NodePages {
