Keep half of the repeat budget for failed requests and name requests in log lines

Change: slow requests spend at most half of the budget; lines for requests without a configuration and for resumed requests; durations carry their unit.

--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -139,6 +139,8 @@
         config: Option<Arc<MeshConfig>>,
     ) -> Result<EntryRequest, Answer> {
         let Some(config) = config else {
+            let id = head.id.as_deref().unwrap_or("-");
+            log::info!("event=no_configuration request={id}");
             return Err(Answer::own(ResultCode::NodeNotReady, Some(START_RETRY)));
         };
         let Some(rule) = config.lookup(&head.host, head.path()) else {
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -42,6 +42,8 @@
 /// Multiple of its slots that one node may have under way at an endpoint: those that run, and a
 /// queue that is served in the time of one request.
 const HELD_FACTOR: u32 = 2;
+/// Part of the repeat budget that slow requests may spend; the rest is kept for failed ones.
+const HEDGE_PART: f64 = 0.5;
 /// Work of a request in ms that is assumed before any answer.
 const FIRST_WORK: f64 = 100.0;
 /// Part of its objective that a request waits for a slot while other endpoints are left to ask.
@@ -165,7 +167,7 @@
                     progress.note_refusal(&record.id, code, wait, reached);
                     progress.repeated |= reached;
                     progress.turned_away = reached;
-                    if reached && !self.take_repeat(request) {
+                    if reached && !self.take_repeat(request, 1.0) {
                         return self.refuse(request, progress);
                     }
                     if reached {
@@ -176,7 +178,7 @@
                     progress.excluded.push(record.id.clone());
                     progress.note(&record.id, answer.code, ClockTime(0));
                     progress.repeated = true;
-                    if !self.may_repeat(request, progress) {
+                    if !self.may_repeat(request, progress, 1.0) {
                         return answer;
                     }
                     progress.forget_refusals();
@@ -213,12 +215,12 @@
         let now = self.state.clock.now();
         let second = self.best(request, &progress.excluded, now);
         let second = second.filter(|second| self.is_worth_asking(request, progress, second, now));
-        let Some(second) = second.filter(|_| self.may_repeat(request, progress)) else {
+        let Some(second) = second.filter(|_| self.may_repeat(request, progress, HEDGE_PART)) else {
             return first.await;
         };
         self.state.metrics.record_repeat("slow");
         log::info!(
-            "event=hedge request={} endpoint={} second={} delay_ms={delay}",
+            "event=hedge request={} endpoint={} second={} delay={delay}",
             request.id,
             record.id,
             second.id
@@ -338,6 +340,11 @@
             Err(error)
                 if !header.idempotent && error.outcome() != crate::error::CallOutcome::NotRun =>
             {
+                log::info!(
+                    "event=resume request={} node={to} cause=\"{}\"",
+                    request.id,
+                    error.message()
+                );
                 self.resume(to, header.call, started, error).await
             }
             sent => sent,
@@ -359,10 +366,6 @@
         cause: Error,
     ) -> Result<ForwardAnswer> {
         let clock = self.state.clock;
-        log::info!(
-            "event=resume call={call} node={to} cause=\"{}\"",
-            cause.message()
-        );
         loop {
             let asked = clock.now();
             let header = ResumeHeader {
@@ -430,7 +433,7 @@
                 reached,
             } => {
                 log::debug!(
-                    "event=refused request={} endpoint={} code={code} wait_ms={wait}",
+                    "event=refused request={} endpoint={} code={code} wait={wait}",
                     request.id,
                     record.id
                 );
@@ -624,23 +627,24 @@
         NodeAddress(SocketAddr::new(record.address.ip(), port))
     }
 
-    fn may_repeat(&self, request: &EntryRequest, progress: &DispatchState) -> bool {
+    /// Returns whether a request may go to a further endpoint, spending a part of the budget.
+    fn may_repeat(&self, request: &EntryRequest, progress: &DispatchState, part: f64) -> bool {
         let rule: &RouteRule = &request.rule;
         let now = self.state.clock.now();
         if !rule.idempotent || progress.reached >= rule.max_attempts || now >= request.deadline {
             return false;
         }
-        self.take_repeat(request)
+        self.take_repeat(request, part)
     }
 
     /// Takes a further arrival at an endpoint from the budget of the service.
-    fn take_repeat(&self, request: &EntryRequest) -> bool {
+    fn take_repeat(&self, request: &EntryRequest, part: f64) -> bool {
         let now = self.state.clock.now();
         let bounds = self.state.bounds();
         let nodes = self.state.directory.borrow().len().max(1) as f64;
         let allowance = RepeatAllowance {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack / nodes,
+            ratio: bounds.retry_ratio * part,
+            slack: bounds.retry_slack * part / nodes,
             nested: self.exit.repeated_part.get(),
         };
         self.budget(&request.service, |budget| budget.take(now, allowance))
@@ -678,7 +682,7 @@
         metrics.record_request(request.rule.idempotent, answer.code, elapsed);
         if answer.code == ResultCode::Ok {
             log::debug!(
-                "event=served request={} status={} elapsed_ms={elapsed}",
+                "event=served request={} status={} elapsed={elapsed}",
                 request.id,
                 answer.status
             );
@@ -688,7 +692,7 @@
         let (config, directory) = (request.version, state.directory.borrow().position());
         let age = state.age().unwrap_or_default();
         log::info!(
-            "event=not_served request={} route={} service={} config={config} directory={directory} view_age_ms={age} status={} code={} asked={} elapsed_ms={elapsed}",
+            "event=not_served request={} route={} service={} config={config} directory={directory} view_age={age} status={} code={} asked={} elapsed={elapsed}",
             request.id,
             request.rule.name,
             request.service,
--- a/src/sidecar/exit_service.rs
+++ b/src/sidecar/exit_service.rs
@@ -225,7 +225,7 @@
         ForwardOutcome::Unknown { code } => format!("unknown={code}"),
     };
     log::info!(
-        "event=endpoint_result request={request} endpoint={endpoint} {result} waited_ms={waited} worked_ms={worked}"
+        "event=endpoint_result request={request} endpoint={endpoint} {result} waited={waited} worked={worked}"
     );
 }
 
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -174,7 +174,7 @@
                 metrics.record_registry_read("failed");
                 if !self.registry_lost.replace(true) {
                     let age = self.state.age().unwrap_or_default();
-                    log::warn!("event=registry_lost view_age_ms={age} cause=\"{error}\"");
+                    log::warn!("event=registry_lost view_age={age} cause=\"{error}\"");
                 }
                 Err(())
             }
