Split the dispatcher and the start of a node by what they decide

Change: EndpointChooser chooses, AttemptSender sends and learns, RepeatLedger holds the budgets, DispatchState follows one request; RunningNode starts and stops.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,12 +1,16 @@
 //! The node beside an endpoint: takes requests from clients and carries them to endpoints.
 
 mod answer;
+mod attempt_result;
+mod attempt_sender;
 mod body_budget;
 mod call_id;
 mod call_table;
 mod client_server;
 mod client_session;
+mod dispatch_state;
 mod dispatcher;
+mod endpoint_chooser;
 mod endpoint_client;
 mod endpoint_stats;
 mod entry_request;
@@ -23,9 +27,11 @@
 mod reload_task;
 mod reload_watch;
 mod repeat_budget;
+mod repeat_ledger;
 mod request_parser;
 mod route_stats;
 mod run;
+mod running_node;
 mod sidecar_settings;
 mod slot_gate;
 mod slot_queue;
--- /dev/null
+++ b/src/sidecar/attempt_sender.rs
@@ -0,0 +1,320 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use monoio::time;
+
+use crate::clock::ClockTime;
+use crate::error::{CallOutcome, Error, Result, ResultCode};
+use crate::id::{EndpointId, NodeAddress};
+use crate::mesh::EndpointRecord;
+use crate::peer::PeerPool;
+use crate::sidecar::answer::Answer;
+use crate::sidecar::attempt_result::AttemptResult;
+use crate::sidecar::call_id::CallId;
+use crate::sidecar::call_table::CallRecord;
+use crate::sidecar::endpoint_chooser::EndpointChooser;
+use crate::sidecar::endpoint_stats::EndpointStats;
+use crate::sidecar::entry_request::EntryRequest;
+use crate::sidecar::exit_service::ExitService;
+use crate::sidecar::forward_message::{
+    FORWARD_LIMIT, ForwardAnswer, ForwardCodec, ForwardHeader, ForwardOutcome, ForwardReply,
+    ResumeHeader,
+};
+use crate::sidecar::forward_streams::{FORWARD_PATH, RESUME_PATH};
+use crate::sidecar::node_state::NodeState;
+use crate::sidecar::{PeerClock, RemoteTime, SidecarSettings};
+
+/// Time between two questions about a request whose connection was lost.
+const RESUME_PAUSE: ClockTime = ClockTime(100);
+/// A connection attempt that fails faster than this was refused: the process is gone.
+const REFUSED_TIME: ClockTime = ClockTime(60);
+
+/// Sends a request to one endpoint and learns from what comes back.
+pub(crate) struct AttemptSender {
+    pub(crate) settings: Rc<SidecarSettings>,
+    pub(crate) state: Rc<NodeState>,
+    pub(crate) exit: Rc<ExitService>,
+    pub(crate) pool: Rc<PeerPool>,
+    pub(crate) chooser: Rc<EndpointChooser>,
+    /// Random number of the process.
+    pub(crate) process: u64,
+    pub(crate) next_call: Cell<u64>,
+    pub(crate) clocks: RefCell<HashMap<NodeAddress, PeerClock>>,
+}
+
+impl AttemptSender {
+    pub(crate) async fn attempt(
+        &self,
+        request: &EntryRequest,
+        record: &EndpointRecord,
+        patience: ClockTime,
+        repeated: bool,
+    ) -> AttemptResult {
+        let started = self.state.clock.now();
+        let call = CallId {
+            sender: self.process,
+            number: self.next_call.replace(self.next_call.get() + 1),
+        };
+        let header = ForwardHeader {
+            call,
+            endpoint: record.id.clone(),
+            request_id: request.id.clone(),
+            caller: self.settings.service.clone(),
+            method: request.method.clone(),
+            target: request.target.clone(),
+            headers: request.headers.clone(),
+            body_length: request.body.len() as u64,
+            remaining: request.deadline - started,
+            sent_at: self.remote_time(self.chooser.node_of(record)),
+            patience,
+            work: ClockTime(self.chooser.work(request) as u64),
+            priority: request.rule.priority,
+            objective: request.rule.objective,
+            idempotent: request.rule.idempotent,
+            repeated,
+        };
+        let guard = FlightGuard::new(&self.chooser.endpoints, &record.id);
+        let result = if record.address == self.exit.client.address() {
+            self.run_here(header, request).await
+        } else {
+            self.send(header, record, request, started).await
+        };
+        drop(guard);
+        let elapsed = self.state.clock.now() - started;
+        match result {
+            Ok(answer) => self.conclude(request, record, answer, elapsed),
+            Err(error) if error.outcome() == CallOutcome::NotRun => {
+                log::info!(
+                    "event=node_unreachable request={} endpoint={} cause=\"{}\"",
+                    request.id,
+                    record.id,
+                    error.message()
+                );
+                let now = self.state.clock.now();
+                self.chooser
+                    .endpoints
+                    .borrow_mut()
+                    .unreachable(&record.id, now);
+                AttemptResult::NotRun {
+                    code: error.code(),
+                    wait: ClockTime(0),
+                    reached: false,
+                }
+            }
+            Err(error) => {
+                log::info!(
+                    "event=outcome_unknown request={} endpoint={} cause=\"{}\"",
+                    request.id,
+                    record.id,
+                    error.message()
+                );
+                self.chooser.endpoints.borrow_mut().failed(&record.id);
+                AttemptResult::Failed(Answer::own(error.code(), None))
+            }
+        }
+    }
+
+    async fn run_here(
+        &self,
+        header: ForwardHeader,
+        request: &EntryRequest,
+    ) -> Result<ForwardAnswer> {
+        if header.idempotent {
+            return Ok(self.exit.run(&header, &request.body).await);
+        }
+        let record = match self.exit.submit(header, request.body.clone()) {
+            Ok(record) => record,
+            Err(answer) => return Ok(*answer),
+        };
+        let guard = CancelGuard(&record);
+        let answer = record.answer().await;
+        drop(guard);
+        answer.ok_or_else(|| Error::new(ResultCode::NodeLeaving, "the request was canceled"))
+    }
+
+    async fn send(
+        &self,
+        header: ForwardHeader,
+        record: &EndpointRecord,
+        request: &EntryRequest,
+        started: ClockTime,
+    ) -> Result<ForwardAnswer> {
+        let to = self.chooser.node_of(record);
+        let head = ForwardCodec::encode(&header)?;
+        let sent = self
+            .pool
+            .request::<ForwardReply, FORWARD_LIMIT>(to, FORWARD_PATH, head, request.body.clone())
+            .await
+            .and_then(checked);
+        match sent {
+            Err(error) if !header.idempotent && error.outcome() != CallOutcome::NotRun => {
+                log::info!(
+                    "event=resume request={} node={to} cause=\"{}\"",
+                    request.id,
+                    error.message()
+                );
+                self.resume(to, header.call, started, error).await
+            }
+            sent => sent,
+        }
+    }
+
+    /// Returns the present time on the clock of another node, if an answer has shown it.
+    fn remote_time(&self, node: NodeAddress) -> Option<RemoteTime> {
+        let now = self.state.clock.now();
+        self.clocks.borrow().get(&node).map(|clock| clock.at(now))
+    }
+
+    /// Asks over a new connection what became of a request that must not run twice.
+    async fn resume(
+        &self,
+        to: NodeAddress,
+        call: CallId,
+        started: ClockTime,
+        cause: Error,
+    ) -> Result<ForwardAnswer> {
+        let clock = self.state.clock;
+        loop {
+            let asked = clock.now();
+            let header = ResumeHeader {
+                call,
+                age: asked - started,
+            };
+            let head = ForwardCodec::encode(&header)?;
+            let reply = self
+                .pool
+                .request::<ForwardReply, FORWARD_LIMIT>(to, RESUME_PATH, head, Bytes::new())
+                .await
+                .and_then(checked);
+            let error = match reply {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let refused =
+                error.code() == ResultCode::PeerUnreachable && clock.now() - asked < REFUSED_TIME;
+            if refused {
+                return Err(cause);
+            }
+            time::sleep(RESUME_PAUSE.to_duration()).await;
+        }
+    }
+
+    fn conclude(
+        &self,
+        request: &EntryRequest,
+        record: &EndpointRecord,
+        answer: ForwardAnswer,
+        elapsed: ClockTime,
+    ) -> AttemptResult {
+        let now = self.state.clock.now();
+        let reply = answer.reply;
+        let network = elapsed.as_f64() - reply.elapsed.as_f64();
+        let clock = PeerClock::new(reply.answered_at, now);
+        self.clocks
+            .borrow_mut()
+            .insert(self.chooser.node_of(record), clock);
+        let mut endpoints = self.chooser.endpoints.borrow_mut();
+        endpoints.heard(&record.id, now, reply.load, network.max(0.0));
+        match reply.outcome {
+            ForwardOutcome::Answered { status, headers } => {
+                let worked = reply.worked.unwrap_or_default().as_f64();
+                let route = &request.rule.name;
+                let mut routes = self.chooser.routes.borrow_mut();
+                let mean = routes.work(route).unwrap_or(worked).max(1.0);
+                endpoints.worked(&record.id, worked / mean);
+                routes.record(route, worked, elapsed.as_f64());
+                let own = Answer {
+                    status,
+                    headers,
+                    body: answer.body,
+                    code: ResultCode::Ok,
+                };
+                if status >= 500 {
+                    endpoints.failed(&record.id);
+                    let code = ResultCode::EndpointFailed;
+                    return AttemptResult::Failed(Answer { code, ..own });
+                }
+                endpoints.succeeded(&record.id);
+                AttemptResult::Answer(own)
+            }
+            ForwardOutcome::NotRun {
+                code,
+                wait,
+                reached,
+            } => {
+                log::debug!(
+                    "event=refused request={} endpoint={} code={code} wait={wait}",
+                    request.id,
+                    record.id
+                );
+                if matches!(
+                    code,
+                    ResultCode::BackendUnreachable
+                        | ResultCode::NodeLeaving
+                        | ResultCode::NoEndpoint
+                ) {
+                    endpoints.unreachable(&record.id, now);
+                }
+                if reached {
+                    endpoints.failed(&record.id);
+                }
+                AttemptResult::NotRun {
+                    code,
+                    wait,
+                    reached,
+                }
+            }
+            ForwardOutcome::Unknown { code } => {
+                log::info!(
+                    "event=outcome_unknown request={} endpoint={} code={code}",
+                    request.id,
+                    record.id
+                );
+                endpoints.failed(&record.id);
+                AttemptResult::Failed(Answer::own(code, None))
+            }
+        }
+    }
+}
+
+/// Counts an attempt as in flight until it is dropped.
+struct FlightGuard<'a> {
+    endpoints: &'a RefCell<EndpointStats>,
+    id: EndpointId,
+}
+
+impl<'a> FlightGuard<'a> {
+    fn new(endpoints: &'a RefCell<EndpointStats>, id: &EndpointId) -> Self {
+        endpoints.borrow_mut().begin(id);
+        Self {
+            endpoints,
+            id: id.clone(),
+        }
+    }
+}
+
+impl Drop for FlightGuard<'_> {
+    fn drop(&mut self) {
+        self.endpoints.borrow_mut().end(&self.id);
+    }
+}
+
+/// Cancels a call that has not started when its client leaves.
+struct CancelGuard<'a>(&'a CallRecord);
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        self.0.cancel();
+    }
+}
+
+/// Checks that the body has the length that the head states.
+fn checked((reply, body): (ForwardReply, Bytes)) -> Result<ForwardAnswer> {
+    if body.len() as u64 == reply.body_length {
+        return Ok(ForwardAnswer { reply, body });
+    }
+    let message = "the body of an answer has another length";
+    Err(Error::new(ResultCode::ConnectionLost, message))
+}
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -342,7 +342,7 @@
                 DirectoryEvent::Draining(id) => self.turn_away(id),
                 DirectoryEvent::Missing(_) => {}
                 DirectoryEvent::Gone(id) => {
-                    self.dispatcher.endpoints.borrow_mut().forget(id);
+                    self.dispatcher.chooser.endpoints.borrow_mut().forget(id);
                     self.turn_away(id);
                 }
             }
--- /dev/null
+++ b/src/sidecar/repeat_ledger.rs
@@ -0,0 +1,48 @@
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::clock::ClockTime;
+use crate::id::ServiceName;
+use crate::sidecar::exit_service::ExitService;
+use crate::sidecar::node_state::NodeState;
+use crate::sidecar::{RepeatAllowance, RepeatBudget};
+
+/// Holds the repeat budget of each service.
+pub(crate) struct RepeatLedger {
+    pub(crate) state: Rc<NodeState>,
+    pub(crate) exit: Rc<ExitService>,
+    pub(crate) budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+}
+
+impl RepeatLedger {
+    /// Records a request that a client sent.
+    pub(crate) fn record(&self, service: &ServiceName, now: ClockTime) {
+        self.budget(service, |budget| budget.record(now));
+    }
+
+    /// Takes a further arrival at an endpoint from the budget of the service.
+    pub(crate) fn take(&self, service: &ServiceName, part: f64) -> bool {
+        let now = self.state.clock.now();
+        let bounds = self.state.bounds();
+        let nodes = self.state.directory.borrow().len().max(1) as f64;
+        let allowance = RepeatAllowance {
+            ratio: bounds.retry_ratio * part,
+            slack: bounds.retry_slack * part / nodes,
+            nested: self.exit.repeated_part.get(),
+        };
+        self.budget(service, |budget| budget.take(now, allowance))
+    }
+
+    fn budget<Use, Value>(&self, service: &ServiceName, action: Use) -> Value
+    where
+        Use: FnOnce(&mut RepeatBudget) -> Value,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        let window = self.state.bounds().retry_window;
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::new(window));
+        action(budget)
+    }
+}
--- a/src/sidecar/target_picker.rs
+++ b/src/sidecar/target_picker.rs
@@ -9,7 +9,7 @@
 /// weights.
 #[derive(Debug, Default)]
 pub struct TargetPicker {
-    credits: HashMap<String, Vec<i64>>,
+    balances: HashMap<String, Vec<i64>>,
 }
 
 impl TargetPicker {
@@ -21,7 +21,7 @@
 
     /// Forgets all routes, because the weights may have changed.
     pub fn reset(&mut self) {
-        self.credits.clear();
+        self.balances.clear();
     }
 
     /// Picks the service that the next request of a route goes to.
@@ -31,20 +31,20 @@
             return &targets[0].service;
         }
         let total: i64 = targets.iter().map(|target| i64::from(target.weight)).sum();
-        let credits = self.credits.entry(rule.name.clone()).or_default();
-        if credits.len() != targets.len() {
-            *credits = (0..targets.len())
+        let balances = self.balances.entry(rule.name.clone()).or_default();
+        if balances.len() != targets.len() {
+            *balances = (0..targets.len())
                 .map(|_| rand::random_range(0..total.max(1)))
                 .collect();
         }
-        for (credit, target) in credits.iter_mut().zip(targets) {
-            *credit += i64::from(target.weight);
+        for (balance, target) in balances.iter_mut().zip(targets) {
+            *balance += i64::from(target.weight);
         }
         let best = (0..targets.len())
             .filter(|index| targets[*index].weight > 0)
-            .max_by_key(|index| credits[*index])
+            .max_by_key(|index| balances[*index])
             .unwrap_or(0);
-        credits[best] -= total;
+        balances[best] -= total;
         &targets[best].service
     }
 }
