Answer with the endpoint's failure when no other endpoint takes a repeat

Cause: idempotent work that had run and failed was answered 503, which says that it has not run, when the endpoint of its repeat refused it or had no slot. Ruled out: work that must not run twice, which is never repeated after a run.

--- a/src/sidecar/attempt_result.rs
+++ b/src/sidecar/attempt_result.rs
@@ -15,3 +15,15 @@
     /// The endpoint failed, or nobody knows; with the answer to give when nothing is tried again.
     Failed(Answer),
 }
+
+impl AttemptResult {
+    /// Returns the outcome of two attempts of one request, of which this one gave no answer.
+    ///
+    /// A failure outlasts a refusal, because the request may have run.
+    pub(crate) fn merge(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Failed(answer), Self::NotRun { .. }) => Self::Failed(answer),
+            (_, other) => other,
+        }
+    }
+}
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -5,9 +5,9 @@
 use futures_util::future::{self, Either};
 use monoio::time;
 
-use crate::clock::{ClockTime, SystemClock};
+use crate::clock::ClockTime;
 use crate::error::ResultCode;
-use crate::mesh::{EndpointRecord, RouteRule};
+use crate::mesh::EndpointRecord;
 use crate::sidecar::TargetPicker;
 use crate::sidecar::answer::Answer;
 use crate::sidecar::attempt_result::AttemptResult;
@@ -53,7 +53,8 @@
         loop {
             let now = self.state.clock.now();
             if now >= request.deadline {
-                return Answer::own(ResultCode::DeadlineTooShort, Some(ClockTime(0)));
+                progress.last_refusal = Some(ResultCode::DeadlineTooShort);
+                return self.refuse(request, progress);
             }
             let Some((record, patience)) = self.chooser.choose(request, progress, now) else {
                 return self.refuse(request, progress);
@@ -101,6 +102,7 @@
                         record.id,
                         answer.code
                     );
+                    progress.failure = Some(answer);
                 }
             }
         }
@@ -151,14 +153,14 @@
         match future::select(first, other).await {
             Either::Left((result @ AttemptResult::Answer(_), _)) => result,
             Either::Right((result @ AttemptResult::Answer(_), _)) => result,
-            Either::Left((_, other)) => other.await,
-            Either::Right((_, first)) => first.await,
+            Either::Left((result, other)) => result.merge(other.await),
+            Either::Right((result, first)) => result.merge(first.await),
         }
     }
 
     /// Returns whether a request may go to a further endpoint, spending a part of the budget.
     fn may_repeat(&self, request: &EntryRequest, progress: &DispatchState, part: f64) -> bool {
-        let rule: &RouteRule = &request.rule;
+        let rule = &request.rule;
         let now = self.state.clock.now();
         if !rule.idempotent || progress.reached >= rule.max_attempts || now >= request.deadline {
             return false;
@@ -167,7 +169,12 @@
     }
 
     /// Refuses a request; it is welcome again when the queues that it met have been served.
-    fn refuse(&self, request: &EntryRequest, progress: &DispatchState) -> Answer {
+    ///
+    /// A request that may have run gets the failure of the endpoint that was sent it.
+    fn refuse(&self, request: &EntryRequest, progress: &mut DispatchState) -> Answer {
+        if let Some(failure) = progress.failure.take() {
+            return failure;
+        }
         let wait = progress.busy.iter().map(|(_, wait)| *wait).min();
         let code = progress.last_refusal.unwrap_or(ResultCode::NoEndpoint);
         let wait = match wait {
@@ -180,8 +187,7 @@
     }
 
     fn log_outcome(&self, request: &EntryRequest, answer: &Answer, progress: &DispatchState) {
-        let clock: SystemClock = self.state.clock;
-        let elapsed = clock.now() - request.arrived;
+        let elapsed = self.state.clock.now() - request.arrived;
         let metrics = &self.state.metrics;
         metrics.record_request(request.rule.idempotent, answer.code, elapsed);
         if answer.code == ResultCode::Ok {
@@ -192,9 +198,9 @@
             );
             return;
         }
-        let Self { state, .. } = self;
-        let (config, directory) = (request.version, state.directory.borrow().position());
-        let age = state.age().unwrap_or_default();
+        let config = request.version;
+        let directory = self.state.directory.borrow().position();
+        let age = self.state.age().unwrap_or_default();
         log::info!(
             "event=not_served request={} route={} service={} config={config} directory={directory} view_age={age} status={} code={} asked={} elapsed={elapsed}",
             request.id,
