--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -168,7 +168,7 @@
         self.repeats.take(&request.service, part)
     }
 
-    /// Refuses a request; it is welcome again when the queues that it met have been served.
+    /// Refuses a request and advises another attempt once the queues that it met have been served.
     ///
     /// A request that may have run gets the failure of the endpoint that was sent it.
     fn refuse(&self, request: &EntryRequest, progress: &mut DispatchState) -> Answer {
--- a/src/sidecar/endpoint_chooser.rs
+++ b/src/sidecar/endpoint_chooser.rs
@@ -110,10 +110,10 @@
         if held >= record.capacity * HELD_FACTOR {
             return false;
         }
-        let lonely = progress.busy.is_empty();
+        let only_choice = progress.busy.is_empty();
         match (overdue, avoided) {
-            (true, _) => lonely && request.rule.idempotent,
-            (false, true) => lonely,
+            (true, _) => only_choice && request.rule.idempotent,
+            (false, true) => only_choice,
             (false, false) => true,
         }
     }
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -338,7 +338,7 @@
             self.state.metrics.record_endpoint_event(event.name());
             log::info!("event=endpoint_{} endpoint={id}", event.name());
             match &event {
-                DirectoryEvent::Ready(id) => self.greet(id),
+                DirectoryEvent::Ready(id) => self.adopt_endpoint(id),
                 DirectoryEvent::Draining(id) => self.turn_away(id),
                 DirectoryEvent::Missing(_) => {}
                 DirectoryEvent::Gone(id) => {
@@ -350,7 +350,7 @@
     }
 
     /// Prepares for an endpoint that has appeared beside the node.
-    fn greet(&self, id: &EndpointId) {
+    fn adopt_endpoint(&self, id: &EndpointId) {
         let directory = self.state.directory.borrow();
         let Some(record) = directory.record(id) else {
             return;
--- a/tests/mesh_rules.rs
+++ b/tests/mesh_rules.rs
@@ -236,8 +236,8 @@
     }
     assert_eq!(readers, 1);
     assert!(children.values().all(|count| *count <= 8));
-    let stranger = IpAddr::V4(Ipv4Addr::new(10, 9, 9, 9));
-    assert!(tree.parent(stranger).is_some());
+    let unlisted = IpAddr::V4(Ipv4Addr::new(10, 9, 9, 9));
+    assert!(tree.parent(unlisted).is_some());
     let empty: smallvec::SmallVec<[IpAddr; 1]> = smallvec![];
     assert_eq!(
         ViewTree::new(&ServiceDirectory::new(), regions, &region).nodes(),
