Choose endpoints by the risk of a late answer

Cause: the choice compared expected times, so a request left its zone to save a few milliseconds although its answer was on time in the zone as well. Ruled out: compressing bodies, which are random bytes (trial with logged bodies). Change: the cost of an endpoint is the risk that its answer is late, and distance must lower that risk to be worthwhile.

--- a/src/sidecar/endpoint_chooser.rs
+++ b/src/sidecar/endpoint_chooser.rs
@@ -18,9 +18,16 @@
 const ZONE_NETWORK: f64 = 1.0;
 const REGION_NETWORK: f64 = 4.0;
 const REMOTE_NETWORK: f64 = 20.0;
-/// Cost in ms of a node that owes an answer on its connection, above that of any other one that
-/// can be reached.
-const SILENCE_COST: f64 = 50_000.0;
+/// Costs are in requests lost: 1 is the cost of a request that is certainly late or fails.
+///
+/// Cost of a certain failure, which also wastes the work.
+const FAILURE_COST: f64 = 1.5;
+/// Cost of an expected time of one objective, beside the risk of being late.
+const TIME_COST: f64 = 0.1;
+/// Cost of a node that owes an answer on its connection, and of an endpoint that could not be
+/// reached lately: above that of any other.
+const SILENCE_COST: f64 = 1_000.0;
+const AVOID_COST: f64 = 2_000.0;
 /// Multiple of its slots that one node may have under way at an endpoint: those that run, and a
 /// queue that is served in the time of one request.
 const HELD_FACTOR: u32 = 2;
@@ -28,9 +35,9 @@
 const FIRST_WORK: f64 = 100.0;
 /// Part of its objective that a request waits for a slot while other endpoints are left to ask.
 const PROBE_PATIENCE: f64 = 0.1;
-/// Parts of the objective that an endpoint in another zone or region must be faster to be chosen:
-/// bytes between zones and regions are paid, and the link between regions is narrow.
-const ZONE_DISTANCE: f64 = 0.05;
+/// Costs of sending a request to another zone or region, where bytes are paid and the link is
+/// narrow: it must lower the risk of a late answer by as much.
+const ZONE_DISTANCE: f64 = 0.15;
 const REGION_DISTANCE: f64 = 0.5;
 /// Endpoints that are asked for a free slot before the shortest queue is taken.
 const PROBE_LIMIT: usize = 3;
@@ -179,20 +186,27 @@
         let directory = self.state.directory.borrow();
         let endpoints = self.endpoints.borrow();
         let work = self.work(request);
+        let objective = request.rule.objective.as_f64();
         let mut best: Option<(f64, &Rc<EndpointRecord>)> = None;
         for record in directory.ready(&request.service) {
             if excluded.contains(&record.id) {
                 continue;
             }
             let (prior, distance) = self.network_prior(record);
-            let distance = distance * request.rule.objective.as_f64();
             let warm = directory.warm_up(&record.id, now) > ClockTime(0);
             let work = if warm { work * WARM_UP_FACTOR } else { work };
-            let cost = endpoints.cost(&record.id, now, work, prior, record.capacity);
-            // Nodes that see the same costs must not all choose the same endpoint.
+            let forecast = endpoints.forecast(&record.id, now, work, prior, record.capacity);
+            // Nodes that see the same forecasts must not all choose the same endpoint.
+            let time = forecast.time * rand::random_range(0.9..1.1);
             let overdue = self.pool.is_overdue(self.node_of(record));
             let silence = if overdue { SILENCE_COST } else { 0.0 };
-            let cost = cost * rand::random_range(0.9..1.1) + distance + silence;
+            let avoided = endpoints.is_avoided(&record.id, now);
+            let avoidance = if avoided { AVOID_COST } else { 0.0 };
+            let cost = lateness_cost(time, objective)
+                + FAILURE_COST * forecast.failures
+                + distance
+                + silence
+                + avoidance;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, record));
             }
@@ -200,7 +214,7 @@
         best.map(|(_, record)| Rc::clone(record))
     }
 
-    /// Returns the expected network time in ms and the distance as a part of the objective.
+    /// Returns the expected network time in ms and the cost of the distance.
     fn network_prior(&self, record: &EndpointRecord) -> (f64, f64) {
         if record.zone == self.settings.zone {
             (ZONE_NETWORK, 0.0)
@@ -216,3 +230,10 @@
         NodeAddress(SocketAddr::new(record.address.ip(), port))
     }
 }
+
+/// Returns the cost of an expected time of `time` ms: the risk that an exponentially distributed
+/// time with this mean exceeds the objective, and a small part that grows with the time.
+fn lateness_cost(time: f64, objective: f64) -> f64 {
+    let ratio = time / objective.max(1.0);
+    (-1.0 / ratio.max(f64::EPSILON)).exp() + TIME_COST * ratio
+}
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -16,10 +16,6 @@
 const MAX_AVOID: ClockTime = ClockTime(1_000);
 /// Part of the work that a nearly full endpoint takes longer.
 const FULL_PENALTY: f64 = 0.3;
-/// Time in ms that a certain failure costs the caller, who has to begin again.
-const FAILURE_COST: f64 = 1_500.0;
-/// Cost of an endpoint that is passed over, above any other.
-const AVOID_COST: f64 = 100_000.0;
 
 #[derive(Debug, Clone, Default)]
 struct EndpointView {
@@ -34,6 +30,15 @@
     strikes: u32,
 }
 
+/// Is what a request can expect of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndpointForecast {
+    /// Mean time until the answer, in ms.
+    pub(crate) time: f64,
+    /// Part of the requests that fail.
+    pub(crate) failures: f64,
+}
+
 /// Learns from answers how fast, loaded and reliable each endpoint is.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointStats {
@@ -113,17 +118,20 @@
             .is_some_and(|view| view.avoid_until > now)
     }
 
-    /// Returns the expected time in ms of a request with `work` ms on an average endpoint.
-    pub(crate) fn cost(
+    /// Returns what a request with `work` ms on an average endpoint can expect of an endpoint.
+    pub(crate) fn forecast(
         &self,
         id: &EndpointId,
         now: ClockTime,
         work: f64,
         network_prior: f64,
         capacity: u32,
-    ) -> f64 {
+    ) -> EndpointForecast {
         let Some(view) = self.views.get(id) else {
-            return network_prior + work;
+            return EndpointForecast {
+                time: network_prior + work,
+                failures: 0.0,
+            };
         };
         let capacity = f64::from(capacity.max(1));
         let age = (now - view.reported_at).as_f64();
@@ -136,12 +144,10 @@
         let network = view.network.unwrap_or(network_prior);
         let network = network_prior + (network - network_prior) * known;
         let crowded = 1.0 + FULL_PENALTY * (outstanding / capacity).min(1.0);
-        let avoided = if view.avoid_until > now {
-            AVOID_COST
-        } else {
-            0.0
-        };
-        network + work * slowness * crowded + wait + FAILURE_COST * view.failures * known + avoided
+        EndpointForecast {
+            time: network + work * slowness * crowded + wait,
+            failures: view.failures * known,
+        }
     }
 
     /// Forgets endpoints that are gone.
