Send the changed routes between nodes instead of whole configurations

Change: a node remembers which routes changed in the versions that it has held and answers with those; a view whose configuration cannot be used is not confirmed any more.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -2,22 +2,28 @@
 
 mod client_limits;
 mod config_content;
+mod config_delta;
+mod config_history;
 mod config_version;
 mod endpoint_record;
 mod mesh_config;
 mod registry_read;
 mod registry_source;
+mod route_key;
 mod route_rule;
 mod service_directory;
 mod service_target;
 
 pub use client_limits::ClientLimits;
 pub use config_content::ConfigContent;
+pub use config_delta::ConfigDelta;
+pub use config_history::ConfigHistory;
 pub use config_version::ConfigVersion;
 pub use endpoint_record::{EndpointRecord, EndpointState};
 pub use mesh_config::MeshConfig;
 pub use registry_read::{RegistryChange, RegistryRead};
 pub use registry_source::RegistrySource;
+pub use route_key::RouteKey;
 pub use route_rule::RouteRule;
 pub use service_directory::{DirectoryDelta, DirectoryEvent, ServiceDirectory};
 pub use service_target::ServiceTarget;
--- a/src/mesh/mesh_config.rs
+++ b/src/mesh/mesh_config.rs
@@ -2,16 +2,19 @@
 use std::sync::Arc;
 
 use crate::error::{Error, Result, ResultCode};
-use crate::mesh::{ClientLimits, ConfigContent, ConfigVersion, RouteRule};
+use crate::mesh::{ClientLimits, ConfigContent, ConfigDelta, ConfigVersion, RouteRule};
 
 /// Is one whole, validated configuration.
 #[derive(Debug)]
 pub struct MeshConfig {
     version: ConfigVersion,
     limits: ClientLimits,
-    hosts: HashMap<String, HashMap<String, Arc<RouteRule>>>,
+    hosts: HostTable,
 }
 
+/// Routes by host and path prefix.
+type HostTable = HashMap<String, HashMap<String, Arc<RouteRule>>>;
+
 impl MeshConfig {
     /// Builds a configuration from its routes.
     ///
@@ -24,7 +27,7 @@
         limits: ClientLimits,
         routes: Vec<RouteRule>,
     ) -> Result<Self> {
-        let mut hosts: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
+        let mut hosts = HostTable::new();
         for route in routes {
             check_route(&route)?;
             let name = route.name.clone();
@@ -68,12 +71,53 @@
     /// Returns the content for another node.
     #[must_use]
     pub fn content(&self) -> ConfigContent {
-        let rules = self.hosts.values().flat_map(HashMap::values);
         ConfigContent {
             version: self.version,
             limits: self.limits.clone(),
-            routes: rules.map(|rule| rule.as_ref().clone()).collect(),
+            routes: self.rules().map(|rule| rule.as_ref().clone()).collect(),
+        }
+    }
+
+    /// Builds the configuration that a delta leads to.
+    ///
+    /// # Errors
+    ///
+    /// `ManifestOutOfRange` if the delta applies to another version or names a route as in
+    /// [`MeshConfig::new`].
+    pub fn with_delta(&self, delta: ConfigDelta) -> Result<Self> {
+        if delta.base != self.version {
+            return Err(Error::new(
+                ResultCode::ManifestOutOfRange,
+                format!("a delta of version {} for {}", delta.base, self.version),
+            ));
+        }
+        let mut hosts = self.hosts.clone();
+        for key in &delta.removed {
+            if let Some(rules) = hosts.get_mut(&key.host) {
+                rules.remove(&key.prefix);
+            }
+        }
+        for route in delta.changed {
+            check_route(&route)?;
+            let rules = hosts.entry(route.host.clone()).or_default();
+            rules.insert(route.prefix.clone(), Arc::new(route));
         }
+        Ok(Self {
+            version: delta.version,
+            limits: delta.limits,
+            hosts,
+        })
+    }
+
+    /// Returns all routes.
+    pub fn rules(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+
+    /// Returns the route of a host and a path prefix.
+    #[must_use]
+    pub fn rule(&self, host: &str, prefix: &str) -> Option<&Arc<RouteRule>> {
+        self.hosts.get(host)?.get(prefix)
     }
 
     /// Finds the route with the longest prefix for a host and a path.
--- a/src/mesh/route_rule.rs
+++ b/src/mesh/route_rule.rs
@@ -2,7 +2,7 @@
 use smallvec::SmallVec;
 
 use crate::clock::ClockTime;
-use crate::mesh::ServiceTarget;
+use crate::mesh::{RouteKey, ServiceTarget};
 
 /// Says how the requests of one host and path prefix are treated.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,3 +26,14 @@
     /// Rank of the requests; 0 goes first.
     pub priority: u8,
 }
+
+impl RouteRule {
+    /// Returns the place of the route.
+    #[must_use]
+    pub fn key(&self) -> RouteKey {
+        RouteKey {
+            host: self.host.clone(),
+            prefix: self.prefix.clone(),
+        }
+    }
+}
--- a/src/sidecar/forward_streams.rs
+++ b/src/sidecar/forward_streams.rs
@@ -27,7 +27,7 @@
 /// Path of questions about requests whose connection was lost.
 pub(crate) const RESUME_PATH: &str = "/resume/1";
 /// Path of questions about the view of a node.
-pub(crate) const VIEW_PATH: &str = "/view/1";
+pub(crate) const VIEW_PATH: &str = "/view/2";
 /// Longest time for a request to arrive in full.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time for the peer to take an answer, so that one that does not read holds no memory.
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::Result;
-use crate::mesh::{MeshConfig, ServiceDirectory};
+use crate::mesh::{ConfigHistory, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
 use crate::sidecar::{MeshBounds, SidecarSettings};
 
@@ -17,6 +17,8 @@
     pub(crate) metrics: SidecarMetrics,
     pub(crate) directory: RefCell<ServiceDirectory>,
     config: RefCell<Option<Arc<MeshConfig>>>,
+    /// Changes between the configurations that were in force.
+    pub(crate) history: RefCell<ConfigHistory>,
     loaded: Cell<bool>,
     leaving: Cell<bool>,
     /// Time of the last read that confirmed the state.
@@ -38,6 +40,7 @@
             clock,
             directory: RefCell::default(),
             config: RefCell::default(),
+            history: RefCell::default(),
             loaded: Cell::new(false),
             leaving: Cell::new(false),
             read_at: Cell::new(ClockTime(0)),
@@ -79,6 +82,7 @@
         {
             return false;
         }
+        self.history.borrow_mut().record(held.as_deref(), config);
         *held = Some(Arc::clone(config));
         true
     }
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -11,14 +11,14 @@
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
-use crate::error::{Result, ResultCode};
+use crate::error::{Error, Result, ResultCode};
 use crate::id::EndpointId;
 use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead};
 use crate::sidecar::dispatcher::Dispatcher;
 use crate::sidecar::exit_service::ExitService;
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::view_client::ViewClient;
-use crate::sidecar::view_message::{ViewMark, ViewReply, ViewRequest};
+use crate::sidecar::view_message::{ConfigUpdate, ViewMark, ViewReply, ViewRequest};
 use crate::sidecar::{PlatformAdapter, SidecarSettings, ViewTree};
 
 /// Part of the shortest bound after which the view is confirmed again, so that a change is known
@@ -218,16 +218,43 @@
         }
     }
 
+    /// Puts the configuration of another node in force unless the own one is as new.
+    ///
+    /// # Errors
+    ///
+    /// A code of the manifest; the own configuration may then be older than that of the node.
+    fn update_config(&self, update: ConfigUpdate) -> Result<()> {
+        let held = self.state.config();
+        let is_held = |version| {
+            let held = held.as_ref();
+            held.is_some_and(|held| held.version() >= version)
+        };
+        let config = match (update, &held) {
+            (ConfigUpdate::Whole(content), _) if is_held(content.version) => return Ok(()),
+            (ConfigUpdate::Changes(delta), _) if is_held(delta.version) => return Ok(()),
+            (ConfigUpdate::Whole(content), _) => MeshConfig::from_content(content)?,
+            (ConfigUpdate::Changes(delta), Some(config)) => config.with_delta(delta)?,
+            (ConfigUpdate::Changes(_), None) => {
+                let message = "a delta without a configuration in force";
+                return Err(Error::new(ResultCode::ManifestOutOfRange, message));
+            }
+        };
+        self.install(&Arc::new(config));
+        Ok(())
+    }
+
     /// Takes over what another node knows, unless the own view is newer.
     fn take_over(&self, address: IpAddr, reply: ViewReply) {
         let Some(age) = reply.age else {
             return;
         };
-        if let Some(content) = reply.config {
-            match MeshConfig::from_content(content) {
-                Ok(config) => self.install(&Arc::new(config)),
-                Err(error) => log::error!("event=config_refused node={address} cause=\"{error}\""),
-            }
+        let updated = reply
+            .config
+            .map_or(Ok(()), |update| self.update_config(update));
+        if let Err(error) = updated {
+            // The view is not confirmed, so that the configuration is asked for again.
+            log::error!("event=config_refused node={address} cause=\"{error}\"");
+            return;
         }
         let now = self.state.clock.now();
         let mut events = Vec::new();
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::ClockTime;
 use crate::id::EndpointId;
-use crate::mesh::{ConfigContent, ConfigVersion, EndpointRecord};
+use crate::mesh::{ConfigContent, ConfigDelta, ConfigVersion, EndpointRecord};
 use crate::peer::FrameCodec;
 
 /// Longest view, in bytes: 5,500 endpoints of 150 bytes and a configuration of 1 MB.
@@ -33,6 +33,13 @@
     pub(crate) wait: ClockTime,
 }
 
+/// Is a newer configuration, or what changed in it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum ConfigUpdate {
+    Whole(ConfigContent),
+    Changes(ConfigDelta),
+}
+
 /// Is an endpoint as a node knows it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct ViewEntry {
@@ -50,7 +57,7 @@
     /// Time since the registry confirmed the view; `None` if it never did.
     pub(crate) age: Option<ClockTime>,
     /// The configuration in force, if it is newer than that of the sender.
-    pub(crate) config: Option<ConfigContent>,
+    pub(crate) config: Option<ConfigUpdate>,
     /// Whether the entries are all that the node knows.
     pub(crate) is_whole: bool,
     pub(crate) entries: Vec<ViewEntry>,
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -5,9 +5,9 @@
 use monoio::time;
 
 use crate::clock::ClockTime;
-use crate::mesh::DirectoryDelta;
+use crate::mesh::{ConfigVersion, DirectoryDelta, MeshConfig};
 use crate::sidecar::node_state::NodeState;
-use crate::sidecar::view_message::{ViewEntry, ViewMark, ViewReply, ViewRequest};
+use crate::sidecar::view_message::{ConfigUpdate, ViewEntry, ViewMark, ViewReply, ViewRequest};
 
 /// Longest wait that a sender can ask for.
 const MAX_WAIT: ClockTime = ClockTime(5_000);
@@ -67,10 +67,18 @@
             age: self.state.age(),
             config: config
                 .filter(|config| Some(config.version()) > request.version)
-                .map(|config| config.content()),
+                .map(|config| self.config_update(&config, request.version)),
             is_whole,
             entries,
             removed,
         }
     }
+
+    fn config_update(&self, config: &MeshConfig, held: Option<ConfigVersion>) -> ConfigUpdate {
+        let history = self.state.history.borrow();
+        match held.and_then(|held| history.delta(held, config)) {
+            Some(delta) => ConfigUpdate::Changes(delta),
+            None => ConfigUpdate::Whole(config.content()),
+        }
+    }
 }
