Read the endpoints first and take the configuration from the node above

Cause: after the loss of all nodes each one read the whole configuration from the store at once, 0.5 MB for 2,000 routes, over 60 Mbit/s between regions and links of 7 Mbit/s. A node that passed 1,040 new routes on to eight others was slow for the same reason. Ruled out: propagation in steady state (0.2 to 0.6 s in the same logs). Change: a starting node reads the list of endpoints, finds its place in the tree and asks the node above for the configuration, which is compressed; the time limits of the registry follow its largest value and the link; after a failed read the whole state is read again, not a longer and longer row of changes; a view is confirmed only with the version that the other node has.

--- a/src/mesh/registry_read.rs
+++ b/src/mesh/registry_read.rs
@@ -19,7 +19,7 @@
 pub struct RegistryRead {
     /// Position in the registry's history up to which the changes reach.
     pub position: u64,
-    /// Whether the changes are the whole content, so that what is absent has been removed.
+    /// Whether the changes are all endpoints, so that what is absent has been removed.
     pub is_snapshot: bool,
     /// Changes in their order.
     pub changes: Vec<RegistryChange>,
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -21,6 +21,7 @@
 mod mesh_bounds;
 mod node_pages;
 mod node_state;
+mod packed_config;
 mod peer_clock;
 mod platform_adapter;
 mod registry_task;
--- /dev/null
+++ b/src/sidecar/packed_config.rs
@@ -0,0 +1,63 @@
+use std::io::{Read, Write};
+
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result, ResultCode};
+use crate::sidecar::view_message::{ConfigUpdate, VIEW_LIMIT};
+
+/// Is a configuration, or what changed in it, compressed for other nodes.
+///
+/// Routes differ in few bytes, and a node with a narrow link passes them on to several others.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PackedConfig(Vec<u8>);
+
+impl PackedConfig {
+    /// Encodes and compresses an update.
+    ///
+    /// # Errors
+    ///
+    /// `PeerProtocol` if it cannot be encoded.
+    pub(crate) fn pack(update: &ConfigUpdate) -> Result<Self> {
+        let bytes = bincode::serde::encode_to_vec(update, bincode::config::standard())
+            .map_err(|error| protocol(&error))?;
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        encoder
+            .write_all(&bytes)
+            .map_err(|error| protocol(&error))?;
+        let packed = encoder.finish().map_err(|error| protocol(&error))?;
+        Ok(Self(packed))
+    }
+
+    /// Decompresses and decodes the update, which may have the length of a view.
+    ///
+    /// # Errors
+    ///
+    /// `PeerProtocol` if it is longer or cannot be decoded.
+    pub(crate) fn unpack(&self) -> Result<ConfigUpdate> {
+        let limit = VIEW_LIMIT as u64;
+        let mut decoder = DeflateDecoder::new(self.0.as_slice()).take(limit + 1);
+        let mut bytes = Vec::new();
+        decoder
+            .read_to_end(&mut bytes)
+            .map_err(|error| protocol(&error))?;
+        if bytes.len() as u64 > limit {
+            return Err(protocol(&format!("it has more than {limit} bytes")));
+        }
+        let (update, _) = bincode::serde::decode_from_slice(&bytes, bincode::config::standard())
+            .map_err(|error| protocol(&error))?;
+        Ok(update)
+    }
+}
+
+fn protocol<Cause>(cause: &Cause) -> Error
+where
+    Cause: std::fmt::Display,
+{
+    Error::new(
+        ResultCode::PeerProtocol,
+        format!("a packed configuration is invalid: {cause}"),
+    )
+}
--- a/src/sidecar/platform_adapter.rs
+++ b/src/sidecar/platform_adapter.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::clock::ClockTime;
 use crate::error::Result;
 use crate::mesh::RegistrySource;
 use crate::sidecar::SidecarSettings;
@@ -14,6 +15,7 @@
     /// A code of the settings; the settings in force then stay.
     fn load_settings(&self) -> Result<SidecarSettings>;
 
-    /// Creates a client of the registry at an address.
-    fn registry(&self, address: SocketAddr) -> Rc<dyn RegistrySource>;
+    /// Creates a client of the registry at an address, whose largest value arrives within
+    /// `transfer`.
+    fn registry(&self, address: SocketAddr, transfer: ClockTime) -> Rc<dyn RegistrySource>;
 }
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -13,10 +13,11 @@
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
 use crate::id::EndpointId;
-use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead};
+use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead, RegistrySource};
 use crate::sidecar::dispatcher::Dispatcher;
 use crate::sidecar::exit_service::ExitService;
 use crate::sidecar::node_state::NodeState;
+use crate::sidecar::packed_config::PackedConfig;
 use crate::sidecar::view_client::ViewClient;
 use crate::sidecar::view_message::{ConfigUpdate, ViewMark, ViewReply, ViewRequest};
 use crate::sidecar::{PlatformAdapter, SidecarSettings, ViewTree};
@@ -30,6 +31,9 @@
 /// First and longest pause after a failed read.
 const FIRST_PAUSE: ClockTime = ClockTime(50);
 const MAX_PAUSE: ClockTime = ClockTime(800);
+/// Time for the node above to get its first configuration, which it may have to read from the
+/// registry.
+const FIRST_WAIT: ClockTime = ClockTime(1_000);
 /// Time after an outage of the registry within which entries that had expired come back: two
 /// seconds by the platform's statement, and a read interval to see them.
 const SETTLE_TIME: ClockTime = ClockTime(2_500);
@@ -44,8 +48,10 @@
     pub(crate) views: ViewClient,
     /// State of each node's view that this node has taken over.
     pub(crate) marks: RefCell<HashMap<IpAddr, ViewMark>>,
-    /// Position up to which the registry was read; `None` before the first read.
+    /// Position up to which the registry was read; `None` when all endpoints must be read.
     pub(crate) position: Cell<Option<u64>>,
+    /// Time at which the endpoints were read, while the configuration has yet to be read.
+    pub(crate) config_due: Cell<Option<ClockTime>>,
     pub(crate) failures: Cell<u32>,
     pub(crate) registry_lost: Cell<bool>,
 }
@@ -83,7 +89,9 @@
                 (Ok(()), ViewSource::Node(_)) => self.failures.set(0),
                 (Ok(()), _) => {
                     self.failures.set(0);
-                    self.rest(begun).await;
+                    if self.config_due.get().is_none() {
+                        self.rest(begun).await;
+                    }
                 }
                 // The view has just become too old to wait any longer.
                 (Err(()), ViewSource::Node(_)) => self.failures.set(1),
@@ -98,9 +106,10 @@
         if self.failures.get() > 0 {
             return ViewSource::Any;
         }
-        let fresh = self.trust_left() > ClockTime(0);
+        let is_fresh = self.trust_left() > ClockTime(0);
+        let is_listed = self.config_due.get().is_some();
         match self.parent() {
-            Some(address) if fresh => ViewSource::Node(address),
+            Some(address) if is_fresh || is_listed => ViewSource::Node(address),
             _ => ViewSource::Registry,
         }
     }
@@ -112,7 +121,14 @@
     }
 
     async fn ask_any(&self) -> std::result::Result<(), ()> {
-        let registry = pin!(self.read_registry());
+        let registry = pin!(async {
+            if self.state.config().is_none() {
+                // A restarted fleet must not read the configuration all at once.
+                let delay = self.interval().as_f64() * rand::random_range(0.0..1.0);
+                time::sleep(ClockTime(delay as u64).to_duration()).await;
+            }
+            self.read_registry().await
+        });
         let node = pin!(async {
             match self.random_node() {
                 Some(address) => self.ask_node(address).await,
@@ -149,15 +165,13 @@
     async fn read_registry(&self) -> std::result::Result<(), ()> {
         let metrics = &self.state.metrics;
         match self.read().await {
-            Ok(read) => {
+            Ok(()) => {
                 metrics.record_registry_read("ok");
                 if self.registry_lost.replace(false) {
                     log::info!("event=registry_back failures={}", self.failures.get());
                     let until = self.state.clock.now() + SETTLE_TIME;
                     self.state.directory.borrow_mut().settle(until);
                 }
-                self.position.set(Some(read.position));
-                self.apply(read);
                 Ok(())
             }
             Err(error) if error.code() == ResultCode::HistoryGone => {
@@ -167,11 +181,14 @@
                     self.position.get()
                 );
                 self.position.set(None);
-                // The next read is a snapshot, which cannot meet this error.
+                // The next read takes all endpoints, which cannot meet this error.
                 Box::pin(self.read_registry()).await
             }
             Err(error) => {
                 metrics.record_registry_read("failed");
+                // The changes since then may be too many for one answer.
+                self.position.set(None);
+                self.config_due.set(None);
                 if !self.registry_lost.replace(true) {
                     let age = self.state.age().unwrap_or_default();
                     log::warn!("event=registry_lost view_age={age} cause=\"{error}\"");
@@ -181,12 +198,41 @@
         }
     }
 
-    async fn read(&self) -> Result<RegistryRead> {
-        let source = self.adapter.registry(self.state.registry());
-        match self.position.get() {
-            None => source.snapshot().await,
-            Some(position) => source.watch(position, self.interval()).await,
+    /// Reads what has changed, or all endpoints and then the configuration.
+    ///
+    /// A node that has no configuration leaves that to the node above it, unless that one failed.
+    async fn read(&self) -> Result<()> {
+        let transfer = self.settings.registry_transfer;
+        let source = self.adapter.registry(self.state.registry(), transfer);
+        if let Some(begun) = self.config_due.get() {
+            return self.read_config(source.as_ref(), begun).await;
         }
+        let begun = self.state.clock.now();
+        if let Some(position) = self.position.get() {
+            let read = source.watch(position, self.interval()).await?;
+            self.position.set(Some(read.position));
+            self.apply(read);
+            self.state.confirm(self.state.clock.now());
+            return Ok(());
+        }
+        let read = source.endpoints().await?;
+        self.position.set(Some(read.position));
+        self.config_due.set(Some(begun));
+        self.apply(read);
+        let is_first = self.state.config().is_none() && self.failures.get() == 0;
+        if is_first && self.parent().is_some() {
+            return Ok(());
+        }
+        self.read_config(source.as_ref(), begun).await
+    }
+
+    async fn read_config(&self, source: &dyn RegistrySource, begun: ClockTime) -> Result<()> {
+        if let Some(config) = source.config().await? {
+            self.install(&config);
+        }
+        self.config_due.set(None);
+        self.state.confirm(begun);
+        Ok(())
     }
 
     async fn ask_node(&self, address: IpAddr) -> std::result::Result<(), ()> {
@@ -194,7 +240,10 @@
             mark: self.marks.borrow().get(&address).copied(),
             version: self.state.config().map(|config| config.version()),
             age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
-            wait: self.trust_left(),
+            wait: match self.config_due.get() {
+                Some(_) => FIRST_WAIT,
+                None => self.trust_left(),
+            },
         };
         let before = self.state.read_at();
         let metrics = &self.state.metrics;
@@ -223,7 +272,8 @@
     /// # Errors
     ///
     /// A code of the manifest; the own configuration may then be older than that of the node.
-    fn update_config(&self, update: ConfigUpdate) -> Result<()> {
+    fn update_config(&self, packed: &PackedConfig) -> Result<()> {
+        let update = packed.unpack()?;
         let held = self.state.config();
         let is_held = |version| {
             let held = held.as_ref();
@@ -248,19 +298,29 @@
         let Some(age) = reply.age else {
             return;
         };
+        let now = self.state.clock.now();
         let updated = reply
             .config
-            .map_or(Ok(()), |update| self.update_config(update));
+            .map_or(Ok(()), |packed| self.update_config(&packed));
         if let Err(error) = updated {
             // The view is not confirmed, so that the configuration is asked for again.
             log::error!("event=config_refused node={address} cause=\"{error}\"");
             return;
         }
-        let now = self.state.clock.now();
+        let held = self.state.config().map(|config| config.version());
+        if held < reply.version {
+            log::warn!("event=config_not_received node={address}");
+            return;
+        }
         let mut events = Vec::new();
         {
             let mut directory = self.state.directory.borrow_mut();
             if reply.position < directory.position() {
+                // The own list of endpoints is newer, the configuration was the missing part.
+                if let Some(begun) = self.config_due.take() {
+                    self.position.set(Some(reply.position));
+                    self.state.confirm(begun.min(now - age));
+                }
                 return;
             }
             let mut named = HashSet::new();
@@ -291,6 +351,7 @@
         }
         self.marks.borrow_mut().insert(address, reply.mark);
         self.position.set(Some(reply.position));
+        self.config_due.set(None);
         self.state.confirm(now - age);
         self.act(events);
     }
@@ -349,7 +410,6 @@
             }
             directory.advance(read.position);
         }
-        self.state.confirm(now);
         self.act(events);
     }
 
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -139,6 +139,7 @@
             views,
             marks: RefCell::default(),
             position: Cell::new(None),
+            config_due: Cell::new(None),
             failures: Cell::new(0),
             registry_lost: Cell::new(false),
         };
@@ -243,6 +244,7 @@
         views: Rc::new(ViewService {
             state: Rc::clone(state),
             process: exit.process,
+            packed: RefCell::default(),
         }),
         body_limit: part_of(settings, BODY_PART),
     });
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
+use crate::clock::ClockTime;
 use crate::id::{RegionName, ServiceName, ZoneName};
 use crate::sidecar::{HeaderNames, MeshBounds};
 use crate::size::ByteSize;
@@ -20,6 +21,8 @@
     pub endpoint: SocketAddr,
     /// Address of the registry.
     pub registry: SocketAddr,
+    /// Time for the registry's largest value to arrive over the instance's link.
+    pub registry_transfer: ClockTime,
     /// Nodes that may know the mesh before this one has read the registry.
     pub seeds: Vec<IpAddr>,
     /// Address for clients and for the endpoint's own calls.
--- a/src/sidecar/view_client.rs
+++ b/src/sidecar/view_client.rs
@@ -13,6 +13,9 @@
 
 /// Time beyond the wait that another node has for its answer.
 const ANSWER_GRACE: ClockTime = ClockTime(250);
+/// The same for an answer with a whole configuration: some 100 KB to each of several nodes over a
+/// link of a few Mbit/s.
+const WHOLE_GRACE: ClockTime = ClockTime(1_500);
 
 /// Asks other nodes what they know of the mesh.
 pub(crate) struct ViewClient {
@@ -30,7 +33,8 @@
     pub(crate) async fn ask(&self, node: IpAddr, request: &ViewRequest) -> Result<ViewReply> {
         let to = NodeAddress(SocketAddr::new(node, self.port));
         let head = ViewCodec::encode(request)?;
-        let limit = request.wait + ANSWER_GRACE;
+        let is_whole = request.version.is_none();
+        let limit = request.wait + if is_whole { WHOLE_GRACE } else { ANSWER_GRACE };
         let asking = self
             .pool
             .request::<ViewReply, VIEW_LIMIT>(to, VIEW_PATH, head, Bytes::new());
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -4,6 +4,7 @@
 use crate::id::EndpointId;
 use crate::mesh::{ConfigContent, ConfigDelta, ConfigVersion, EndpointRecord};
 use crate::peer::FrameCodec;
+use crate::sidecar::packed_config::PackedConfig;
 
 /// Longest view, in bytes: 5,500 endpoints of 150 bytes and a configuration of 1 MB.
 pub(crate) const VIEW_LIMIT: usize = 4 << 20;
@@ -56,8 +57,10 @@
     pub(crate) position: u64,
     /// Time since the registry confirmed the view; `None` if it never did.
     pub(crate) age: Option<ClockTime>,
+    /// Version of the configuration in force.
+    pub(crate) version: Option<ConfigVersion>,
     /// The configuration in force, if it is newer than that of the sender.
-    pub(crate) config: Option<ConfigUpdate>,
+    pub(crate) config: Option<PackedConfig>,
     /// Whether the entries are all that the node knows.
     pub(crate) is_whole: bool,
     pub(crate) entries: Vec<ViewEntry>,
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -1,3 +1,4 @@
+use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -7,6 +8,7 @@
 use crate::clock::ClockTime;
 use crate::mesh::{ConfigVersion, DirectoryDelta, MeshConfig};
 use crate::sidecar::node_state::NodeState;
+use crate::sidecar::packed_config::PackedConfig;
 use crate::sidecar::view_message::{ConfigUpdate, ViewEntry, ViewMark, ViewReply, ViewRequest};
 
 /// Longest wait that a sender can ask for.
@@ -17,8 +19,13 @@
     pub(crate) state: Rc<NodeState>,
     /// Random number of the process.
     pub(crate) process: u64,
+    /// The last packed configuration and the versions that it leads from and to.
+    pub(crate) packed: RefCell<Option<(ConfigStep, PackedConfig)>>,
 }
 
+/// Is the version that a node holds, and the one that it needs.
+type ConfigStep = (Option<ConfigVersion>, ConfigVersion);
+
 impl ViewService {
     /// Answers as soon as the view is fresher than that of the sender.
     pub(crate) async fn view(&self, request: &ViewRequest) -> ViewReply {
@@ -65,20 +72,47 @@
             },
             position: directory.position(),
             age: self.state.age(),
+            version: config.as_ref().map(|config| config.version()),
             config: config
                 .filter(|config| Some(config.version()) > request.version)
-                .map(|config| self.config_update(&config, request.version)),
+                .and_then(|config| self.packed_config(&config, request.version)),
             is_whole,
             entries,
             removed,
         }
     }
 
-    fn config_update(&self, config: &MeshConfig, held: Option<ConfigVersion>) -> ConfigUpdate {
-        let history = self.state.history.borrow();
-        match held.and_then(|held| history.delta(held, config)) {
+    /// Returns what a node needs that holds another version.
+    ///
+    /// The nodes below this one mostly hold the same version, so that one packing serves them.
+    fn packed_config(
+        &self,
+        config: &MeshConfig,
+        held: Option<ConfigVersion>,
+    ) -> Option<PackedConfig> {
+        let step = (held, config.version());
+        if let Some((packed_step, packed)) = self.packed.borrow().as_ref()
+            && *packed_step == step
+        {
+            return Some(packed.clone());
+        }
+        let delta = held.and_then(|held| self.state.history.borrow().delta(held, config));
+        let update = match delta {
             Some(delta) => ConfigUpdate::Changes(delta),
             None => ConfigUpdate::Whole(config.content()),
+        };
+        match PackedConfig::pack(&update) {
+            Ok(packed) => {
+                *self.packed.borrow_mut() = Some((step, packed.clone()));
+                Some(packed)
+            }
+            Err(error) => {
+                log::error!(
+                    "event=config_not_sent version={} cause=\"{error}\"",
+                    config.version()
+                );
+                None
+            }
         }
     }
 }
