--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -167,11 +167,6 @@
         match self.read().await {
             Ok(()) => {
                 metrics.record_registry_read("ok");
-                if self.registry_lost.replace(false) {
-                    log::info!("event=registry_back failures={}", self.failures.get());
-                    let until = self.state.clock.now() + SETTLE_TIME;
-                    self.state.directory.borrow_mut().settle(until);
-                }
                 Ok(())
             }
             Err(error) if error.code() == ResultCode::HistoryGone => {
@@ -210,12 +205,14 @@
         let begun = self.state.clock.now();
         if let Some(position) = self.position.get() {
             let read = source.watch(position, self.interval()).await?;
+            self.note_answer();
             self.position.set(Some(read.position));
             self.apply(read);
             self.state.confirm(self.state.clock.now());
             return Ok(());
         }
         let read = source.endpoints().await?;
+        self.note_answer();
         self.position.set(Some(read.position));
         self.config_due.set(Some(begun));
         self.apply(read);
@@ -226,6 +223,16 @@
         self.read_config(source.as_ref(), begun).await
     }
 
+    /// Lets entries that are missing after an outage of the registry come back; must precede the
+    /// changes of the first answer.
+    fn note_answer(&self) {
+        if self.registry_lost.replace(false) {
+            log::info!("event=registry_back failures={}", self.failures.get());
+            let until = self.state.clock.now() + SETTLE_TIME;
+            self.state.directory.borrow_mut().settle(until);
+        }
+    }
+
     async fn read_config(&self, source: &dyn RegistrySource, begun: ClockTime) -> Result<()> {
         if let Some(config) = source.config().await? {
             self.install(&config);
