--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -173,6 +173,15 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Tells the process that its settings have changed (SIGHUP).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn hang_up(&mut self) -> io::Result<()> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Kills the process (SIGKILL) and waits for its end.
     ///
     /// # Errors
--- a/testkit/src/proxy/proxy_fault.rs
+++ b/testkit/src/proxy/proxy_fault.rs
@@ -28,6 +28,8 @@
     Cut,
     /// Swallows all bytes of open and of new connections.
     Silent,
+    /// Swallows all bytes towards the connecting side, of open and of new connections.
+    SilentReplies,
     /// Swallows all bytes of the connections that are open now; new ones work.
     SilentOpen,
     /// Resets each connection after a number of bytes towards the connecting side.
--- a/testkit/src/proxy/proxy_mapping.rs
+++ b/testkit/src/proxy/proxy_mapping.rs
@@ -68,6 +68,7 @@
         for connection in state.connections.iter().filter_map(Weak::upgrade) {
             match fault.mode {
                 ProxyMode::Silent | ProxyMode::SilentOpen => connection.silence(),
+                ProxyMode::SilentReplies => connection.silence_one_way(super::Direction::ToSource),
                 ProxyMode::Cut => connection.cut(),
                 ProxyMode::Truncate => connection.restart_count(),
                 ProxyMode::None => {}
@@ -113,13 +114,14 @@
         let connection = Arc::new(Connection {
             source: Arc::clone(source),
             target: Arc::new(target),
-            silent: AtomicBool::new(false),
+            silent: [AtomicBool::new(false), AtomicBool::new(false)],
             cut: AtomicBool::new(false),
             counted: AtomicU64::new(0),
         });
         let mut state = wire::lock(&self.state);
         match state.mode {
             ProxyMode::Silent => connection.silence(),
+            ProxyMode::SilentReplies => connection.silence_one_way(super::Direction::ToSource),
             ProxyMode::Cut => connection.cut(),
             _ => {}
         }
--- a/testkit/src/proxy/proxy_stream.rs
+++ b/testkit/src/proxy/proxy_stream.rs
@@ -23,8 +23,8 @@
 pub(super) struct Connection {
     pub(super) source: Arc<TcpStream>,
     pub(super) target: Arc<TcpStream>,
-    /// Whether all bytes are swallowed, for good.
-    pub(super) silent: AtomicBool,
+    /// Whether all bytes of a direction are swallowed, for good.
+    pub(super) silent: [AtomicBool; 2],
     pub(super) cut: AtomicBool,
     /// Bytes towards the source since the byte limit was set.
     pub(super) counted: AtomicU64,
@@ -33,7 +33,13 @@
 impl Connection {
     /// Swallows all bytes from now on, also those in flight.
     pub(super) fn silence(&self) {
-        self.silent.store(true, Ordering::SeqCst);
+        self.silence_one_way(Direction::ToTarget);
+        self.silence_one_way(Direction::ToSource);
+    }
+
+    /// Swallows all bytes of one direction from now on, also those in flight.
+    pub(super) fn silence_one_way(&self, direction: Direction) {
+        self.silent[direction as usize].store(true, Ordering::SeqCst);
     }
 
     /// Resets both ends.
@@ -48,8 +54,8 @@
         self.counted.store(0, Ordering::SeqCst);
     }
 
-    fn is_silent(&self) -> bool {
-        self.silent.load(Ordering::SeqCst)
+    fn is_silent(&self, direction: Direction) -> bool {
+        self.silent[direction as usize].load(Ordering::SeqCst)
     }
 
     fn is_cut(&self) -> bool {
@@ -103,13 +109,13 @@
             Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
             Err(_) => {
                 // A reset on one side becomes a reset on the other.
-                if !connection.is_silent() {
+                if !connection.is_silent(direction) {
                     connection.cut();
                 }
                 0
             }
         };
-        if length > 0 && connection.is_silent() {
+        if length > 0 && connection.is_silent(direction) {
             continue;
         }
         // An empty chunk carries the end of the stream, late like the bytes before it.
@@ -136,7 +142,7 @@
         if connection.is_cut() {
             return;
         }
-        if connection.is_silent() {
+        if connection.is_silent(direction) {
             if chunk.is_empty() {
                 // The end of one side stays hidden from the other until that side ends as well.
                 return;
