Expect the usual load of an endpoint and notice one that hangs

An endpoint that hangs finishes nothing, so its mean hold time stayed short and requests went on waiting for it; an attempt that ended with its request's time left no trace at all. Ruled out: stopping nodes (3 to 4 s by the logs, as the grace time asks). Change: an old report fades to the usual load of the endpoint, the age of what runs counts in the hold time, and an attempt given up after the time of a slow answer counts as a failure.

--- a/src/peer/peer_connection.rs
+++ b/src/peer/peer_connection.rs
@@ -116,7 +116,7 @@
         let silent = probe.poll_silent(context, active).is_ready();
         connection.overdue.set(probe.is_overdue());
         if silent {
-            log::info!("connection to {to} is silent and is closed");
+            log::info!("event=peer_silent node={to}");
             return Poll::Ready(true);
         }
         closed.poll_unpin(context).map(|_| false)
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -15,7 +15,6 @@
 use crate::sidecar::call_id::CallId;
 use crate::sidecar::call_table::CallRecord;
 use crate::sidecar::endpoint_chooser::EndpointChooser;
-use crate::sidecar::endpoint_stats::EndpointStats;
 use crate::sidecar::entry_request::EntryRequest;
 use crate::sidecar::exit_service::ExitService;
 use crate::sidecar::forward_message::{
@@ -75,12 +74,14 @@
             idempotent: request.rule.idempotent,
             repeated,
         };
-        let guard = FlightGuard::new(&self.chooser.endpoints, &record.id);
+        let slow = self.chooser.slow_after(request);
+        let mut guard = FlightGuard::new(self, &record.id, started + slow);
         let result = if record.address == self.exit.client.address() {
             self.run_here(header, request).await
         } else {
             self.send(header, record, request, started).await
         };
+        guard.is_concluded = true;
         drop(guard);
         let elapsed = self.state.clock.now() - started;
         match result {
@@ -110,7 +111,9 @@
                     record.id,
                     error.message()
                 );
-                self.chooser.endpoints.borrow_mut().failed(&record.id);
+                let now = self.state.clock.now();
+                let mut endpoints = self.chooser.endpoints.borrow_mut();
+                endpoints.failed(&record.id, now);
                 AttemptResult::Failed(Answer::own(error.code(), None))
             }
         }
@@ -232,7 +235,7 @@
                     code: ResultCode::Ok,
                 };
                 if status >= 500 {
-                    endpoints.failed(&record.id);
+                    endpoints.failed(&record.id, now);
                     let code = ResultCode::EndpointFailed;
                     return AttemptResult::Failed(Answer { code, ..own });
                 }
@@ -258,7 +261,7 @@
                     endpoints.unreachable(&record.id, now);
                 }
                 if reached {
-                    endpoints.failed(&record.id);
+                    endpoints.failed(&record.id, now);
                 } else if code == ResultCode::Overloaded {
                     endpoints.refused(&record.id, now);
                 }
@@ -274,7 +277,7 @@
                     request.id,
                     record.id
                 );
-                endpoints.failed(&record.id);
+                endpoints.failed(&record.id, now);
                 AttemptResult::Failed(Answer::own(code, None))
             }
         }
@@ -282,24 +285,36 @@
 }
 
 /// Counts an attempt as in flight until it is dropped.
+///
+/// An attempt that is given up after the time of a slow answer counts against the endpoint, which
+/// may hang and then never answers.
 struct FlightGuard<'a> {
-    endpoints: &'a RefCell<EndpointStats>,
+    sender: &'a AttemptSender,
     id: EndpointId,
+    slow_at: ClockTime,
+    is_concluded: bool,
 }
 
 impl<'a> FlightGuard<'a> {
-    fn new(endpoints: &'a RefCell<EndpointStats>, id: &EndpointId) -> Self {
-        endpoints.borrow_mut().begin(id);
+    fn new(sender: &'a AttemptSender, id: &EndpointId, slow_at: ClockTime) -> Self {
+        sender.chooser.endpoints.borrow_mut().begin(id);
         Self {
-            endpoints,
+            sender,
             id: id.clone(),
+            slow_at,
+            is_concluded: false,
         }
     }
 }
 
 impl Drop for FlightGuard<'_> {
     fn drop(&mut self) {
-        self.endpoints.borrow_mut().end(&self.id);
+        let now = self.sender.state.clock.now();
+        let mut endpoints = self.sender.chooser.endpoints.borrow_mut();
+        endpoints.end(&self.id);
+        if !self.is_concluded && now >= self.slow_at {
+            endpoints.failed(&self.id, now);
+        }
     }
 }
 
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -117,12 +117,7 @@
         patience: ClockTime,
     ) -> AttemptResult {
         progress.reached += 1;
-        let rule = &request.rule;
-        let delay = self
-            .chooser
-            .routes
-            .borrow()
-            .slow_after(&rule.name, rule.objective);
+        let delay = self.chooser.slow_after(request);
         let first = pin!(
             self.attempts
                 .attempt(request, record, patience, progress.repeated)
--- a/src/sidecar/endpoint_chooser.rs
+++ b/src/sidecar/endpoint_chooser.rs
@@ -193,6 +193,13 @@
         (hold / work.max(1.0)).clamp(1.0, SHORT_WORK_FACTOR)
     }
 
+    /// Returns the time after which an answer to a request is slow.
+    pub(crate) fn slow_after(&self, request: &EntryRequest) -> ClockTime {
+        let rule = &request.rule;
+        let routes = self.routes.borrow();
+        routes.slow_after(&rule.name, rule.objective)
+    }
+
     /// Returns the expected work of a request in ms.
     pub(crate) fn work(&self, request: &EntryRequest) -> f64 {
         let work = self.routes.borrow().work(&request.rule.name);
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -6,7 +6,8 @@
 
 /// Weight of the newest sample in the running means.
 const SAMPLE_WEIGHT: f64 = 0.2;
-/// Time after which a load report has lost most of its meaning: a few requests have ended since.
+/// Time after which a load report has lost most of its meaning and the usual load is expected: a
+/// few requests have ended since.
 const REPORT_DECAY: f64 = 400.0;
 /// Time after which what an endpoint has shown has lost most of its meaning, in ms, so that one that
 /// was slow or failed is tried again.
@@ -25,8 +26,11 @@
     in_flight: u32,
     slowness: Option<f64>,
     failures: f64,
+    failed_at: ClockTime,
     network: Option<f64>,
     report: LoadReport,
+    /// Mean of the requests that reports show as running or waiting.
+    mean_load: f64,
     reported_at: ClockTime,
     sent_since: u32,
     avoid_until: ClockTime,
@@ -75,6 +79,7 @@
     ) {
         let view = self.view(id);
         view.report = load;
+        view.mean_load += SAMPLE_WEIGHT * (f64::from(load.outstanding) - view.mean_load);
         view.reported_at = now;
         view.sent_since = 0;
         let mean = view.network.unwrap_or(network);
@@ -114,8 +119,9 @@
         (now - view.refused_at).as_f64() < pause
     }
 
-    pub(crate) fn failed(&mut self, id: &EndpointId) {
+    pub(crate) fn failed(&mut self, id: &EndpointId, now: ClockTime) {
         let view = self.view(id);
+        view.failed_at = now;
         view.failures += SAMPLE_WEIGHT * (1.0 - view.failures);
     }
 
@@ -163,11 +169,13 @@
         };
         let capacity = f64::from(capacity.max(1));
         let age = (now - view.reported_at).as_f64();
-        let reported = f64::from(view.report.outstanding) * (-age / REPORT_DECAY).exp();
+        let known = (-age / KNOWLEDGE_DECAY).exp();
+        let usual = view.mean_load * known;
+        let reported = f64::from(view.report.outstanding) - usual;
+        let reported = usual + reported * (-age / REPORT_DECAY).exp();
         let outstanding = (reported + f64::from(view.sent_since)).max(f64::from(view.in_flight));
         let hold = f64::from(view.report.hold).max(1.0);
         let wait = (outstanding - capacity + 1.0).max(0.0) * hold / capacity;
-        let known = (-age / KNOWLEDGE_DECAY).exp();
         let slowness = 1.0 + (view.slowness.unwrap_or(1.0) - 1.0) * known;
         let network = view.network.unwrap_or(network_prior);
         let network = network_prior + (network - network_prior) * known;
@@ -175,7 +183,7 @@
         EndpointForecast {
             time: network + work * slowness * crowded + wait,
             wait,
-            failures: view.failures * known,
+            failures: view.failures * (-(now - view.failed_at).as_f64() / KNOWLEDGE_DECAY).exp(),
         }
     }
 
--- a/src/sidecar/slot_gate.rs
+++ b/src/sidecar/slot_gate.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -14,6 +14,8 @@
     clock: SystemClock,
     queue: RefCell<SlotQueue>,
     senders: RefCell<BTreeMap<SlotTicket, oneshot::Sender<()>>>,
+    /// Number of the requests that run, and the sum of their start times in ms.
+    running: Cell<(u32, u64)>,
 }
 
 /// States why a request got no slot.
@@ -33,6 +35,7 @@
             clock,
             queue: RefCell::new(SlotQueue::new(capacity)),
             senders: RefCell::default(),
+            running: Cell::new((0, 0)),
         })
     }
 
@@ -43,6 +46,7 @@
     }
 
     pub(crate) fn load(&self) -> LoadReport {
+        self.note_age();
         let queue = self.queue.borrow();
         LoadReport {
             outstanding: queue.outstanding() as u32,
@@ -71,6 +75,7 @@
         patience: ClockTime,
         deadline: ClockTime,
     ) -> Result<SlotHold, SlotRefusal> {
+        self.note_age();
         let now = self.clock.now();
         let decision = self
             .queue
@@ -96,6 +101,13 @@
         }
     }
 
+    fn note_age(&self) {
+        let (count, starts) = self.running.get();
+        let now = self.clock.now().0 * u64::from(count);
+        let age = now.saturating_sub(starts) as f64 / f64::from(count.max(1));
+        self.queue.borrow_mut().note_age(age);
+    }
+
     fn start_next(&self) {
         loop {
             let now = self.clock.now();
@@ -139,9 +151,12 @@
 
 impl SlotHold {
     fn new(gate: &Rc<SlotGate>) -> Self {
+        let since = gate.clock.now();
+        let (count, starts) = gate.running.get();
+        gate.running.set((count + 1, starts + since.0));
         Self {
             gate: Rc::clone(gate),
-            since: gate.clock.now(),
+            since,
             used: false,
         }
     }
@@ -155,6 +170,8 @@
 impl Drop for SlotHold {
     fn drop(&mut self) {
         let held = self.gate.clock.now() - self.since;
+        let (count, starts) = self.gate.running.get();
+        self.gate.running.set((count - 1, starts - self.since.0));
         {
             let mut queue = self.gate.queue.borrow_mut();
             if self.used {
--- a/src/sidecar/slot_queue.rs
+++ b/src/sidecar/slot_queue.rs
@@ -55,6 +55,7 @@
     waiting: BTreeMap<SlotTicket, ClockTime>,
     next_number: u64,
     hold: f64,
+    age: f64,
 }
 
 impl SlotQueue {
@@ -67,6 +68,7 @@
             waiting: BTreeMap::new(),
             next_number: 0,
             hold: FIRST_HOLD,
+            age: 0.0,
         }
     }
 
@@ -88,9 +90,16 @@
     }
 
     /// Returns the mean time in ms for which a request holds a slot.
+    ///
+    /// An endpoint that hangs finishes nothing, so the age of what runs counts as well.
     #[must_use]
     pub fn hold(&self) -> f64 {
-        self.hold
+        self.hold.max(self.age)
+    }
+
+    /// Records the mean age in ms of the requests that run.
+    pub fn note_age(&mut self, age: f64) {
+        self.age = age;
     }
 
     /// Returns the expected wait of a request that is due at a time.
@@ -106,7 +115,7 @@
             .count();
         let free = self.capacity().saturating_sub(self.running);
         let turns = (ahead + 1).saturating_sub(free) as f64;
-        ClockTime((turns * self.hold / self.capacity() as f64) as u64)
+        ClockTime((turns * self.hold() / self.capacity() as f64) as u64)
     }
 
     /// Asks for a slot until `deadline`, accepting an expected wait of `patience`.
--- a/tests/slot_rules.rs
+++ b/tests/slot_rules.rs
@@ -111,3 +111,16 @@
         }
     }
 }
+
+#[test]
+fn the_wait_behind_an_endpoint_that_hangs_grows_with_the_age_of_its_work() {
+    let mut queue = SlotQueue::new(1);
+    queue.offer(ClockTime(0), urgency(0, 300), LATER, LATER);
+    let before = queue.expected_wait(ClockTime(300));
+    queue.note_age(2_000.0);
+    let hanging = queue.expected_wait(ClockTime(300));
+    assert!(hanging >= ClockTime(2_000), "{before} became {hanging}");
+    let patience = ClockTime(500);
+    let decision = queue.offer(ClockTime(2_000), urgency(0, 300), patience, LATER);
+    assert_eq!(decision, SlotDecision::Refuse(hanging));
+}
