--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -19,6 +19,7 @@
 mod forward_streams;
 mod header_names;
 mod mesh_bounds;
+mod mesh_updater;
 mod node_pages;
 mod node_state;
 mod packed_config;
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -1,9 +1,8 @@
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use futures_util::future::{self, Either};
 use monoio::time;
@@ -11,15 +10,12 @@
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
-use crate::error::{Error, Result, ResultCode};
-use crate::id::EndpointId;
-use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead, RegistrySource};
-use crate::sidecar::dispatcher::Dispatcher;
-use crate::sidecar::exit_service::ExitService;
+use crate::error::{Result, ResultCode};
+use crate::mesh::RegistrySource;
+use crate::sidecar::mesh_updater::{self, MeshUpdater};
 use crate::sidecar::node_state::NodeState;
-use crate::sidecar::packed_config::PackedConfig;
 use crate::sidecar::view_client::ViewClient;
-use crate::sidecar::view_message::{ConfigUpdate, ViewMark, ViewReply, ViewRequest};
+use crate::sidecar::view_message::{ViewMark, ViewReply, ViewRequest};
 use crate::sidecar::{PlatformAdapter, SidecarSettings, ViewTree};
 
 /// Part of the shortest bound after which the view is confirmed again, so that a change is known
@@ -34,17 +30,12 @@
 /// Time for the node above to get its first configuration, which it may have to read from the
 /// registry.
 const FIRST_WAIT: ClockTime = ClockTime(1_000);
-/// Time after an outage of the registry within which entries that had expired come back: two
-/// seconds by the platform's statement, and a read interval to see them.
-const SETTLE_TIME: ClockTime = ClockTime(2_500);
-
 /// Keeps the state of the node in step with the registry.
 pub(crate) struct RegistryTask {
     pub(crate) settings: Rc<SidecarSettings>,
     pub(crate) adapter: Rc<dyn PlatformAdapter>,
     pub(crate) state: Rc<NodeState>,
-    pub(crate) exit: Rc<ExitService>,
-    pub(crate) dispatcher: Rc<Dispatcher>,
+    pub(crate) updater: MeshUpdater,
     pub(crate) views: ViewClient,
     /// State of each node's view that this node has taken over.
     pub(crate) marks: RefCell<HashMap<IpAddr, ViewMark>>,
@@ -84,7 +75,7 @@
                 ViewSource::Node(address) => self.ask_node(address).await,
                 ViewSource::Any => self.ask_any().await,
             };
-            self.expire();
+            self.updater.expire();
             match (result, source) {
                 (Ok(()), ViewSource::Node(_)) => self.failures.set(0),
                 (Ok(()), _) => {
@@ -207,7 +198,7 @@
             let read = source.watch(position, self.interval()).await?;
             self.note_answer();
             self.position.set(Some(read.position));
-            self.apply(read);
+            self.updater.apply(read);
             self.state.confirm(self.state.clock.now());
             return Ok(());
         }
@@ -215,7 +206,7 @@
         self.note_answer();
         self.position.set(Some(read.position));
         self.config_due.set(Some(begun));
-        self.apply(read);
+        self.updater.apply(read);
         let is_first = self.state.config().is_none() && self.failures.get() == 0;
         if is_first && self.parent().is_some() {
             return Ok(());
@@ -228,14 +219,14 @@
     fn note_answer(&self) {
         if self.registry_lost.replace(false) {
             log::info!("event=registry_back failures={}", self.failures.get());
-            let until = self.state.clock.now() + SETTLE_TIME;
+            let until = self.state.clock.now() + mesh_updater::SETTLE_TIME;
             self.state.directory.borrow_mut().settle(until);
         }
     }
 
     async fn read_config(&self, source: &dyn RegistrySource, begun: ClockTime) -> Result<()> {
         if let Some(config) = source.config().await? {
-            self.install(&config);
+            self.updater.install(&config);
         }
         self.config_due.set(None);
         self.state.confirm(begun);
@@ -274,32 +265,6 @@
         }
     }
 
-    /// Puts the configuration of another node in force unless the own one is as new.
-    ///
-    /// # Errors
-    ///
-    /// A code of the manifest; the own configuration may then be older than that of the node.
-    fn update_config(&self, packed: &PackedConfig) -> Result<()> {
-        let update = packed.unpack()?;
-        let held = self.state.config();
-        let is_held = |version| {
-            let held = held.as_ref();
-            held.is_some_and(|held| held.version() >= version)
-        };
-        let config = match (update, &held) {
-            (ConfigUpdate::Whole(content), _) if is_held(content.version) => return Ok(()),
-            (ConfigUpdate::Changes(delta), _) if is_held(delta.version) => return Ok(()),
-            (ConfigUpdate::Whole(content), _) => MeshConfig::from_content(content)?,
-            (ConfigUpdate::Changes(delta), Some(config)) => config.with_delta(delta)?,
-            (ConfigUpdate::Changes(_), None) => {
-                let message = "a delta without a configuration in force";
-                return Err(Error::new(ResultCode::ManifestOutOfRange, message));
-            }
-        };
-        self.install(&Arc::new(config));
-        Ok(())
-    }
-
     /// Takes over what another node knows, unless the own view is newer.
     fn take_over(&self, address: IpAddr, reply: ViewReply) {
         let Some(age) = reply.age else {
@@ -308,7 +273,8 @@
         let now = self.state.clock.now();
         let updated = reply
             .config
-            .map_or(Ok(()), |packed| self.update_config(&packed));
+            .as_ref()
+            .map_or(Ok(()), |packed| self.updater.update_config(packed));
         if let Err(error) = updated {
             // The view is not confirmed, so that the configuration is asked for again.
             log::error!("event=config_refused node={address} cause=\"{error}\"");
@@ -319,48 +285,20 @@
             log::warn!("event=config_not_received node={address}");
             return;
         }
-        let mut events = Vec::new();
-        {
-            let mut directory = self.state.directory.borrow_mut();
-            if reply.position < directory.position() {
-                // The own list of endpoints is newer, the configuration was the missing part.
-                if let Some(begun) = self.config_due.take() {
-                    self.position.set(Some(reply.position));
-                    self.state.confirm(begun.min(now - age));
-                }
-                return;
-            }
-            let mut named = HashSet::new();
-            let mut missing = Vec::new();
-            for entry in reply.entries {
-                named.insert(entry.record.id.clone());
-                if entry.missing {
-                    missing.push(entry.record.id.clone());
-                }
-                events.extend(directory.publish(now, entry.record));
+        if reply.position < self.state.directory.borrow().position() {
+            // The own list of endpoints is newer, the configuration was the missing part.
+            if let Some(begun) = self.config_due.take() {
+                self.position.set(Some(reply.position));
+                self.state.confirm(begun.min(now - age));
             }
-            if !missing.is_empty() {
-                directory.settle(now + SETTLE_TIME);
-            }
-            for id in missing {
-                events.extend(directory.remove(now, &id));
-            }
-            let absent: Vec<EndpointId> = if reply.is_whole {
-                let held = directory.records().map(|record| record.id.clone());
-                held.filter(|id| !named.contains(id)).collect()
-            } else {
-                reply.removed
-            };
-            for id in absent {
-                events.extend(directory.discard(&id));
-            }
-            directory.advance(reply.position);
+            return;
         }
-        self.marks.borrow_mut().insert(address, reply.mark);
-        self.position.set(Some(reply.position));
+        let (mark, position) = (reply.mark, reply.position);
+        self.updater.merge(reply);
+        self.marks.borrow_mut().insert(address, mark);
+        self.position.set(Some(position));
         self.config_due.set(None);
         self.state.confirm(now - age);
-        self.act(events);
     }
 
     /// Waits until the next read is due, because most changes are reports that change nothing.
@@ -384,90 +322,4 @@
         let bound = bounds.config_apply.min(bounds.drain);
         ClockTime(bound.0 / READ_PART)
     }
-
-    fn install(&self, config: &Arc<MeshConfig>) {
-        if self.state.install(config) {
-            self.dispatcher.picker.borrow_mut().reset();
-            log::info!("event=config_in_force version={}", config.version());
-        }
-    }
-
-    fn apply(&self, read: RegistryRead) {
-        let now = self.state.clock.now();
-        let mut events = Vec::new();
-        let mut named = HashSet::new();
-        for change in read.changes {
-            let mut directory = self.state.directory.borrow_mut();
-            match change {
-                RegistryChange::Config(config) => {
-                    drop(directory);
-                    self.install(&config);
-                }
-                RegistryChange::Endpoint(record) => {
-                    named.insert(record.id.clone());
-                    events.extend(directory.publish(now, record));
-                }
-                RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
-            }
-        }
-        {
-            let mut directory = self.state.directory.borrow_mut();
-            if read.is_snapshot {
-                events.extend(directory.retain(now, &named));
-            }
-            directory.advance(read.position);
-        }
-        self.act(events);
-    }
-
-    fn expire(&self) {
-        let now = self.state.clock.now();
-        let events = self.state.directory.borrow_mut().expire(now);
-        self.act(events);
-    }
-
-    fn act(&self, events: Vec<DirectoryEvent>) {
-        for event in events {
-            let id = event.endpoint();
-            self.state.metrics.record_endpoint_event(event.name());
-            log::info!("event=endpoint_{} endpoint={id}", event.name());
-            match &event {
-                DirectoryEvent::Ready(id) => self.adopt_endpoint(id),
-                DirectoryEvent::Draining(id) => self.turn_away(id),
-                DirectoryEvent::Missing(_) => {}
-                DirectoryEvent::Gone(id) => {
-                    self.dispatcher.chooser.endpoints.borrow_mut().forget(id);
-                    self.turn_away(id);
-                }
-            }
-        }
-    }
-
-    /// Prepares for an endpoint that has appeared beside the node.
-    fn adopt_endpoint(&self, id: &EndpointId) {
-        let directory = self.state.directory.borrow();
-        let Some(record) = directory.record(id) else {
-            return;
-        };
-        if record.address == self.exit.client.address() {
-            self.exit.client.reset();
-            self.exit.gate.set_capacity(record.capacity as usize);
-        }
-    }
-
-    /// Turns away what waits for an endpoint that leaves.
-    fn turn_away(&self, id: &EndpointId) {
-        let directory = self.state.directory.borrow();
-        let here = self.exit.client.address();
-        let successor = directory
-            .records()
-            .any(|record| record.address == here && record.id != *id);
-        let own = directory
-            .record(id)
-            .is_none_or(|record| record.address == here);
-        drop(directory);
-        if own && !successor {
-            self.exit.gate.close_waiting();
-        }
-    }
 }
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -23,6 +23,7 @@
 use crate::sidecar::endpoint_client::EndpointClient;
 use crate::sidecar::exit_service::ExitService;
 use crate::sidecar::forward_streams::ForwardStreams;
+use crate::sidecar::mesh_updater::MeshUpdater;
 use crate::sidecar::node_pages::{self, NodePages};
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::registry_task::RegistryTask;
@@ -133,8 +134,11 @@
         let registry = RegistryTask {
             adapter: Rc::clone(&adapter),
             state: Rc::clone(&state),
-            exit: Rc::clone(&exit),
-            dispatcher,
+            updater: MeshUpdater {
+                state: Rc::clone(&state),
+                exit: Rc::clone(&exit),
+                dispatcher,
+            },
             settings: Rc::clone(&settings),
             views,
             marks: RefCell::default(),
