--- a/src/sidecar/endpoint_chooser.rs
+++ b/src/sidecar/endpoint_chooser.rs
@@ -139,8 +139,8 @@
         }
     }
 
-    /// Returns whether an endpoint in another zone has refused so lately that asking it again is not
-    /// worth the bytes.
+    /// Returns whether an endpoint in another zone has refused so lately that it most likely still
+    /// has no free slot.
     fn is_paused(&self, record: &EndpointRecord, now: ClockTime) -> bool {
         let doublings = match self.is_remote(record) {
             _ if record.zone == self.settings.zone => return false,
