Pass on a position only with the configuration that belongs to it

Change: the position is recorded with the configuration, or by a view that has both. Before: endpoints_without_their_configuration_… failed, version 2 never came. After: it passes, with all process tests twice (31 of 31).

--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Records that configuration and endpoints reflect the registry up to a position.
+    pub(crate) fn advance(&self, position: u64) {
+        self.state.directory.borrow_mut().advance(position);
+    }
+
     /// Puts the changes of a read in force.
     pub(crate) fn apply(&self, read: RegistryRead) {
         let now = self.state.clock.now();
@@ -112,12 +117,8 @@
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
             }
         }
-        {
-            let mut directory = self.state.directory.borrow_mut();
-            if read.is_snapshot {
-                events.extend(directory.retain(now, &named));
-            }
-            directory.advance(read.position);
+        if read.is_snapshot {
+            events.extend(self.state.directory.borrow_mut().retain(now, &named));
         }
         self.act(events);
     }
--- a/src/sidecar/registry_task.rs
+++ b/src/sidecar/registry_task.rs
@@ -41,12 +41,22 @@
     pub(crate) marks: RefCell<HashMap<IpAddr, ViewMark>>,
     /// Position up to which the registry was read; `None` when all endpoints must be read.
     pub(crate) position: Cell<Option<u64>>,
-    /// Time at which the endpoints were read, while the configuration has yet to be read.
-    pub(crate) config_due: Cell<Option<ClockTime>>,
+    /// Endpoints that were read, while the configuration has yet to be read.
+    pub(crate) config_due: Cell<Option<ListedEndpoints>>,
     pub(crate) failures: Cell<u32>,
     pub(crate) registry_lost: Cell<bool>,
 }
 
+/// Is a read of all endpoints that the configuration has yet to follow.
+///
+/// The state of the node reflects the position only when both are known: a node that went on from
+/// there would miss a configuration published before.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ListedEndpoints {
+    begun: ClockTime,
+    position: u64,
+}
+
 /// Is where the next confirmation of the view comes from.
 #[derive(Debug, Clone, Copy)]
 enum ViewSource {
@@ -190,28 +200,33 @@
     async fn read(&self) -> Result<()> {
         let transfer = self.settings.registry_transfer;
         let source = self.adapter.registry(self.state.registry(), transfer);
-        if let Some(begun) = self.config_due.get() {
-            return self.read_config(source.as_ref(), begun).await;
+        if let Some(listed) = self.config_due.get() {
+            return self.read_config(source.as_ref(), listed).await;
         }
         let begun = self.state.clock.now();
         if let Some(position) = self.position.get() {
             let read = source.watch(position, self.interval()).await?;
             self.note_answer();
-            self.position.set(Some(read.position));
+            let reached = read.position;
+            self.position.set(Some(reached));
             self.updater.apply(read);
+            self.updater.advance(reached);
             self.state.confirm(self.state.clock.now());
             return Ok(());
         }
         let read = source.endpoints().await?;
         self.note_answer();
-        self.position.set(Some(read.position));
-        self.config_due.set(Some(begun));
+        let listed = ListedEndpoints {
+            begun,
+            position: read.position,
+        };
+        self.config_due.set(Some(listed));
         self.updater.apply(read);
         let is_first = self.state.config().is_none() && self.failures.get() == 0;
         if is_first && self.parent().is_some() {
             return Ok(());
         }
-        self.read_config(source.as_ref(), begun).await
+        self.read_config(source.as_ref(), listed).await
     }
 
     /// Lets entries that are missing after an outage of the registry come back; must precede the
@@ -224,12 +239,18 @@
         }
     }
 
-    async fn read_config(&self, source: &dyn RegistrySource, begun: ClockTime) -> Result<()> {
+    async fn read_config(
+        &self,
+        source: &dyn RegistrySource,
+        listed: ListedEndpoints,
+    ) -> Result<()> {
         if let Some(config) = source.config().await? {
             self.updater.install(&config);
         }
+        self.updater.advance(listed.position);
+        self.position.set(Some(listed.position));
         self.config_due.set(None);
-        self.state.confirm(begun);
+        self.state.confirm(listed.begun);
         Ok(())
     }
 
@@ -285,12 +306,16 @@
             log::warn!("event=config_not_received node={address}");
             return;
         }
-        if reply.position < self.state.directory.borrow().position() {
+        let listed = self.config_due.get();
+        if let Some(listed) = listed.filter(|listed| reply.position < listed.position) {
             // The own list of endpoints is newer, the configuration was the missing part.
-            if let Some(begun) = self.config_due.take() {
-                self.position.set(Some(reply.position));
-                self.state.confirm(begun.min(now - age));
-            }
+            self.updater.advance(reply.position);
+            self.position.set(Some(reply.position));
+            self.config_due.set(None);
+            self.state.confirm(listed.begun.min(now - age));
+            return;
+        }
+        if reply.position < self.state.directory.borrow().position() {
             return;
         }
         let (mark, position) = (reply.mark, reply.position);
