Keep the streams of node connections at one address

Cause: `StreamWrapper` of monoio-compat stores a pending read or write that points to its own stream. `peer_connection::open` polled the HTTP/2 connection for the first PING and returned it by value; `drive` then moved it once more into the timeout that flushes it at the end. Each move left the pending read pointing at the old place, which was read and written later.

Change: `PinnedStream` holds the wrapper on the heap; the client and the server side of node connections and the test peers use it. There is no other use of the wrapper.

Ruled out: the driver being dropped with operations pending, and the signal thread; the sanitizer names neither.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -22,6 +22,7 @@
 mod peer_request;
 mod peer_server;
 mod peer_server_connection;
+mod pinned_stream;
 mod server_stream;
 mod stream_handler;
 pub(crate) mod stream_io;
@@ -40,5 +41,6 @@
 pub use peer_handler::PeerHandler;
 pub use peer_pool::PeerPool;
 pub use peer_server::PeerServer;
+pub use pinned_stream::PinnedStream;
 
 pub(crate) use stream_handler::{ShutdownSignal, StreamHandler};
--- a/src/peer/peer_connection.rs
+++ b/src/peer/peer_connection.rs
@@ -13,14 +13,13 @@
 use h2::client::{self, SendRequest};
 use monoio::net::TcpStream;
 use monoio::time;
-use monoio_compat::StreamWrapper;
 
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
 use crate::id::NodeAddress;
 use crate::peer::counted_stream::CountedStream;
 use crate::peer::keepalive_probe::KeepaliveProbe;
-use crate::peer::{ByteCounter, KeepaliveConfig};
+use crate::peer::{ByteCounter, KeepaliveConfig, PinnedStream};
 
 /// Time for a connection that is being closed to write its queued frames.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -139,7 +138,7 @@
     }
 }
 
-type H2Connection = client::Connection<StreamWrapper<CountedStream>, Bytes>;
+type H2Connection = client::Connection<PinnedStream<CountedStream>, Bytes>;
 
 /// Connects and waits for the acknowledgement of a first PING.
 ///
@@ -160,7 +159,7 @@
         .initial_connection_window_size(1 << 20)
         .max_header_list_size(8 << 10)
         .enable_push(false)
-        .handshake(StreamWrapper::new(stream))
+        .handshake(PinnedStream::new(stream))
         .await
         .map_err(|error| unreachable(to, error))?;
     let ping = h2_connection
--- a/src/peer/peer_server_connection.rs
+++ b/src/peer/peer_server_connection.rs
@@ -9,12 +9,11 @@
 use h2::server;
 use monoio::net::TcpStream;
 use monoio::time;
-use monoio_compat::StreamWrapper;
 
 use crate::peer::counted_stream::CountedStream;
 use crate::peer::keepalive_probe::KeepaliveProbe;
 use crate::peer::stream_handler::{ShutdownSignal, StreamHandler};
-use crate::peer::{ByteCounter, KeepaliveConfig};
+use crate::peer::{ByteCounter, KeepaliveConfig, PinnedStream};
 
 /// Time for the HTTP/2 handshake of an accepted connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -47,7 +46,7 @@
             .initial_connection_window_size(1 << 20)
             .max_header_list_size(8 << 10)
             .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
-            .handshake::<_, Bytes>(StreamWrapper::new(stream));
+            .handshake::<_, Bytes>(PinnedStream::new(stream));
         let Ok(Ok(mut h2_connection)) = time::timeout(HANDSHAKE_TIMEOUT, handshake).await else {
             return;
         };
--- a/tests/peer_protocol.rs
+++ b/tests/peer_protocol.rs
@@ -11,14 +11,13 @@
 use endivelanding::id::NodeAddress;
 use endivelanding::peer::{
     CallCodec, CallHeader, CallResponseHeader, ControlCodec, ControlLink, ControlMessage,
-    FenceRequest, FenceResponse, PeerCaller, PeerHandler, PeerPool, PeerServer,
+    FenceRequest, FenceResponse, PeerCaller, PeerHandler, PeerPool, PeerServer, PinnedStream,
 };
 use endivelanding::version::VersionStamp;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use monoio::net::{TcpListener, TcpStream};
 use monoio::{LegacyDriver, RuntimeBuilder, time};
-use monoio_compat::StreamWrapper;
 use proptest::prelude::{ProptestConfig, any, prop, proptest};
 use proptest::test_runner::RngSeed;
 
@@ -269,7 +268,7 @@
         let stream = TcpStream::connect_addr(server.address().0)
             .await
             .expect("connect");
-        let (mut sender, channel) = h2::client::handshake(StreamWrapper::new(stream))
+        let (mut sender, channel) = h2::client::handshake(PinnedStream::new(stream))
             .await
             .expect("handshake");
         let driver = monoio::spawn(async move {
@@ -331,7 +330,7 @@
 /// closed the connection.
 async fn serve_with_fault(listener: TcpListener, fault: PeerFault) {
     let (stream, _) = listener.accept().await.expect("accept");
-    let mut channel = h2::server::handshake(StreamWrapper::new(stream))
+    let mut channel = h2::server::handshake(PinnedStream::new(stream))
         .await
         .expect("handshake");
     let (_request, mut respond) = channel.accept().await.expect("open").expect("stream");
