Run the pipelined reads of a client connection at the same time

Cause: a connection served its requests one after the other.

Change: `RequestPipeline` decides, without a network, when a request starts and in which order responses leave. Reads run at the same time; work that must run once starts when all responses before it have been sent, because a response that closes the connection tells the client that what is behind it was not read. At a stop nothing more starts, and what has started is answered. `RequestReceiver` takes requests from the received bytes, so that a body that arrives slowly does not hold back responses. Requests and held responses are bounded for a connection and for the node (`AheadBudget`). Metrics count requests that start ahead and responses that are held. Empty lines before a head count towards its limit.

Ruled out: starting reads behind work that runs once; the client could read before its own write is done, and gains nothing here.

Tests: `pipeline_rules` (tables, 512 random connections), `mesh_process::pipelining` (10). While this was written, `shutdown_completes_running_requests_...` found that a request which arrived during a stop was dropped unanswered; the oldest request is now always started.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server for callers, and the HTTP/1.1 message handling shared by servers and clients.
 
+mod body_decoder;
 mod call_service;
 mod caller_server;
 mod chunk_decoder;
@@ -16,6 +17,7 @@
 pub use server_limits::ServerLimits;
 pub use stop_signal::StopSignal;
 
+pub(crate) use body_decoder::BodyDecoder;
 pub(crate) use http_server::HttpServer;
 pub(crate) use message_head::{
     BodyLength, body_length, has_connection_token, is_hop_by_hop_header, parse_request,
--- a/src/caller/wire_stream.rs
+++ b/src/caller/wire_stream.rs
@@ -8,8 +8,7 @@
 use monoio::net::TcpStream;
 use monoio::time;
 
-use crate::caller::chunk_decoder::ChunkDecoder;
-use crate::caller::{BodyLength, WireError};
+use crate::caller::{BodyDecoder, BodyLength, WireError};
 use crate::clock::ClockTime;
 
 /// Size of one read of a head. Each idle connection holds a buffer of this size, so that 1,024
@@ -30,6 +29,10 @@
     stream: TcpStream,
     buffer: BytesMut,
     read_buffer: Vec<u8>,
+    /// Number of buffered bytes that contain no end of a head.
+    searched: usize,
+    /// Number of bytes of the empty lines that preceded the next head.
+    skipped: usize,
 }
 
 impl WireStream {
@@ -40,6 +43,8 @@
             stream,
             buffer: BytesMut::new(),
             read_buffer: Vec::new(),
+            searched: 0,
+            skipped: 0,
         }
     }
 
@@ -48,6 +53,11 @@
         self.buffer.len()
     }
 
+    /// Returns whether a part of the next head has arrived.
+    pub(crate) fn has_partial_head(&self) -> bool {
+        !self.buffer.is_empty() || self.skipped > 0
+    }
+
     /// Receives more bytes and returns their number, which is 0 at the end of the stream.
     ///
     /// # Errors
@@ -57,6 +67,15 @@
         self.fill_up_to(HEAD_READ_BYTES).await
     }
 
+    /// Receives more bytes of a body; otherwise as [`WireStream::fill`].
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket.
+    pub(crate) async fn fill_large(&mut self) -> io::Result<usize> {
+        self.fill_up_to(BODY_READ_BYTES).await
+    }
+
     async fn fill_up_to(&mut self, size: usize) -> io::Result<usize> {
         let mut read_buffer = std::mem::take(&mut self.read_buffer);
         read_buffer.clear();
@@ -75,35 +94,64 @@
         self.buffer.is_empty() && self.fill().now_or_never().is_none()
     }
 
+    /// Takes a complete head, including the empty line that ends it, from the received bytes.
+    ///
+    /// # Errors
+    ///
+    /// `TooLarge` if the head, or the empty lines before it, exceed the limit.
+    pub(crate) fn take_head(&mut self, limit: usize) -> Result<Option<Bytes>, WireError> {
+        // Empty lines before the start line are ignored, as RFC 9112, section 2.2 recommends.
+        while self.searched == 0 && self.buffer.starts_with(b"\r\n") {
+            self.buffer.advance(2);
+            self.skipped += 2;
+        }
+        if self.skipped > limit {
+            return Err(WireError::TooLarge);
+        }
+        let start = self.searched.min(self.buffer.len());
+        if let Some(position) = find_head_end(&self.buffer[start..]) {
+            let end = start + position;
+            if end > limit {
+                return Err(WireError::TooLarge);
+            }
+            self.searched = 0;
+            self.skipped = 0;
+            return Ok(Some(self.buffer.split_to(end).freeze()));
+        }
+        if self.buffer.len() >= limit {
+            return Err(WireError::TooLarge);
+        }
+        // The empty line may begin in the last three bytes.
+        self.searched = self.buffer.len().saturating_sub(3);
+        Ok(None)
+    }
+
     /// Receives a head, including the empty line that ends it.
     ///
     /// # Errors
     ///
     /// `Closed`, `Truncated`, `TooLarge` or `Lost`.
     pub(crate) async fn read_head(&mut self, limit: usize) -> Result<Bytes, WireError> {
-        let mut searched = 0;
         loop {
-            // Empty lines before the start line are ignored, as RFC 9112, section 2.2 recommends.
-            while searched == 0 && self.buffer.starts_with(b"\r\n") {
-                self.buffer.advance(2);
-            }
-            let start = searched.min(self.buffer.len());
-            if let Some(position) = find_head_end(&self.buffer[start..]) {
-                let end = start + position;
-                if end > limit {
-                    return Err(WireError::TooLarge);
-                }
-                return Ok(self.buffer.split_to(end).freeze());
+            if let Some(head) = self.take_head(limit)? {
+                return Ok(head);
             }
-            if self.buffer.len() >= limit {
-                return Err(WireError::TooLarge);
-            }
-            // The empty line may begin in the last three bytes.
-            searched = self.buffer.len().saturating_sub(3);
             self.fill_head().await?;
         }
     }
 
+    /// Takes a complete body from the received bytes.
+    ///
+    /// # Errors
+    ///
+    /// `TooLarge` or `Malformed`.
+    pub(crate) fn take_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+    ) -> Result<Option<Bytes>, WireError> {
+        decoder.decode(&mut self.buffer)
+    }
+
     /// Receives a complete body.
     ///
     /// # Errors
@@ -114,24 +162,12 @@
         length: BodyLength,
         limit: usize,
     ) -> Result<Bytes, WireError> {
-        match length {
-            BodyLength::Absent => Ok(Bytes::new()),
-            BodyLength::Fixed(length) if length > limit => Err(WireError::TooLarge),
-            BodyLength::Fixed(length) => {
-                while self.buffer.len() < length {
-                    self.fill_body().await?;
-                }
-                Ok(self.buffer.split_to(length).freeze())
-            }
-            BodyLength::Chunked => {
-                let mut decoder = ChunkDecoder::new(limit);
-                loop {
-                    if let Some(body) = decoder.decode(&mut self.buffer)? {
-                        return Ok(body.freeze());
-                    }
-                    self.fill_body().await?;
-                }
+        let mut decoder = BodyDecoder::new(length, limit)?;
+        loop {
+            if let Some(body) = self.take_body(&mut decoder)? {
+                return Ok(body);
             }
+            self.fill_body().await?;
         }
     }
 
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -21,6 +21,8 @@
     request_duration: Histogram<f64>,
     attempts: Counter<u64>,
     resends: Counter<u64>,
+    requests_ahead: Counter<u64>,
+    responses_held: Counter<u64>,
     slot_wait: Histogram<f64>,
     registry_reads: Counter<u64>,
     view_queries: Counter<u64>,
@@ -68,6 +70,14 @@
             ),
             attempts: counter("endive_attempts", "Requests at the endpoint by result code"),
             resends: counter("endive_repeats", "Requests sent to a further endpoint"),
+            requests_ahead: counter(
+                "endive_requests_ahead",
+                "Pipelined requests that started before an earlier one had its response",
+            ),
+            responses_held: counter(
+                "endive_responses_held",
+                "Responses that waited for an earlier one of their connection",
+            ),
             slot_wait: duration("endive_slot_wait", "Time that requests waited for a slot"),
             registry_reads: counter("endive_registry_reads", "Reads of the registry by result"),
             view_queries: counter(
@@ -114,6 +124,16 @@
         self.resends.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a pipelined request that starts before an earlier one has its response.
+    pub fn record_request_ahead(&self) {
+        self.requests_ahead.add(1, &[]);
+    }
+
+    /// Counts a response that waits for an earlier one of its connection.
+    pub fn record_response_held(&self) {
+        self.responses_held.add(1, &[]);
+    }
+
     /// Records the time that a request waited for a slot.
     pub fn record_slot_wait(&self, wait: ClockTime) {
         self.slot_wait.record(wait.as_f64() / 1_000.0, &[]);
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,5 +1,6 @@
 //! The sidecar node of an endpoint: accepts requests from clients and forwards them to endpoints.
 
+mod ahead_budget;
 mod attempt_outcome;
 mod attempt_sender;
 mod body_budget;
@@ -29,6 +30,8 @@
 mod reload_signal;
 mod reload_task;
 mod request_parser;
+mod request_pipeline;
+mod request_receiver;
 mod retry_budgets;
 mod route_stats;
 mod run;
@@ -47,6 +50,9 @@
 pub use mesh_bounds::MeshBounds;
 pub use peer_clock::{PeerClock, RemoteTime};
 pub use platform_adapter::PlatformAdapter;
+pub use request_pipeline::{
+    PipelineLimits, PipelineTicket, PipelinedRequest, RequestPipeline, StartedRequest,
+};
 pub use run::run;
 pub use service_retry_budget::{RetryAllowance, ServiceRetryBudget};
 pub use sidecar_settings::SidecarSettings;
--- a/src/sidecar/client_server.rs
+++ b/src/sidecar/client_server.rs
@@ -9,6 +9,7 @@
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
 use crate::sidecar::SidecarSettings;
+use crate::sidecar::ahead_budget::AheadBudget;
 use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::client_session::ClientSession;
 use crate::sidecar::dispatcher::Dispatcher;
@@ -23,6 +24,7 @@
     pub(crate) state: Rc<NodeState>,
     pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) bodies: Rc<BodyBudget>,
+    pub(crate) ahead: Rc<AheadBudget>,
 }
 
 /// Accepts client connections until the stop signal is given, then waits until all running requests
--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -2,19 +2,24 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::Bytes;
-use futures_util::future::{self, Either};
+use futures_util::future::{self, Either, FutureExt, LocalBoxFuture};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use monoio::net::TcpStream;
 use monoio::time;
 
-use crate::caller::{BodyLength, StopSignal, WireError, WireStream};
+use crate::caller::{StopSignal, WireStream};
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::mesh::{ClientLimits, MeshConfig};
+use crate::sidecar::ahead_budget::AheadPermit;
+use crate::sidecar::body_budget::BodyReservation;
 use crate::sidecar::client_response::ClientResponse;
 use crate::sidecar::client_server::ClientContext;
 use crate::sidecar::outbound_request::OutboundRequest;
-use crate::sidecar::request_parser::{self, RequestHead};
+use crate::sidecar::request_receiver::{
+    ReceiveLimits, ReceiveProgress, ReceivedRequest, RequestReceiver,
+};
+use crate::sidecar::{PipelineLimits, PipelineTicket, PipelinedRequest, RequestPipeline};
 use crate::size::ByteSize;
 
 /// Client limits while no configuration is installed.
@@ -28,28 +33,66 @@
 const IDLE_MARGIN: ClockTime = ClockTime(1_000);
 /// Assumed remaining time of a request whose client does not state one.
 const DEFAULT_REMAINING_TIME: ClockTime = ClockTime(30_000);
-/// Time limit for writing a response, and for receiving a body if the client does not state its
-/// remaining time.
-const TRANSFER_TIMEOUT: ClockTime = ClockTime(30_000);
-/// Limit in bytes for pipelined data that is read while a request runs. Reading detects a closed
-/// connection; beyond the limit, it resumes only after the response.
-const READ_AHEAD_LIMIT: usize = 64 * 1024;
+/// Time limit for writing a response.
+const WRITE_TIMEOUT: ClockTime = ClockTime(30_000);
+/// Limit in bytes for data that is read while no further request is accepted. Reading detects a
+/// closed connection; beyond the limit, it resumes only after the next response.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Limits on the pipelined requests of one connection.
+const PIPELINE_LIMITS: PipelineLimits = PipelineLimits {
+    requests: 16,
+    request_bytes: 256 * 1024,
+    held_bytes: 256 * 1024,
+};
 /// Suggested delay of a retry while no configuration is installed or no memory for a body is free.
 const UNAVAILABLE_RETRY_AFTER: ClockTime = ClockTime(300);
 
-/// Server side of one client connection, whose requests are served sequentially.
+/// Server side of one client connection.
 pub(crate) struct ClientSession {
     stream: WireStream,
     context: Rc<ClientContext>,
     stop: StopSignal,
+    receiver: RequestReceiver,
+    pipeline: RequestPipeline<PendingRequest, PendingResponse>,
+    running: FuturesUnordered<LocalBoxFuture<'static, FinishedRequest>>,
+}
+
+/// A request that has been received completely.
+struct PendingRequest {
+    request: OutboundRequest,
+    is_head: bool,
+    /// Memory of the body, which is free again when the request has ended.
+    reservation: BodyReservation,
+}
+
+/// A response that has not been sent.
+struct PendingResponse {
+    response: ClientResponse,
+    is_head: bool,
+    /// Present if the request was started before its turn.
+    permit: Option<AheadPermit>,
+}
+
+/// The result of a request that was started.
+struct FinishedRequest {
+    ticket: PipelineTicket,
+    response: PendingResponse,
+}
+
+/// Reason why a session wakes up.
+enum SessionEvent {
+    Received,
+    Finished(FinishedRequest),
+    /// The request that arrives is not complete in time.
+    ReceiveTimeout,
+    /// The client closed the connection, or the connection is idle and ends.
+    Ended,
 }
 
-/// Use of the connection after a request.
-enum NextStep {
-    /// The next request is served.
-    Continue,
+/// What happens to the connection at the end of a session.
+enum SessionEnd {
     /// Unread bytes are discarded before the connection is closed, so that the client receives the
-    /// response.
+    /// last response.
     Close,
     /// The connection is closed immediately.
     Drop,
@@ -61,74 +104,217 @@
             stream: WireStream::new(stream),
             context,
             stop,
+            receiver: RequestReceiver::default(),
+            pipeline: RequestPipeline::new(PIPELINE_LIMITS),
+            running: FuturesUnordered::new(),
         }
     }
 
     /// Serves requests until the connection ends or exceeds the idle limit, or the node stops.
+    ///
+    /// Requests that are still running when the client leaves are cancelled.
     pub(crate) async fn run(mut self) {
+        match self.serve().await {
+            SessionEnd::Close => self.stream.linger().await,
+            SessionEnd::Drop => {}
+        }
+    }
+
+    async fn serve(&mut self) -> SessionEnd {
         loop {
-            if self.stream.buffered() == 0 && !self.wait_for_data().await {
-                return;
+            if let Err(code) = self.receive_requests().await {
+                self.reject(code);
+            }
+            self.start_requests();
+            if self.is_stopping() && !self.pipeline.is_empty() {
+                self.pipeline.discard_waiting();
+                self.pipeline.close();
             }
-            match self.serve_one().await {
-                NextStep::Continue => {}
-                NextStep::Close => return self.stream.linger().await,
-                NextStep::Drop => return,
+            if let Some(response) = self.pipeline.take_response() {
+                let closes = self.pipeline.is_closed() && self.pipeline.is_empty();
+                if !self.write_response(response, closes).await {
+                    return SessionEnd::Drop;
+                }
+                if closes {
+                    return SessionEnd::Close;
+                }
+                continue;
+            }
+            match self.wait().await {
+                SessionEvent::Received => {}
+                SessionEvent::Finished(finished) => {
+                    record_finished(&mut self.pipeline, &self.context, finished);
+                }
+                SessionEvent::ReceiveTimeout => self.reject(ResultCode::RequestTooSlow),
+                SessionEvent::Ended => return SessionEnd::Drop,
             }
         }
     }
 
-    async fn wait_for_data(&mut self) -> bool {
-        let limits = client_limits(self.context.state.config().as_deref());
-        let idle = limits.idle_time + IDLE_MARGIN;
-        let stopped = pin!(self.stop.wait());
-        let received = pin!(time::timeout(idle.to_duration(), self.stream.fill()));
-        match future::select(received, stopped).await {
-            Either::Left((Ok(Ok(count)), _)) => count > 0,
-            _ => false,
+    /// Returns whether the connection ends after the requests that are already running.
+    fn is_stopping(&self) -> bool {
+        self.stop.is_triggered() || self.context.state.is_shutting_down()
+    }
+
+    /// Appends the requests that have arrived to the pipeline.
+    ///
+    /// # Errors
+    ///
+    /// The code with which an invalid request is rejected.
+    async fn receive_requests(&mut self) -> Result<(), ResultCode> {
+        let context = Rc::clone(&self.context);
+        while self.pipeline.accepts_requests() {
+            if self.is_stopping() && !self.pipeline.is_empty() {
+                return Ok(());
+            }
+            let limits = client_limits(context.state.config().as_deref());
+            let limits = ReceiveLimits {
+                client: &limits,
+                free_memory: context.bodies.available(),
+            };
+            let names = &context.settings.headers;
+            let now = context.state.clock.now();
+            let progress = self.receiver.receive(&mut self.stream, names, limits, now);
+            match progress.await? {
+                ReceiveProgress::Incomplete => return Ok(()),
+                ReceiveProgress::Complete(received) => self.accept(*received)?,
+                // An interim response follows the responses to earlier requests.
+                ReceiveProgress::AwaitsContinue if !self.pipeline.is_empty() => return Ok(()),
+                ReceiveProgress::AwaitsContinue => {
+                    let interim = b"HTTP/1.1 100 Continue\r\n\r\n".to_vec();
+                    if let Err(error) = self.stream.write(interim).await {
+                        log::debug!("interim response not written: {error}");
+                    }
+                    self.receiver.continue_sent();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Appends a request to the pipeline, or its response if it cannot be run.
+    fn accept(&mut self, received: ReceivedRequest) -> Result<(), ResultCode> {
+        let body_size = received.body.len();
+        let reservation = self
+            .context
+            .bodies
+            .try_reserve(body_size as u64)
+            .ok_or(ResultCode::Overloaded)?;
+        let size = received.head_size + body_size;
+        let is_head = received.head.method == http::Method::HEAD;
+        let is_last = !received.head.keep_alive;
+        match self.match_route(received) {
+            Ok(request) => self.pipeline.push(PipelinedRequest {
+                size,
+                is_idempotent: request.rule.idempotent,
+                request: PendingRequest {
+                    request,
+                    is_head,
+                    reservation,
+                },
+            }),
+            Err(response) => self.push_response(response, is_head),
         }
+        if is_last {
+            self.pipeline.close();
+        }
+        Ok(())
     }
 
-    async fn serve_one(&mut self) -> NextStep {
-        let config = self.context.state.config();
-        let limits = client_limits(config.as_deref());
-        let head = match self.receive_head(&limits).await {
-            Ok(head) => head,
-            Err(WireError::TooLarge) => return self.reject(ResultCode::RequestHeadTooLarge).await,
-            Err(error) => return self.reject_invalid(&error).await,
+    /// Rejects the request that arrives. Its end is unknown, so the connection is closed.
+    fn reject(&mut self, code: ResultCode) {
+        log::info!("event=bad_request code={code}");
+        let retry_after = (code == ResultCode::Overloaded).then_some(UNAVAILABLE_RETRY_AFTER);
+        self.push_response(ClientResponse::local(code, retry_after), false);
+        self.pipeline.close();
+    }
+
+    fn push_response(&mut self, response: ClientResponse, is_head: bool) {
+        let response = PendingResponse {
+            response,
+            is_head,
+            permit: None,
         };
-        let arrived = self.context.state.clock.now();
-        let free = self.context.bodies.available();
-        let body = match self.receive_body(&head, &limits, free).await {
-            Ok(body) => body,
-            // The body may be within the client limit but exceeds the memory that is free.
-            Err(WireError::TooLarge) if free < limits.body_size.0 => {
-                return self.reject(ResultCode::Overloaded).await;
+        self.pipeline.push_response(response, 0);
+    }
+
+    /// Starts all requests whose turn has come; while the node stops, only the oldest one.
+    fn start_requests(&mut self) {
+        let is_stopping = self.is_stopping();
+        loop {
+            let permit = self.context.ahead.try_acquire();
+            let permit = permit.filter(|_| !is_stopping);
+            let Some(started) = self.pipeline.start_next(permit.is_some()) else {
+                return;
+            };
+            if started.is_ahead {
+                self.context.state.metrics.record_request_ahead();
             }
-            Err(error) => return self.reject_invalid(&error).await,
-        };
-        let Some(_reservation) = self.context.bodies.try_reserve(body.len() as u64) else {
-            return self.reject(ResultCode::Overloaded).await;
-        };
-        let is_head = head.method == http::Method::HEAD;
-        let keep_alive = head.keep_alive;
-        // The configuration may have changed while the body arrived; the latest one applies.
-        let config = self.context.state.config();
-        let response = match self.match_route(head, body, arrived, config) {
-            Ok(request) => match self.dispatch(&request).await {
-                Some(response) => response,
-                None => return NextStep::Drop,
-            },
-            Err(response) => response,
+            let permit = permit.filter(|_| started.is_ahead);
+            let running = run_request(
+                Rc::clone(&self.context),
+                started.ticket,
+                started.request,
+                permit,
+            );
+            self.running.push(running.boxed_local());
+        }
+    }
+
+    /// Waits until a request ends, data arrives or a time limit passes.
+    async fn wait(&mut self) -> SessionEvent {
+        let limits = client_limits(self.context.state.config().as_deref());
+        let now = self.context.state.clock.now();
+        let accepts_requests = self.pipeline.accepts_requests();
+        let is_receiving = self.receiver.is_in_body() || self.stream.has_partial_head();
+        let is_idle = self.pipeline.is_empty() && !is_receiving;
+        let timeout = match is_idle {
+            true => Some(limits.idle_time + IDLE_MARGIN),
+            false => self
+                .receiver
+                .deadline(&limits)
+                .filter(|_| accepts_requests)
+                .map(|deadline| deadline - now),
         };
-        let keep_alive =
-            keep_alive && !self.stop.is_triggered() && !self.context.state.is_shutting_down();
-        if !self.write_response(&response, keep_alive, is_head).await {
-            NextStep::Drop
-        } else if keep_alive {
-            NextStep::Continue
-        } else {
-            NextStep::Close
+        let is_in_body = self.receiver.is_in_body();
+        let reads = accepts_requests || self.stream.buffered() < READ_AHEAD_BYTES;
+        let stream = &mut self.stream;
+        let received = pin!(async {
+            match (reads, is_in_body) {
+                (false, _) => future::pending().await,
+                (true, false) => stream.fill().await,
+                (true, true) => stream.fill_large().await,
+            }
+        });
+        let received = pin!(async {
+            match timeout {
+                Some(timeout) => time::timeout(timeout.to_duration(), received).await,
+                None => Ok(received.await),
+            }
+        });
+        let running = &mut self.running;
+        let finished = pin!(async {
+            match running.next().await {
+                Some(finished) => finished,
+                None => future::pending().await,
+            }
+        });
+        let stop = &self.stop;
+        let stopped = pin!(async {
+            match is_idle {
+                true => stop.wait().await,
+                false => future::pending().await,
+            }
+        });
+        match future::select(finished, future::select(received, stopped)).await {
+            Either::Left((finished, _)) => SessionEvent::Finished(finished),
+            Either::Right((Either::Left((Ok(Ok(count)), _)), _)) if count > 0 => {
+                SessionEvent::Received
+            }
+            Either::Right((Either::Left((Err(_), _)), _)) if !is_idle => {
+                SessionEvent::ReceiveTimeout
+            }
+            Either::Right(_) => SessionEvent::Ended,
         }
     }
 
@@ -137,14 +323,14 @@
     /// # Errors
     ///
     /// The response for the client if no configuration is installed or no route matches.
-    fn match_route(
-        &self,
-        head: RequestHead,
-        body: Bytes,
-        arrived: ClockTime,
-        config: Option<Arc<MeshConfig>>,
-    ) -> Result<OutboundRequest, ClientResponse> {
-        let Some(config) = config else {
+    fn match_route(&self, received: ReceivedRequest) -> Result<OutboundRequest, ClientResponse> {
+        let ReceivedRequest {
+            head,
+            body,
+            arrived,
+            ..
+        } = received;
+        let Some(config) = self.context.state.config() else {
             let id = head.id.as_deref().unwrap_or("-");
             log::info!("event=no_configuration request={id}");
             return Err(ClientResponse::local(
@@ -184,89 +370,86 @@
         })
     }
 
-    /// Runs a request. Returns `None` if the client closes the connection before the response.
-    async fn dispatch(&mut self, request: &OutboundRequest) -> Option<ClientResponse> {
-        let dispatcher = Rc::clone(&self.context.dispatcher);
-        let mut running = pin!(dispatcher.dispatch(request));
-        loop {
-            if self.stream.buffered() >= READ_AHEAD_LIMIT {
-                return Some(running.await);
-            }
-            let fill = pin!(self.stream.fill());
-            match future::select(running, fill).await {
-                Either::Left((response, _)) => return Some(response),
-                Either::Right((Ok(count), pending)) if count > 0 => running = pending,
-                Either::Right(_) => {
-                    log::info!("event=client_left request={}", request.id);
-                    return None;
+    /// Writes a response while the other requests run on; returns whether it was written.
+    async fn write_response(&mut self, pending: PendingResponse, closes: bool) -> bool {
+        let bytes = pending.response.encode(!closes, pending.is_head);
+        let Self {
+            stream,
+            running,
+            pipeline,
+            context,
+            ..
+        } = self;
+        let mut writing = pin!(time::timeout(
+            WRITE_TIMEOUT.to_duration(),
+            stream.write(bytes)
+        ));
+        while !running.is_empty() {
+            match future::select(writing, running.next()).await {
+                Either::Left((written, _)) => return matches!(written, Ok(Ok(()))),
+                Either::Right((finished, pending)) => {
+                    writing = pending;
+                    if let Some(finished) = finished {
+                        record_finished(pipeline, context, finished);
+                    }
                 }
             }
         }
+        matches!(writing.await, Ok(Ok(())))
     }
+}
 
-    async fn receive_head(&mut self, limits: &ClientLimits) -> Result<RequestHead, WireError> {
-        let size = limits.head_size.0 as usize;
-        let timeout = limits.head_time.to_duration();
-        let head = time::timeout(timeout, self.stream.read_head(size))
-            .await
-            .unwrap_or(Err(WireError::TimedOut))?;
-        request_parser::parse(&head, &self.context.settings.headers).await
-    }
+/// Guard that logs a request whose connection ended before its response.
+struct CancelLog<'a>(Option<&'a str>);
 
-    async fn receive_body(
-        &mut self,
-        head: &RequestHead,
-        limits: &ClientLimits,
-        free_memory: u64,
-    ) -> Result<Bytes, WireError> {
-        let limit = limits.body_size.0.min(free_memory) as usize;
-        if matches!(head.length, BodyLength::Fixed(length) if length > limit) {
-            return Err(WireError::TooLarge);
+impl Drop for CancelLog<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.0 {
+            log::info!("event=client_left request={id}");
         }
-        let has_body = !matches!(head.length, BodyLength::Absent | BodyLength::Fixed(0));
-        if head.expects_continue && has_body && self.stream.buffered() == 0 {
-            let interim = b"HTTP/1.1 100 Continue\r\n\r\n".to_vec();
-            self.stream.write(interim).await?;
-        }
-        let timeout = head
-            .remaining_time
-            .unwrap_or(TRANSFER_TIMEOUT)
-            .to_duration();
-        time::timeout(timeout, self.stream.read_body(head.length, limit))
-            .await
-            .unwrap_or(Err(WireError::TimedOut))
     }
+}
 
-    async fn reject_invalid(&mut self, error: &WireError) -> NextStep {
-        let code = match error {
-            WireError::Malformed(_) => ResultCode::MalformedRequest,
-            WireError::TooLarge => ResultCode::RequestTooLarge,
-            WireError::TimedOut => ResultCode::RequestTooSlow,
-            _ => return NextStep::Drop,
-        };
-        log::info!("event=bad_request code={code} cause=\"{error}\"");
-        self.reject(code).await
+async fn run_request(
+    context: Rc<ClientContext>,
+    ticket: PipelineTicket,
+    pending: PendingRequest,
+    permit: Option<AheadPermit>,
+) -> FinishedRequest {
+    let PendingRequest {
+        request,
+        is_head,
+        reservation,
+    } = pending;
+    let mut log = CancelLog(Some(&request.id));
+    let response = context.dispatcher.dispatch(&request).await;
+    log.0 = None;
+    drop(reservation);
+    FinishedRequest {
+        ticket,
+        response: PendingResponse {
+            response,
+            is_head,
+            permit,
+        },
     }
+}
 
-    async fn reject(&mut self, code: ResultCode) -> NextStep {
-        let retry_after = (code == ResultCode::Overloaded).then_some(UNAVAILABLE_RETRY_AFTER);
-        let response = ClientResponse::local(code, retry_after);
-        if self.write_response(&response, false, false).await {
-            NextStep::Close
-        } else {
-            NextStep::Drop
-        }
+fn record_finished(
+    pipeline: &mut RequestPipeline<PendingRequest, PendingResponse>,
+    context: &ClientContext,
+    finished: FinishedRequest,
+) {
+    let FinishedRequest {
+        ticket,
+        mut response,
+    } = finished;
+    let size = response.response.body.len();
+    if let Some(permit) = &mut response.permit {
+        permit.hold(size);
     }
-
-    async fn write_response(
-        &mut self,
-        response: &ClientResponse,
-        keep_alive: bool,
-        is_head: bool,
-    ) -> bool {
-        let bytes = response.encode(keep_alive, is_head);
-        let written = time::timeout(TRANSFER_TIMEOUT.to_duration(), self.stream.write(bytes)).await;
-        matches!(written, Ok(Ok(())))
+    if pipeline.finish(ticket, response, size) {
+        context.state.metrics.record_response_held();
     }
 }
 
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -14,6 +14,7 @@
 use crate::id::NodeAddress;
 use crate::node::TaskGroup;
 use crate::peer::{KeepaliveConfig, PeerPool, PeerServer};
+use crate::sidecar::ahead_budget::AheadBudget;
 use crate::sidecar::attempt_sender::AttemptSender;
 use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::call_table::CallTable;
@@ -43,6 +44,11 @@
 /// Divisor of the memory that gives the limit for all request bodies of clients. The same amount is
 /// reserved for bodies forwarded by other nodes.
 const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Divisor of the memory that gives the limit for responses that wait for an earlier response of
+/// their connection.
+const HELD_MEMORY_DIVISOR: u64 = 8;
+/// Maximum number of pipelined requests that a node starts before their turn.
+const MAX_REQUESTS_AHEAD: usize = 512;
 /// Limit for accepted peer connections per second. It lets a restarted fleet of several hundred
 /// nodes connect within seconds.
 const PEER_ACCEPTS_PER_SECOND: usize = 500;
@@ -113,6 +119,10 @@
             state: Rc::clone(&state),
             dispatcher: Rc::clone(&dispatcher),
             bodies: BodyBudget::new(ByteSize(memory_share(&settings, BODY_MEMORY_DIVISOR) as u64)),
+            ahead: AheadBudget::new(
+                MAX_REQUESTS_AHEAD,
+                memory_share(&settings, HELD_MEMORY_DIVISOR),
+            ),
         });
         let clients = bind(settings.client_listen)?;
         let clients = monoio::spawn(client_server::serve(clients, context, clients_stopped));
