Choose the endpoint of an idempotency key regardless of ejections

Each node chose the endpoint of a key among the endpoints that it had not ejected itself, so two nodes with different failures or latencies behind them sent the two attempts to different endpoints, and neither was fenced.

Change: ejections, which are local to a node, no longer count in this choice.

Test: `the_endpoint_of_a_key_does_not_depend_on_ejections`.

--- a/src/routing/endpoint_policy.rs
+++ b/src/routing/endpoint_policy.rs
@@ -20,7 +20,7 @@
         exclude: &[NodeAddress],
     ) -> Option<EndpointChoice>;
 
-    /// Chooses the endpoint of a key by rendezvous hashing.
+    /// Chooses the endpoint of a key by rendezvous hashing, regardless of load and failures.
     ///
     /// Nodes with different member tables may choose different endpoints. At-most-once execution
     /// therefore does not depend on this choice; fencing ensures it.
--- a/src/routing/endpoint_table.rs
+++ b/src/routing/endpoint_table.rs
@@ -89,6 +89,19 @@
     /// Leaving endpoints are used only if no live one is known. A resend that excludes all live
     /// endpoints therefore does not send new work to leaving ones.
     fn usable(&self, now: ClockTime, exclude: &[NodeAddress]) -> SmallVec<[&TableRow; 16]> {
+        self.best_class(exclude, |row| row.detector.admits(now), now)
+    }
+
+    /// Returns the rows of the best class; `admits` tells whether an endpoint counts as healthy.
+    fn best_class<Admits>(
+        &self,
+        exclude: &[NodeAddress],
+        admits: Admits,
+        now: ClockTime,
+    ) -> SmallVec<[&TableRow; 16]>
+    where
+        Admits: Fn(&TableRow) -> bool,
+    {
         let live = |row: &&TableRow| row.entry.state == MemberState::Live;
         let ejected = self.rows.iter().filter(live);
         let ejected = ejected.filter(|row| row.detector.is_ejected(now)).count();
@@ -97,7 +110,7 @@
         let ignore_ejections = ejected * 2 > self.rows.iter().filter(live).count();
         let class = |row: &TableRow| match row.entry.state {
             MemberState::Live if row.entry.suspected => 1,
-            MemberState::Live if ignore_ejections || row.detector.admits(now) => 0,
+            MemberState::Live if ignore_ejections || admits(row) => 0,
             MemberState::Live => 1,
             MemberState::Leaving | MemberState::Gone => 2,
         };
@@ -237,7 +250,9 @@
         key: &RequestKey,
         exclude: &[NodeAddress],
     ) -> Option<EndpointChoice> {
-        let rows = self.usable(now, exclude);
+        // Each node ejects endpoints by what it has seen itself, and two attempts with one key must
+        // reach the same endpoint.
+        let rows = self.best_class(exclude, |_| true, now);
         let row = rows
             .into_iter()
             .max_by_key(|row| rendezvous_hash::weight(key, row.entry.address))?;
--- a/tests/routing_rules.rs
+++ b/tests/routing_rules.rs
@@ -194,6 +194,26 @@
     }
 }
 
+/// Guards against two attempts with one key that reach different endpoints, because the nodes that
+/// send them have seen other failures.
+#[test]
+fn the_endpoint_of_a_key_does_not_depend_on_ejections() {
+    let (mut table, _) = zone_table();
+    let keys: Vec<RequestKey> = (0..50)
+        .map(|number| format!("key-{number}").parse().unwrap())
+        .collect();
+    let choices = |table: &EndpointTable| -> Vec<NodeAddress> {
+        let choose = |key| table.choose_by_hash(ClockTime(0), key, &[]).unwrap();
+        keys.iter().map(|key| choose(key).address).collect()
+    };
+    let before = choices(&table);
+    for _ in 0..3 {
+        finish(&mut table, 0, 1, CompletionStatus::Failed, 1.0);
+    }
+    assert!(table.is_ejected(ClockTime(0), address(1)));
+    assert_eq!(choices(&table), before);
+}
+
 /// Guards against a new endpoint that receives its full share immediately, and against one that
 /// never reaches it.
 #[test]
