Try further endpoints when the cheapest one has enough requests in flight

Cause: `LoadBalancer::select` gave up when the endpoint of least cost was ineligible, mostly because as many requests of this node were in flight to it as it may have. A request was then refused although other endpoints had free slots. Found by `a_client_that_does_not_read_is_not_served_without_end`: of 64 pipelined reads 3 were refused with twelve free slots at three endpoints (1 of 5 to 1 of 8 runs).

Change: up to four ineligible endpoints are passed over, if no endpoint with a known queue is left to join.

--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -40,6 +40,8 @@
 const CROSS_REGION_COST: f64 = 0.5;
 /// Endpoints probed for a free slot before the request joins the shortest queue.
 const MAX_PROBES: usize = 3;
+/// Endpoints passed over as ineligible before no further one is considered.
+const MAX_INELIGIBLE: usize = 4;
 /// Limits on the doublings of the backoff after an endpoint in another zone or region refuses a
 /// request.
 ///
@@ -79,12 +81,20 @@
     ) -> Option<(Rc<EndpointRecord>, ClockTime)> {
         let mut skipped = progress.excluded.clone();
         skipped.extend(progress.overloaded.iter().map(|(id, _)| id.clone()));
-        while progress.overloaded.len() < MAX_PROBES {
-            let next = self.lowest_cost_endpoint(request, &skipped, now);
-            let next = next.filter(|record| self.is_eligible(request, progress, record, now));
-            let Some(record) = next else {
+        let mut ineligible = 0;
+        while progress.overloaded.len() < MAX_PROBES && ineligible < MAX_INELIGIBLE {
+            let Some(record) = self.lowest_cost_endpoint(request, &skipped, now) else {
                 break;
             };
+            if !self.is_eligible(request, progress, &record, now) {
+                // A known queue is preferred to endpoints that cost more.
+                if !progress.overloaded.is_empty() {
+                    break;
+                }
+                skipped.push(record.id.clone());
+                ineligible += 1;
+                continue;
+            }
             if self.is_backing_off(&record, now) {
                 skipped.push(record.id.clone());
                 if !self.is_in_other_region(&record) {
