Give each region a second distribution tree and plan where to look next

Cause: the nodes of a region learned through one tree with one root. When the store turned the root away, all views of the region aged together; at an age of 2.5 intervals every node turned to the store and to one random node whose view was just as old, with too little of the bound left for a store that may turn it away too.

Change: two trees over the same order of nodes, a standby for the reader, and a plan by the age of the view (`RefreshPlan`): the other parent, other roots and random nodes, the node known to have the freshest view, the store after a delay that keeps the fleet within its rate. Nodes learn how fresh others are from each answer (`FreshPeers`). A reader that is turned away leaves reading to others (`ReaderState`). The trees are computed only when the directory has changed, not with each refresh (suspected fault of `ViewTree::new`). An empty watch ends before further sources are asked.

Found on the way: a refresh waited for a store that does not answer after all other sources had failed; now it is planned anew.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -16,6 +16,7 @@
 mod endpoint_stats;
 mod forward_handler;
 mod forward_message;
+mod fresh_peers;
 mod header_names;
 mod inbound_service;
 mod load_balancer;
@@ -27,6 +28,8 @@
 mod outbound_request;
 mod peer_clock;
 mod platform_adapter;
+mod reader_state;
+mod refresh_plan;
 mod reload_signal;
 mod reload_task;
 mod request_parser;
@@ -45,11 +48,17 @@
 mod view_message;
 mod view_service;
 mod view_tree;
+mod view_trees;
 
+pub use fresh_peers::FreshPeers;
 pub use header_names::HeaderNames;
 pub use mesh_bounds::MeshBounds;
 pub use peer_clock::{PeerClock, RemoteTime};
 pub use platform_adapter::PlatformAdapter;
+pub use reader_state::ReaderState;
+pub use refresh_plan::{
+    PlannedSource, RefreshPlan, RefreshState, ViewSource, plan_refresh, refresh_limit,
+};
 pub use request_pipeline::{
     PipelineLimits, PipelineTicket, PipelinedRequest, RequestPipeline, StartedRequest,
 };
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -231,9 +231,12 @@
         let header = response.header;
         let latency = elapsed.as_f64() - header.elapsed.as_f64();
         let clock = PeerClock::new(header.responded_at, now);
-        self.clocks
-            .borrow_mut()
-            .insert(self.balancer.node_address(record), clock);
+        let node = self.balancer.node_address(record);
+        self.clocks.borrow_mut().insert(node, clock);
+        if let Some(age) = header.view_age {
+            let mut fresh_peers = self.state.fresh_peers.borrow_mut();
+            fresh_peers.record(node.0.ip(), now - age);
+        }
         let mut endpoints = self.balancer.endpoints.borrow_mut();
         endpoints.record_response(&record.id, now, header.load, latency.max(0.0));
         match header.outcome {
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -93,6 +93,8 @@
     pub(crate) elapsed: ClockTime,
     /// Time of the response on the clock of the responding node.
     pub(crate) responded_at: RemoteTime,
+    /// Age of the responding node's view of the mesh; `None` if it has never been synchronized.
+    pub(crate) view_age: Option<ClockTime>,
     /// Time spent by the endpoint on the request, if it was sent to the endpoint.
     pub(crate) worked: Option<ClockTime>,
     pub(crate) body_length: u64,
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -201,6 +201,7 @@
                     time: self.state.clock.now(),
                 },
                 elapsed: self.state.clock.now() - arrived,
+                view_age: self.state.age(),
                 worked: None,
                 body_length: 0,
             },
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -5,8 +5,10 @@
 use std::rc::Rc;
 
 use futures_util::future::{self, Either};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use monoio::time;
-use rand::seq::IndexedRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
+use smallvec::SmallVec;
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
@@ -14,21 +16,25 @@
 use crate::mesh::RegistrySource;
 use crate::sidecar::mesh_updater::{self, MeshUpdater};
 use crate::sidecar::node_state::NodeState;
+use crate::sidecar::refresh_plan::{self, PlannedSource, RefreshPlan, RefreshState, ViewSource};
 use crate::sidecar::view_client::ViewClient;
 use crate::sidecar::view_message::{ViewCursor, ViewReply, ViewRequest};
-use crate::sidecar::{PlatformAdapter, SidecarSettings, ViewTree};
+use crate::sidecar::view_trees::{ViewNeighbors, ViewTrees};
+use crate::sidecar::{PlatformAdapter, ReaderState, SidecarSettings};
 
 /// Number of refresh intervals in the shortest propagation bound, so that a change arrives within
 /// the bound even if one read is slow.
 const INTERVALS_PER_BOUND: u64 = 4;
-/// Age, in refresh intervals, at which the node stops relying on its parent and reads the registry
-/// itself. The remaining intervals of the bound leave time for that read.
-const MAX_UNCONFIRMED_INTERVALS: f64 = 2.5;
-/// Mean delay after the first failed refresh; it doubles with each further failure.
+/// Age of the view, in refresh intervals, up to which another node may wait before it responds.
+const MAX_WAIT_INTERVALS: f64 = 3.0;
+/// Mean delay after the first failed refresh; it doubles with each further failure up to the refresh
+/// interval.
 const INITIAL_BACKOFF: ClockTime = ClockTime(50);
-/// Upper limit of the mean delay between failed refreshes.
-const MAX_BACKOFF: ClockTime = ClockTime(800);
-/// Time that the parent has to obtain its first configuration, which it may have to read from the
+/// Number of random nodes that are asked when the usual sources fail.
+const RANDOM_NODE_COUNT: usize = 3;
+/// Time for the first read of the registry, in addition to the transfer of its largest value.
+const INITIAL_READ_TIMEOUT: ClockTime = ClockTime(3_000);
+/// Time that a node has to obtain its first configuration, which it may have to read from the
 /// registry.
 const INITIAL_CONFIG_WAIT: ClockTime = ClockTime(1_000);
 
@@ -49,6 +55,10 @@
     /// Consecutive failed refreshes.
     pub(crate) failures: Cell<u32>,
     pub(crate) registry_unreachable: Cell<bool>,
+    pub(crate) reader: RefCell<ReaderState>,
+    /// The parent that refreshed the view last.
+    pub(crate) last_parent: Cell<Option<IpAddr>>,
+    pub(crate) trees: RefCell<ViewTrees>,
 }
 
 /// A full read of the registry whose endpoints are known and whose configuration is not.
@@ -61,15 +71,6 @@
     position: u64,
 }
 
-/// The source of the next refresh.
-#[derive(Debug, Clone, Copy)]
-enum ViewSource {
-    Registry,
-    Node(IpAddr),
-    /// The registry or a random node, whichever succeeds first.
-    Any,
-}
-
 impl MeshSyncTask {
     /// Runs the synchronization loop until the stop signal is given.
     pub(crate) async fn run(self, stop: StopSignal) {
@@ -83,92 +84,181 @@
     async fn sync_loop(&self) {
         loop {
             let started_at = self.state.clock.now();
-            let source = self.next_source();
-            let result = match source {
-                ViewSource::Registry => self.read_registry().await,
-                ViewSource::Node(address) => self.query_node(address).await,
-                ViewSource::Any => self.query_any().await,
-            };
+            let reads_registry = self.reads_registry();
+            let is_first = self.state.age().is_none();
+            let limit = self.refresh_limit();
+            let refresh = time::timeout(limit.to_duration(), self.refresh(self.plan()));
+            let result = refresh.await.unwrap_or(Err(()));
+            if !is_first {
+                self.record_source(reads_registry, result);
+            }
             self.updater.expire();
-            match (result, source) {
-                (Ok(()), ViewSource::Node(_)) => self.failures.set(0),
-                (Ok(()), _) => {
+            match result {
+                Ok(ViewSource::Node(address)) => {
                     self.failures.set(0);
-                    if self.pending_config_read.get().is_none() {
+                    self.last_parent.set(Some(address));
+                }
+                Ok(_) => {
+                    self.failures.set(0);
+                    // Other nodes respond only when their view is fresher, the registry at once.
+                    if reads_registry && self.pending_config_read.get().is_none() {
                         self.wait_for_next_interval(started_at).await;
                     }
                 }
-                // The view may be too old by now to wait any longer, so all sources are queried
-                // without a delay.
-                (Err(()), ViewSource::Node(_)) => self.failures.set(1),
-                (Err(()), _) => self.back_off().await,
+                Err(()) => self.back_off().await,
             }
         }
     }
 
-    /// Selects the source of the next refresh: the parent in the distribution tree while the view
-    /// is fresh, otherwise the registry. After a failure, all sources are queried concurrently.
-    fn next_source(&self) -> ViewSource {
-        if self.failures.get() > 0 {
-            return ViewSource::Any;
-        }
-        let is_fresh = self.remaining_freshness() > ClockTime(0);
-        let has_pending_config = self.pending_config_read.get().is_some();
-        match self.parent() {
-            Some(address) if is_fresh || has_pending_config => ViewSource::Node(address),
-            _ => ViewSource::Registry,
+    /// Returns the time after which a refresh is planned anew, with other nodes to ask. A source
+    /// that does not respond would otherwise delay it.
+    fn refresh_limit(&self) -> ClockTime {
+        let transfer_time = self.settings.registry_transfer_time;
+        match self.state.age() {
+            None => transfer_time + INITIAL_READ_TIMEOUT,
+            Some(age) => {
+                let limit = refresh_plan::refresh_limit(self.interval(), age);
+                // Without a position, everything is read again.
+                let is_full_read = self.position.get().is_none();
+                limit
+                    + if is_full_read {
+                        transfer_time
+                    } else {
+                        ClockTime(0)
+                    }
+            }
         }
     }
 
-    /// Returns the time until the registry must be read unless the parent refreshes the view.
-    fn remaining_freshness(&self) -> ClockTime {
-        let max_age = ClockTime((self.interval().as_f64() * MAX_UNCONFIRMED_INTERVALS) as u64);
-        self.state.age().map_or(ClockTime(0), |age| max_age - age)
+    /// Records which kind of source has refreshed the view of a node that `reads_registry`, or does
+    /// not do so.
+    fn record_source(&self, reads_registry: bool, result: std::result::Result<ViewSource, ()>) {
+        let now = self.state.clock.now();
+        let interval = self.interval();
+        let mut reader = self.reader.borrow_mut();
+        match (reads_registry, result) {
+            (true, Ok(ViewSource::Registry)) | (false, Ok(ViewSource::Node(_)) | Err(())) => {}
+            (false, Ok(_)) => {
+                let neighbors = self.neighbors();
+                let region_size = neighbors.region_size;
+                let chance = match neighbors.is_standby {
+                    true => 0.0,
+                    false => rand::random_range(0.0..1.0),
+                };
+                reader.record_backup_read(now, interval, region_size, chance);
+            }
+            // The registry has not responded in time, or the failure is recorded already.
+            (true, _) if reader.reads_registry(now, true) => reader.record_failure(now, interval),
+            (true, _) => {}
+        }
     }
 
-    /// Queries the registry and a random node concurrently; the first success is sufficient.
-    async fn query_any(&self) -> std::result::Result<(), ()> {
-        let registry = pin!(async {
-            if self.state.config().is_none() {
-                // Spreads the configuration reads of a restarted fleet, whose nodes would otherwise
-                // all read simultaneously.
-                let delay = self.interval().as_f64() * rand::random_range(0.0..1.0);
-                time::sleep(ClockTime(delay as u64).to_duration()).await;
+    /// Asks the planned sources, each after its delay or when all earlier ones have failed; returns
+    /// the first one that refreshed the view.
+    async fn refresh(&self, plan: RefreshPlan) -> std::result::Result<ViewSource, ()> {
+        let started_at = self.state.clock.now();
+        let mut planned = plan.into_iter().peekable();
+        let mut running = FuturesUnordered::new();
+        let mut asked: SmallVec<[IpAddr; 8]> = SmallVec::new();
+        loop {
+            let elapsed = self.state.clock.now() - started_at;
+            while let Some(next) =
+                planned.next_if(|next: &PlannedSource| running.is_empty() || next.delay <= elapsed)
+            {
+                let source = match next.source {
+                    ViewSource::FreshestNode => self.freshest_node(&asked).map(ViewSource::Node),
+                    source => Some(source),
+                };
+                let Some(source) = source else {
+                    continue;
+                };
+                if let ViewSource::Node(address) = source {
+                    asked.push(address);
+                }
+                running.push(self.query(source));
             }
-            self.read_registry().await
-        });
-        let node = pin!(async {
-            match self.random_node() {
-                Some(address) => self.query_node(address).await,
-                None => Err(()),
+            if running.is_empty() {
+                return Err(());
+            }
+            let next_delay = planned.peek().map(|next| next.delay - elapsed);
+            let timer = pin!(async {
+                match next_delay {
+                    Some(delay) => time::sleep(delay.to_duration()).await,
+                    None => future::pending().await,
+                }
+            });
+            match future::select(running.next(), timer).await {
+                Either::Left((Some(Ok(source)), _)) => return Ok(source),
+                Either::Left(_) | Either::Right(_) => {}
             }
-        });
-        match future::select(registry, node).await {
-            Either::Left((Ok(()), _)) | Either::Right((Ok(()), _)) => Ok(()),
-            Either::Left((Err(()), node)) => node.await,
-            Either::Right((Err(()), registry)) => registry.await,
         }
     }
 
-    /// Returns the parent of this node in the distribution tree of its region.
-    fn parent(&self) -> Option<IpAddr> {
-        let regions = &self.settings.regions;
-        let region = regions.get(&self.settings.zone)?;
-        let directory = self.state.directory.borrow();
-        let tree = ViewTree::new(&directory, |zone| regions.get(zone).cloned(), region);
-        let local_ip = self.settings.endpoint.ip();
-        tree.parent(local_ip).filter(|address| *address != local_ip)
+    async fn query(&self, source: ViewSource) -> std::result::Result<ViewSource, ()> {
+        let result = match source {
+            ViewSource::Registry => self.read_registry().await,
+            ViewSource::Node(address) => self.query_node(address).await,
+            ViewSource::FreshestNode => Err(()),
+        };
+        result.map(|()| source)
+    }
+
+    fn freshest_node(&self, asked: &[IpAddr]) -> Option<IpAddr> {
+        let fresh_peers = self.state.fresh_peers.borrow();
+        let mut fresher = fresh_peers.fresher_than(self.state.read_at());
+        fresher.find(|address| !asked.contains(address))
+    }
+
+    fn plan(&self) -> RefreshPlan {
+        let mut neighbors = self.neighbors();
+        let others = self.other_nodes(&neighbors);
+        // Before a parent has responded, the random order spreads the nodes over both trees.
+        let last_parent = self.last_parent.get();
+        neighbors.parents.shuffle(&mut rand::rng());
+        neighbors
+            .parents
+            .sort_by_key(|parent| Some(*parent) != last_parent);
+        refresh_plan::plan_refresh(&RefreshState {
+            age: self.state.age(),
+            interval: self.interval(),
+            reads_registry: self.reads_registry(),
+            is_standby: neighbors.is_standby,
+            lacks_config: self.pending_config_read.get().is_some(),
+            parents: &neighbors.parents,
+            others: &others,
+            fleet_size: self.state.directory.borrow().len(),
+            registry_rate: self.settings.registry_rate.0,
+            spread: rand::random_range(0.0..1.0),
+        })
+    }
+
+    fn reads_registry(&self) -> bool {
+        let is_reader = self.neighbors().is_reader;
+        let now = self.state.clock.now();
+        self.reader.borrow().reads_registry(now, is_reader)
+    }
+
+    fn neighbors(&self) -> ViewNeighbors {
+        let mut trees = self.trees.borrow_mut();
+        let neighbors = trees.neighbors(
+            &self.state.directory.borrow(),
+            &self.settings.regions,
+            &self.settings.zone,
+            self.settings.endpoint.ip(),
+        );
+        neighbors.clone()
     }
 
-    fn random_node(&self) -> Option<IpAddr> {
+    /// Returns nodes to ask in addition to the parents: a reader of any region and random nodes.
+    fn other_nodes(&self, neighbors: &ViewNeighbors) -> SmallVec<[IpAddr; 4]> {
         let local_ip = self.settings.endpoint.ip();
         let directory = self.state.directory.borrow();
         let known = directory.records().map(|record| record.address.ip());
-        let nodes: Vec<IpAddr> = known
-            .chain(self.settings.seeds.iter().copied())
-            .filter(|address| *address != local_ip)
-            .collect();
-        nodes.choose(&mut rand::rng()).copied()
+        let seeds = self.settings.seeds.iter().copied();
+        let nodes = known.chain(seeds).filter(|address| *address != local_ip);
+        let nodes = nodes.choose_multiple(&mut rand::rng(), RANDOM_NODE_COUNT);
+        let reader = neighbors.readers.iter().copied().choose(&mut rand::rng());
+        reader.into_iter().chain(nodes).collect()
     }
 
     async fn read_registry(&self) -> std::result::Result<(), ()> {
@@ -176,6 +266,7 @@
         match self.try_read_registry().await {
             Ok(()) => {
                 metrics.record_registry_read("ok");
+                self.reader.borrow_mut().record_success();
                 Ok(())
             }
             Err(error) if error.code() == ResultCode::HistoryGone => {
@@ -194,6 +285,10 @@
                 // read is a full one.
                 self.position.set(None);
                 self.pending_config_read.set(None);
+                let now = self.state.clock.now();
+                self.reader
+                    .borrow_mut()
+                    .record_failure(now, self.interval());
                 if !self.registry_unreachable.replace(true) {
                     let age = self.state.age().unwrap_or_default();
                     log::warn!("event=registry_lost view_age={age} cause=\"{error}\"");
@@ -215,7 +310,7 @@
         }
         let started_at = self.state.clock.now();
         if let Some(position) = self.position.get() {
-            let read = source.watch(position, self.interval()).await?;
+            let read = source.watch(position, self.watch_time()).await?;
             self.end_registry_outage();
             let reached = read.position;
             self.position.set(Some(reached));
@@ -233,7 +328,8 @@
         self.pending_config_read.set(Some(pending));
         self.updater.apply(read);
         let is_first = self.state.config().is_none() && self.failures.get() == 0;
-        if is_first && self.parent().is_some() {
+        let neighbors = self.neighbors();
+        if is_first && !neighbors.is_reader && !neighbors.parents.is_empty() {
             return Ok(());
         }
         self.read_config(source.as_ref(), pending).await
@@ -273,7 +369,7 @@
             age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
             wait: match self.pending_config_read.get() {
                 Some(_) => INITIAL_CONFIG_WAIT,
-                None => self.remaining_freshness(),
+                None => self.remaining_wait(),
             },
         };
         let previous_read_at = self.state.read_at();
@@ -293,6 +389,7 @@
             }
             Err(error) => {
                 metrics.record_view_query("failed");
+                self.state.fresh_peers.borrow_mut().remove(address);
                 log::info!("event=view_source_lost node={address} cause=\"{error}\"");
                 Err(())
             }
@@ -305,6 +402,9 @@
             return;
         };
         let now = self.state.clock.now();
+        let mut fresh_peers = self.state.fresh_peers.borrow_mut();
+        fresh_peers.record(address, now - age);
+        drop(fresh_peers);
         let updated = reply
             .config
             .as_ref()
@@ -352,12 +452,30 @@
     async fn back_off(&self) {
         let failures = self.failures.get();
         self.failures.set(failures.saturating_add(1));
-        let mean_delay = ClockTime(INITIAL_BACKOFF.0 << failures.min(6)).min(MAX_BACKOFF);
+        let mean_delay = ClockTime(INITIAL_BACKOFF.0 << failures.min(6)).min(self.interval());
         let jitter = rand::random_range(0.5..1.5);
         let delay = ClockTime((mean_delay.as_f64() * jitter) as u64);
         time::sleep(delay.to_duration()).await;
     }
 
+    /// Returns how long a read may wait for changes, so that it ends before further sources are
+    /// asked.
+    fn watch_time(&self) -> ClockTime {
+        let interval = self.interval();
+        let age = self.state.age().unwrap_or_default();
+        (interval + ClockTime(interval.0 / 4) - age)
+            .min(interval)
+            .max(ClockTime(interval.0 / 4))
+    }
+
+    /// Returns how long another node may wait for a fresher view than this node's.
+    fn remaining_wait(&self) -> ClockTime {
+        let interval = self.interval();
+        let max_age = ClockTime((interval.as_f64() * MAX_WAIT_INTERVALS) as u64);
+        let age = self.state.age().unwrap_or_default();
+        (max_age - age).max(ClockTime(interval.0 / 2))
+    }
+
     /// Returns the refresh interval.
     fn interval(&self) -> ClockTime {
         let bounds = self.state.bounds();
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -9,7 +9,7 @@
 use crate::error::Result;
 use crate::mesh::{ConfigHistory, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
-use crate::sidecar::{MeshBounds, SidecarSettings};
+use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings};
 
 /// The state of the node and its view of the mesh, owned by a single event loop.
 pub(crate) struct NodeState {
@@ -25,6 +25,8 @@
     /// Time up to which the view is known to match the registry.
     read_at: Cell<ClockTime>,
     refresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Nodes whose views were the freshest.
+    pub(crate) fresh_peers: RefCell<FreshPeers>,
     bounds: RefCell<Rc<MeshBounds>>,
     registry: Cell<SocketAddr>,
 }
@@ -46,6 +48,7 @@
             shutting_down: Cell::new(false),
             read_at: Cell::new(ClockTime(0)),
             refresh_waiters: RefCell::default(),
+            fresh_peers: RefCell::default(),
             bounds: RefCell::new(Rc::new(settings.bounds.clone())),
             registry: Cell::new(settings.registry),
         })
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -161,6 +161,9 @@
             pending_config_read: Cell::new(None),
             failures: Cell::new(0),
             registry_unreachable: Cell::new(false),
+            reader: RefCell::default(),
+            last_parent: Cell::new(None),
+            trees: RefCell::default(),
         };
         background_tasks.push(monoio::spawn(mesh_sync.run(background_stopped.clone())));
         let reload = ReloadTask {
--- a/src/sidecar/sidecar_settings.rs
+++ b/src/sidecar/sidecar_settings.rs
@@ -4,7 +4,7 @@
 use crate::clock::ClockTime;
 use crate::id::{RegionName, ServiceName, ZoneName};
 use crate::sidecar::{HeaderNames, MeshBounds};
-use crate::size::ByteSize;
+use crate::size::{ByteSize, CallRate};
 
 /// The settings of a sidecar node.
 #[derive(Debug, Clone)]
@@ -21,6 +21,8 @@
     pub endpoint: SocketAddr,
     /// Address of the registry.
     pub registry: SocketAddr,
+    /// Reads per second that the registry allows to all nodes together.
+    pub registry_rate: CallRate,
     /// Time that the largest value of the registry takes to arrive over the link of the instance.
     pub registry_transfer_time: ClockTime,
     /// Nodes that can provide a view of the mesh before this node has read the registry.
--- a/src/sidecar/view_tree.rs
+++ b/src/sidecar/view_tree.rs
@@ -1,24 +1,29 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
+use smallvec::SmallVec;
+
 use crate::id::{RegionName, ZoneName};
 use crate::mesh::ServiceDirectory;
 
 /// Number of children per node. With 8 children, five levels hold 5,500 nodes.
 const FANOUT: usize = 8;
 
-/// The distribution tree of a region, which limits the number of nodes that read the registry.
+/// The two distribution trees of a region, which limit the number of nodes that read the registry.
 ///
-/// The nodes of a region form a tree in the order of the hashes of their addresses. The root reads
-/// the registry; every other node requests the view of its parent. Nodes that see the same
-/// endpoints compute the same tree without coordination.
+/// The nodes of a region are ordered by the hashes of their addresses. They fill one tree from the
+/// first node on and another one from the last node on. The first root reads the registry; every
+/// other node requests the view of a parent, and that of its parent in the other tree if the first
+/// one is late. The second root then reads the registry. A node with children in one tree has none in
+/// the other, so no node depends on a single other one. Nodes that see the same endpoints compute the
+/// same trees without coordination.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ViewTree {
     nodes: Vec<IpAddr>,
 }
 
 impl ViewTree {
-    /// Builds the tree of a region from the endpoints in the directory.
+    /// Builds the trees of a region from the endpoints in the directory.
     #[must_use]
     pub fn new<RegionOf>(
         directory: &ServiceDirectory,
@@ -42,23 +47,45 @@
         }
     }
 
-    /// Returns the parent of a node, or `None` for the root and in an empty tree.
+    /// Returns the roots of the trees: the node that reads the registry and its standby.
+    #[must_use]
+    pub fn readers(&self) -> SmallVec<[IpAddr; 2]> {
+        let mut readers: SmallVec<[IpAddr; 2]> = SmallVec::new();
+        readers.extend(self.nodes.first().copied());
+        readers.extend(self.nodes.last().copied().filter(|_| self.nodes.len() > 1));
+        readers
+    }
+
+    /// Returns the parents of a node, without duplicates.
     ///
-    /// A node that is not in the tree gets the last node as its parent.
+    /// A root has one parent, in the other tree. A node that is not in the trees has no children,
+    /// so it may request the views of the roots.
     #[must_use]
-    pub fn parent(&self, node: IpAddr) -> Option<IpAddr> {
-        let place = self.nodes.iter().position(|other| *other == node);
-        match place {
-            Some(0) => None,
-            Some(place) => self.nodes.get((place - 1) / FANOUT).copied(),
-            // A node without a listed endpoint is in no other node's tree, so it has no children.
-            None => self.nodes.last().copied(),
+    pub fn parents(&self, node: IpAddr) -> SmallVec<[IpAddr; 2]> {
+        let Some(place) = self.nodes.iter().position(|other| *other == node) else {
+            return self.readers();
+        };
+        let last = self.nodes.len() - 1;
+        let forward = parent_place(place);
+        let backward = parent_place(last - place).map(|parent| last - parent);
+        let mut parents: SmallVec<[IpAddr; 2]> = SmallVec::new();
+        for place in [forward, backward].into_iter().flatten() {
+            let parent = self.nodes[place];
+            if parent != node && !parents.contains(&parent) {
+                parents.push(parent);
+            }
         }
+        parents
     }
 
-    /// Returns the nodes of the tree, starting with the root.
+    /// Returns the nodes in the order of the first tree, starting with its root.
     #[must_use]
     pub fn nodes(&self) -> &[IpAddr] {
         &self.nodes
     }
 }
+
+/// Returns the place of the parent in the order of a tree, or `None` for the root.
+fn parent_place(place: usize) -> Option<usize> {
+    place.checked_sub(1).map(|place| place / FANOUT)
+}
--- a/tests/mesh_rules.rs
+++ b/tests/mesh_rules.rs
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn each_region_has_one_root_and_few_levels() {
+fn each_region_has_two_trees_of_few_levels_that_share_no_inner_node() {
     let mut directory = ServiceDirectory::new();
     for index in 0..200 {
         let id = format!("i-{index}");
@@ -220,28 +220,39 @@
     let region: RegionName = name("coast");
     let regions = |_: &ZoneName| Some(name::<RegionName>("coast"));
     let tree = ViewTree::new(&directory, regions, &region);
+    let readers = tree.readers();
+    assert_eq!(readers.len(), 2);
     let mut children: HashMap<IpAddr, usize> = HashMap::new();
-    let mut roots = 0;
     for node in tree.nodes() {
-        let mut level = 0;
-        let mut ancestor = tree.parent(*node);
-        match ancestor {
-            Some(parent) => *children.entry(parent).or_default() += 1,
-            None => roots += 1,
+        let parents = tree.parents(*node);
+        let expected = if readers.contains(node) { 1 } else { 2 };
+        assert_eq!(parents.len(), expected, "parents of {node}");
+        for parent in &parents {
+            *children.entry(*parent).or_default() += 1;
         }
-        while let Some(parent) = ancestor {
-            level += 1;
-            assert!(
-                level <= 3,
-                "200 nodes fill at most three levels below the root"
-            );
-            ancestor = tree.parent(parent);
+        // The way up in the first tree, and in the second one.
+        for (side, root) in readers.iter().enumerate() {
+            let mut ancestor = *node;
+            let mut level = 0;
+            while ancestor != *root {
+                level += 1;
+                assert!(
+                    level <= 3,
+                    "200 nodes fill at most three levels below a root"
+                );
+                let parents = tree.parents(ancestor);
+                ancestor = parents[side.min(parents.len() - 1)];
+            }
         }
     }
-    assert_eq!(roots, 1);
-    assert!(children.values().all(|count| *count <= 8));
+    // Besides its children, a root has the other root below it in the other tree.
+    assert!(children.values().all(|count| *count <= 9), "{children:?}");
+    assert!(
+        children.len() <= 2 * 25,
+        "200 nodes have 25 inner nodes a tree"
+    );
     let unlisted = IpAddr::V4(Ipv4Addr::new(10, 9, 9, 9));
-    assert!(tree.parent(unlisted).is_some());
+    assert_eq!(tree.parents(unlisted), readers);
     let empty: smallvec::SmallVec<[IpAddr; 1]> = smallvec![];
     assert_eq!(
         ViewTree::new(&ServiceDirectory::new(), regions, &region).nodes(),
