--- a/src/caller/body_decoder.rs
+++ b/src/caller/body_decoder.rs
@@ -27,6 +27,14 @@
         }
     }
 
+    /// Returns the number of body bytes that the decoder holds.
+    pub(crate) fn held_len(&self) -> usize {
+        match self {
+            Self::Fixed(_) => 0,
+            Self::Chunked(decoder) => decoder.decoded_len(),
+        }
+    }
+
     /// Consumes received bytes and returns the body once it is complete.
     ///
     /// # Errors
--- a/src/caller/chunk_decoder.rs
+++ b/src/caller/chunk_decoder.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns the number of body bytes that have been decoded.
+    pub(crate) fn decoded_len(&self) -> usize {
+        self.body.len()
+    }
+
     /// Consumes received bytes and returns the body when the last chunk is complete.
     ///
     /// # Errors
--- a/src/caller/wire_stream.rs
+++ b/src/caller/wire_stream.rs
@@ -162,12 +162,32 @@
         length: BodyLength,
         limit: usize,
     ) -> Result<Bytes, WireError> {
+        self.read_body_while(length, limit, |_| true).await
+    }
+
+    /// Receives a complete body as long as `admits` accepts the number of bytes held for it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`WireStream::read_body`]; also `TooLarge` if the bytes are not accepted.
+    pub(crate) async fn read_body_while<Admits>(
+        &mut self,
+        length: BodyLength,
+        limit: usize,
+        mut admits: Admits,
+    ) -> Result<Bytes, WireError>
+    where
+        Admits: FnMut(usize) -> bool,
+    {
         let mut decoder = BodyDecoder::new(length, limit)?;
         loop {
             if let Some(body) = self.take_body(&mut decoder)? {
                 return Ok(body);
             }
             self.fill_body().await?;
+            if !admits(self.buffer.len() + decoder.held_len()) {
+                return Err(WireError::TooLarge);
+            }
         }
     }
 
@@ -231,14 +251,22 @@
         Ok(true)
     }
 
-    /// Receives a body that extends to the end of the connection.
+    /// Receives a body that extends to the end of the connection, as long as `admits` accepts the
+    /// number of bytes held for it.
     ///
     /// # Errors
     ///
     /// `TooLarge`, or `Lost` if the connection was reset.
-    pub(crate) async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, WireError> {
+    pub(crate) async fn read_to_end<Admits>(
+        &mut self,
+        limit: usize,
+        mut admits: Admits,
+    ) -> Result<Bytes, WireError>
+    where
+        Admits: FnMut(usize) -> bool,
+    {
         loop {
-            if self.buffer.len() > limit {
+            if self.buffer.len() > limit || !admits(self.buffer.len()) {
                 return Err(WireError::TooLarge);
             }
             match self.fill_up_to(BODY_READ_BYTES).await {
--- a/src/sidecar/body_budget.rs
+++ b/src/sidecar/body_budget.rs
@@ -3,7 +3,7 @@
 
 use crate::size::ByteSize;
 
-/// Limit on the total size of the request bodies that a node holds.
+/// Limit on the total size of the bodies that a node holds.
 #[derive(Debug)]
 pub(crate) struct BodyBudget {
     limit: u64,
@@ -43,6 +43,20 @@
     }
 }
 
+impl BodyReservation {
+    /// Extends the reservation to `size` bytes; returns false if they are not available.
+    pub(crate) fn grow_to(&mut self, size: u64) -> bool {
+        let added = size.saturating_sub(self.size);
+        if added > self.budget.available() {
+            return false;
+        }
+        let reserved = &self.budget.reserved;
+        reserved.set(reserved.get() + added);
+        self.size += added;
+        true
+    }
+}
+
 impl Drop for BodyReservation {
     fn drop(&mut self) {
         let reserved = &self.budget.reserved;
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -13,6 +13,7 @@
 use crate::error::ResultCode;
 use crate::id::EndpointId;
 use crate::sidecar::HeaderNames;
+use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::forward_message::{ForwardOutcome, ForwardRequestHeader, HeaderFields};
 
 /// Timeout for connecting to the endpoint on the same machine, where a handshake takes about a
@@ -43,6 +44,8 @@
     clock: SystemClock,
     names: Rc<HeaderNames>,
     max_response_bytes: usize,
+    /// Limit on the responses that arrive at the same time.
+    responses: Rc<BodyBudget>,
     idle: RefCell<VecDeque<IdleConnection>>,
     /// Endpoint that responded to a request addressed to another one.
     responding_endpoint: RefCell<Option<String>>,
@@ -63,12 +66,14 @@
         clock: SystemClock,
         names: Rc<HeaderNames>,
         max_response_bytes: usize,
+        responses: Rc<BodyBudget>,
     ) -> Self {
         Self {
             address,
             clock,
             names,
             max_response_bytes,
+            responses,
             idle: RefCell::default(),
             responding_endpoint: RefCell::default(),
         }
@@ -272,14 +277,20 @@
         let bodiless = header.method == "HEAD"
             || parts.status == StatusCode::NO_CONTENT
             || parts.status == StatusCode::NOT_MODIFIED;
+        let limit = self.max_response_bytes;
+        let mut reservation = self.responses.try_reserve(0);
+        let admits = |size: usize| {
+            let reservation = reservation.as_mut();
+            reservation.is_some_and(|reservation| reservation.grow_to(size as u64))
+        };
         match caller::body_length(parts.version, &parts.headers)? {
             _ if bodiless => Ok((Bytes::new(), true)),
             BodyLength::Absent => {
-                let body = stream.read_to_end(self.max_response_bytes).await?;
+                let body = stream.read_to_end(limit, admits).await?;
                 Ok((body, false))
             }
             length => {
-                let body = stream.read_body(length, self.max_response_bytes).await?;
+                let body = stream.read_body_while(length, limit, admits).await?;
                 Ok((body, true))
             }
         }
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -42,7 +42,7 @@
 /// Divisor of the memory that gives the size limit of one response.
 const RESPONSE_MEMORY_DIVISOR: u64 = 8;
 /// Divisor of the memory that gives the limit for all request bodies of clients. The same amount is
-/// reserved for bodies forwarded by other nodes.
+/// reserved for bodies forwarded by other nodes, and for the responses that the endpoint is sending.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Divisor of the memory that gives the limit for responses that wait for an earlier response of
 /// their connection.
@@ -250,7 +250,13 @@
         process,
         state: Rc::clone(state),
         slots: SlotSemaphore::new(clock, INITIAL_CAPACITY),
-        client: EndpointClient::new(settings.endpoint, clock, names, response_limit),
+        client: EndpointClient::new(
+            settings.endpoint,
+            clock,
+            names,
+            response_limit,
+            BodyBudget::new(ByteSize(memory_share(settings, BODY_MEMORY_DIVISOR) as u64)),
+        ),
         calls: CallTable::default(),
         tasks: Rc::clone(tasks),
         retry_share: Cell::new(0.0),
--- a/testkit/src/wire/blocking_server.rs
+++ b/testkit/src/wire/blocking_server.rs
@@ -76,6 +76,13 @@
                 wire::reset(stream);
                 return Ok(());
             }
+            HandlerReply::Endless(first, repeated) => {
+                writer.write_all(&first)?;
+                // Ends with an error once the client has closed the connection.
+                loop {
+                    writer.write_all(&repeated)?;
+                }
+            }
         };
         writer.write_all(&bytes)?;
         handler.on_bytes_sent(bytes.len());
--- a/testkit/src/wire/handler_reply.rs
+++ b/testkit/src/wire/handler_reply.rs
@@ -11,4 +11,6 @@
     NoResponse,
     /// Resets the connection.
     ResetConnection,
+    /// Sends the first bytes, then repeats the second ones until the client closes the connection.
+    Endless(Vec<u8>, Vec<u8>),
 }
