--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -11,15 +11,14 @@
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::mesh::{ClientLimits, MeshConfig};
-use crate::sidecar::ahead_budget::AheadPermit;
-use crate::sidecar::body_budget::BodyReservation;
 use crate::sidecar::client_response::ClientResponse;
 use crate::sidecar::client_server::ClientContext;
 use crate::sidecar::outbound_request::OutboundRequest;
+use crate::sidecar::pending_request::{FinishedRequest, PendingRequest, PendingResponse};
 use crate::sidecar::request_receiver::{
     ReceiveLimits, ReceiveProgress, ReceivedRequest, RequestReceiver,
 };
-use crate::sidecar::{PipelineLimits, PipelineTicket, PipelinedRequest, RequestPipeline};
+use crate::sidecar::{PipelineLimits, PipelinedRequest, RequestPipeline};
 use crate::size::ByteSize;
 
 /// Client limits while no configuration is installed.
@@ -57,28 +56,6 @@
     running: FuturesUnordered<LocalBoxFuture<'static, FinishedRequest>>,
 }
 
-/// A request that has been received completely.
-struct PendingRequest {
-    request: OutboundRequest,
-    is_head: bool,
-    /// Memory of the body, which is free again when the request has ended.
-    reservation: BodyReservation,
-}
-
-/// A response that has not been sent.
-struct PendingResponse {
-    response: ClientResponse,
-    is_head: bool,
-    /// Present if the request was started before its turn.
-    permit: Option<AheadPermit>,
-}
-
-/// The result of a request that was started.
-struct FinishedRequest {
-    ticket: PipelineTicket,
-    response: PendingResponse,
-}
-
 /// Reason why a session wakes up.
 enum SessionEvent {
     Received,
@@ -251,12 +228,8 @@
                 self.context.state.metrics.record_request_ahead();
             }
             let permit = permit.filter(|_| started.is_ahead);
-            let running = run_request(
-                Rc::clone(&self.context),
-                started.ticket,
-                started.request,
-                permit,
-            );
+            let dispatcher = Rc::clone(&self.context.dispatcher);
+            let running = started.request.run(dispatcher, started.ticket, permit);
             self.running.push(running.boxed_local());
         }
     }
@@ -399,42 +372,6 @@
     }
 }
 
-/// Guard that logs a request whose connection ended before its response.
-struct CancelLog<'a>(Option<&'a str>);
-
-impl Drop for CancelLog<'_> {
-    fn drop(&mut self) {
-        if let Some(id) = self.0 {
-            log::info!("event=client_left request={id}");
-        }
-    }
-}
-
-async fn run_request(
-    context: Rc<ClientContext>,
-    ticket: PipelineTicket,
-    pending: PendingRequest,
-    permit: Option<AheadPermit>,
-) -> FinishedRequest {
-    let PendingRequest {
-        request,
-        is_head,
-        reservation,
-    } = pending;
-    let mut log = CancelLog(Some(&request.id));
-    let response = context.dispatcher.dispatch(&request).await;
-    log.0 = None;
-    drop(reservation);
-    FinishedRequest {
-        ticket,
-        response: PendingResponse {
-            response,
-            is_head,
-            permit,
-        },
-    }
-}
-
 fn record_finished(
     pipeline: &mut RequestPipeline<PendingRequest, PendingResponse>,
     context: &ClientContext,
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -12,9 +12,7 @@
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
-use crate::error::{Result, ResultCode};
-use crate::mesh::RegistrySource;
-use crate::sidecar::mesh_updater::{self, MeshUpdater};
+use crate::sidecar::mesh_updater::MeshUpdater;
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::refresh_plan::{self, PlannedSource, RefreshPlan, RefreshState, ViewSource};
 use crate::sidecar::view_client::ViewClient;
@@ -67,8 +65,8 @@
 /// would miss a configuration published before that position.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PendingConfigRead {
-    started_at: ClockTime,
-    position: u64,
+    pub(crate) started_at: ClockTime,
+    pub(crate) position: u64,
 }
 
 impl MeshSyncTask {
@@ -238,7 +236,7 @@
         self.reader.borrow().reads_registry(now, is_reader)
     }
 
-    fn neighbors(&self) -> ViewNeighbors {
+    pub(crate) fn neighbors(&self) -> ViewNeighbors {
         let mut trees = self.trees.borrow_mut();
         let neighbors = trees.neighbors(
             &self.state.directory.borrow(),
@@ -261,107 +259,6 @@
         reader.into_iter().chain(nodes).collect()
     }
 
-    async fn read_registry(&self) -> std::result::Result<(), ()> {
-        let metrics = &self.state.metrics;
-        match self.try_read_registry().await {
-            Ok(()) => {
-                metrics.record_registry_read("ok");
-                self.reader.borrow_mut().record_success();
-                Ok(())
-            }
-            Err(error) if error.code() == ResultCode::HistoryGone => {
-                metrics.record_registry_read("history_gone");
-                log::info!(
-                    "event=registry_history_gone position={:?}",
-                    self.position.get()
-                );
-                self.position.set(None);
-                // A full read needs no history, so this recursion ends after one step.
-                Box::pin(self.read_registry()).await
-            }
-            Err(error) => {
-                metrics.record_registry_read("failed");
-                // After an outage, the changes may no longer fit into one response, so the next
-                // read is a full one.
-                self.position.set(None);
-                self.pending_config_read.set(None);
-                let now = self.state.clock.now();
-                self.reader
-                    .borrow_mut()
-                    .record_failure(now, self.interval());
-                if !self.registry_unreachable.replace(true) {
-                    let age = self.state.age().unwrap_or_default();
-                    log::warn!("event=registry_lost view_age={age} cause=\"{error}\"");
-                }
-                Err(())
-            }
-        }
-    }
-
-    /// Reads the changes since the last position, or all endpoints and then the configuration.
-    ///
-    /// A node without a configuration requests it from its parent first and reads it from the
-    /// registry only if the parent fails.
-    async fn try_read_registry(&self) -> Result<()> {
-        let transfer = self.settings.registry_transfer_time;
-        let source = self.adapter.registry(self.state.registry(), transfer);
-        if let Some(pending) = self.pending_config_read.get() {
-            return self.read_config(source.as_ref(), pending).await;
-        }
-        let started_at = self.state.clock.now();
-        if let Some(position) = self.position.get() {
-            let read = source.watch(position, self.watch_time()).await?;
-            self.end_registry_outage();
-            let reached = read.position;
-            self.position.set(Some(reached));
-            self.updater.apply(read);
-            self.updater.advance(reached);
-            self.state.mark_fresh(self.state.clock.now());
-            return Ok(());
-        }
-        let read = source.endpoints().await?;
-        self.end_registry_outage();
-        let pending = PendingConfigRead {
-            started_at,
-            position: read.position,
-        };
-        self.pending_config_read.set(Some(pending));
-        self.updater.apply(read);
-        let is_first = self.state.config().is_none() && self.failures.get() == 0;
-        let neighbors = self.neighbors();
-        if is_first && !neighbors.is_reader && !neighbors.parents.is_empty() {
-            return Ok(());
-        }
-        self.read_config(source.as_ref(), pending).await
-    }
-
-    /// Ends a registry outage and starts the window in which endpoints may register again.
-    ///
-    /// Must be called before the first response after the outage is applied, which may lack entries
-    /// that expired in the meantime.
-    fn end_registry_outage(&self) {
-        if self.registry_unreachable.replace(false) {
-            log::info!("event=registry_back failures={}", self.failures.get());
-            let until = self.state.clock.now() + mesh_updater::REREGISTRATION_WINDOW;
-            self.state.directory.borrow_mut().keep_missing_until(until);
-        }
-    }
-
-    async fn read_config(
-        &self,
-        source: &dyn RegistrySource,
-        pending: PendingConfigRead,
-    ) -> Result<()> {
-        if let Some(config) = source.config().await? {
-            self.updater.install(&config);
-        }
-        self.updater.advance(pending.position);
-        self.position.set(Some(pending.position));
-        self.pending_config_read.set(None);
-        self.state.mark_fresh(pending.started_at);
-        Ok(())
-    }
-
     async fn query_node(&self, address: IpAddr) -> std::result::Result<(), ()> {
         let request = ViewRequest {
             cursor: self.cursors.borrow().get(&address).copied(),
@@ -460,7 +357,7 @@
 
     /// Returns how long a read may wait for changes, so that it ends before further sources are
     /// asked.
-    fn watch_time(&self) -> ClockTime {
+    pub(crate) fn watch_time(&self) -> ClockTime {
         let interval = self.interval();
         let age = self.state.age().unwrap_or_default();
         (interval + ClockTime(interval.0 / 4) - age)
@@ -477,7 +374,7 @@
     }
 
     /// Returns the refresh interval.
-    fn interval(&self) -> ClockTime {
+    pub(crate) fn interval(&self) -> ClockTime {
         let bounds = self.state.bounds();
         let bound = bounds.config_apply.min(bounds.drain);
         ClockTime(bound.0 / INTERVALS_PER_BOUND)
--- /dev/null
+++ b/src/sidecar/pending_request.rs
@@ -0,0 +1,69 @@
+use std::rc::Rc;
+
+use crate::sidecar::PipelineTicket;
+use crate::sidecar::ahead_budget::AheadPermit;
+use crate::sidecar::body_budget::BodyReservation;
+use crate::sidecar::client_response::ClientResponse;
+use crate::sidecar::dispatcher::Dispatcher;
+use crate::sidecar::outbound_request::OutboundRequest;
+
+/// A request that has been received completely.
+pub(crate) struct PendingRequest {
+    pub(crate) request: OutboundRequest,
+    pub(crate) is_head: bool,
+    /// Memory of the body, which is free again when the request has ended.
+    pub(crate) reservation: BodyReservation,
+}
+
+/// A response that has not been sent.
+pub(crate) struct PendingResponse {
+    pub(crate) response: ClientResponse,
+    pub(crate) is_head: bool,
+    /// Present if the request was started before its turn.
+    pub(crate) permit: Option<AheadPermit>,
+}
+
+/// The result of a request that was started.
+pub(crate) struct FinishedRequest {
+    pub(crate) ticket: PipelineTicket,
+    pub(crate) response: PendingResponse,
+}
+
+/// Guard that logs a request whose connection ended before its response.
+struct CancelLog<'a>(Option<&'a str>);
+
+impl Drop for CancelLog<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.0 {
+            log::info!("event=client_left request={id}");
+        }
+    }
+}
+
+impl PendingRequest {
+    /// Runs the request. Dropping the future cancels it.
+    pub(crate) async fn run(
+        self,
+        dispatcher: Rc<Dispatcher>,
+        ticket: PipelineTicket,
+        permit: Option<AheadPermit>,
+    ) -> FinishedRequest {
+        let Self {
+            request,
+            is_head,
+            reservation,
+        } = self;
+        let mut log = CancelLog(Some(&request.id));
+        let response = dispatcher.dispatch(&request).await;
+        log.0 = None;
+        drop(reservation);
+        FinishedRequest {
+            ticket,
+            response: PendingResponse {
+                response,
+                is_head,
+                permit,
+            },
+        }
+    }
+}
--- a/testkit/src/wire/blocking_server.rs
+++ b/testkit/src/wire/blocking_server.rs
@@ -61,6 +61,7 @@
     while let Some(request) = HttpRequest::read(&mut reader)? {
         let (bytes, close) = match handler.handle(&request) {
             HandlerReply::Respond(response) => (response.encode(), false),
+            HandlerReply::Raw(bytes) => (bytes, false),
             HandlerReply::RespondTruncated(response, length) => {
                 let mut bytes = response.encode();
                 let kept = bytes.len() - response.body.len() + length.min(response.body.len());
--- a/testkit/src/wire/handler_reply.rs
+++ b/testkit/src/wire/handler_reply.rs
@@ -11,6 +11,8 @@
     NoResponse,
     /// Resets the connection.
     ResetConnection,
+    /// Sends the bytes and keeps the connection open.
+    Raw(Vec<u8>),
     /// Sends the first bytes, then repeats the second ones until the client closes the connection.
     Endless(Vec<u8>, Vec<u8>),
 }
