Ask only near nodes for a fresher view when the usual sources are late

Cause: with the plan of a node whose view was late asked a root of any region, three random nodes and up to eight nodes known to be fresher. A reply may hold the whole view and configuration.

Change: one random node of the own region, the freshest known node at three times, a new plan after 2.5 intervals in place of 1.5, which could cut a reply in transit. Nodes of other regions are asked only by a node without a view. The trees of other regions are no longer computed.

--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -29,7 +29,7 @@
 /// interval.
 const INITIAL_BACKOFF: ClockTime = ClockTime(50);
 /// Number of random nodes that are asked when the usual sources fail.
-const RANDOM_NODE_COUNT: usize = 3;
+const RANDOM_NODE_COUNT: usize = 1;
 /// Time for the first read of the registry, in addition to the transfer of its largest value.
 const INITIAL_READ_TIMEOUT: ClockTime = ClockTime(3_000);
 /// Time that a node has to obtain its first configuration, which it may have to read from the
@@ -209,7 +209,7 @@
 
     fn plan(&self) -> RefreshPlan {
         let mut neighbors = self.neighbors();
-        let others = self.other_nodes(&neighbors);
+        let others = self.other_nodes();
         // Before a parent has responded, the random order spreads the nodes over both trees.
         let last_parent = self.last_parent.get();
         neighbors.parents.shuffle(&mut rand::rng());
@@ -247,16 +247,21 @@
         neighbors.clone()
     }
 
-    /// Returns nodes to ask in addition to the parents: a reader of any region and random nodes.
-    fn other_nodes(&self, neighbors: &ViewNeighbors) -> SmallVec<[IpAddr; 4]> {
+    /// Returns random nodes to ask in addition to the parents. A node without a view may ask the
+    /// nodes of all regions, others those of their own.
+    fn other_nodes(&self) -> SmallVec<[IpAddr; 2]> {
         let local_ip = self.settings.endpoint.ip();
         let directory = self.state.directory.borrow();
-        let known = directory.records().map(|record| record.address.ip());
+        let regions = &self.settings.regions;
+        let region = regions.get(&self.settings.zone);
+        // A reply may hold the whole view and configuration, and links between regions are narrow.
+        let near = |zone| self.state.age().is_none() || regions.get(zone) == region;
+        let known = directory.records().filter(|record| near(&record.zone));
+        let known = known.map(|record| record.address.ip());
         let seeds = self.settings.seeds.iter().copied();
         let nodes = known.chain(seeds).filter(|address| *address != local_ip);
         let nodes = nodes.choose_multiple(&mut rand::rng(), RANDOM_NODE_COUNT);
-        let reader = neighbors.readers.iter().copied().choose(&mut rand::rng());
-        reader.into_iter().chain(nodes).collect()
+        nodes.into_iter().collect()
     }
 
     async fn query_node(&self, address: IpAddr) -> std::result::Result<(), ()> {
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -12,8 +12,8 @@
 const BACKUP_AGE_INTERVALS: f64 = 1.75;
 /// Number of times at which the freshest known node is asked, and the delay between them in refresh
 /// intervals.
-const FRESHEST_QUERY_COUNT: u32 = 8;
-const FRESHEST_QUERY_INTERVALS: f64 = 0.2;
+const FRESHEST_QUERY_COUNT: u32 = 3;
+const FRESHEST_QUERY_INTERVALS: f64 = 0.5;
 /// Delay, in refresh intervals, between asking further nodes and reading the registry.
 const REGISTRY_DELAY_INTERVALS: f64 = 0.35;
 /// Fraction of the registry's rate that nodes may use for reads of their own at the same time.
@@ -22,7 +22,7 @@
 /// Delay, in refresh intervals, between the first and the following further nodes.
 const OTHER_NODE_INTERVALS: f64 = 0.25;
 /// Time, in refresh intervals, from asking the first further node to the next plan.
-const LIMIT_INTERVALS: f64 = 1.5;
+const LIMIT_INTERVALS: f64 = 2.5;
 
 /// A source of a fresher view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/sidecar/view_trees.rs
+++ b/src/sidecar/view_trees.rs
@@ -7,7 +7,7 @@
 use crate::mesh::ServiceDirectory;
 use crate::sidecar::ViewTree;
 
-/// Nodes that a node may ask for a fresher view, from the trees of all regions.
+/// The place of a node in the trees of its region.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ViewNeighbors {
     /// Whether the node reads the registry.
@@ -15,8 +15,6 @@
     /// Whether the node reads the registry if its parent's view is late.
     pub(crate) is_standby: bool,
     pub(crate) parents: SmallVec<[IpAddr; 2]>,
-    /// The other roots, in all regions.
-    pub(crate) readers: SmallVec<[IpAddr; 4]>,
     /// Number of nodes in the region.
     pub(crate) region_size: usize,
 }
@@ -52,22 +50,15 @@
     zone: &ZoneName,
     node: IpAddr,
 ) -> ViewNeighbors {
-    let mut names: Vec<&RegionName> = regions.values().collect();
-    names.sort();
-    names.dedup();
-    let own_region = regions.get(zone);
     let mut neighbors = ViewNeighbors::default();
-    for name in names {
-        let tree = ViewTree::new(directory, |zone| regions.get(zone).cloned(), name);
-        let readers = tree.readers();
-        if Some(name) == own_region {
-            neighbors.is_reader = readers.first() == Some(&node);
-            neighbors.is_standby = readers.get(1) == Some(&node);
-            neighbors.parents = tree.parents(node);
-            neighbors.region_size = tree.nodes().len();
-        }
-        let others = readers.into_iter().filter(|reader| *reader != node);
-        neighbors.readers.extend(others);
-    }
+    let Some(region) = regions.get(zone) else {
+        return neighbors;
+    };
+    let tree = ViewTree::new(directory, |zone| regions.get(zone).cloned(), region);
+    let readers = tree.readers();
+    neighbors.is_reader = readers.first() == Some(&node);
+    neighbors.is_standby = readers.get(1) == Some(&node);
+    neighbors.parents = tree.parents(node);
+    neighbors.region_size = tree.nodes().len();
     neighbors
 }
