Let the reader ask its parent when the registry is late

The plan of a reader names the registry, one random node and nodes known to be fresh, of which there are none without traffic: with a silent registry and an unlucky random node it was planned anew only after the bound. Its parent in the other tree, which the standby refreshes at 1.25 intervals, was not asked. That is read from the plan; the failure was not replayed with a log of node 0.

Change: a reader asks its parent at an age of 1.25 intervals.

--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -115,10 +115,13 @@
 
 fn plan_update(state: &RefreshState<'_>, age: ClockTime) -> RefreshPlan {
     let mut plan = RefreshPlan::new();
+    let second = state.intervals(SECOND_PARENT_AGE_INTERVALS) - age;
     if state.reads_registry && !state.lacks_config {
         add(&mut plan, ViewSource::Registry, ClockTime(0));
+        for parent in state.parents {
+            add(&mut plan, ViewSource::Node(*parent), second);
+        }
     } else {
-        let second = state.intervals(SECOND_PARENT_AGE_INTERVALS) - age;
         for (index, parent) in state.parents.iter().enumerate() {
             let is_first = index == 0 || state.lacks_config;
             let delay = if is_first { ClockTime(0) } else { second };
