Keep the ages of relayed views honest and their deltas complete

A node took the read time of a received view as "now less its age", which is late by the latency of the reply, so each step made the view seem fresher. With two parents and random nodes the steps form circles: nodes refreshed each other's old view and never turned to the registry. A started node could not represent a time before its start either and called any old view as young as itself.

Requests carry the sender's address and position: the one that is asked learns who has a fresher view, and sends only what changed since that position. Directories know since when their change log is complete. Four random nodes of the region are asked, the freshest known one every quarter of an interval up to the end of the plan, and two nodes of all regions by the readers and about two further nodes of a region. A starting node reads one page of the list of endpoints and asks two nodes on it for the rest.

One row of the plan table went with the field `others`; random nodes are chosen when they are asked.

--- a/src/clock/system_clock.rs
+++ b/src/clock/system_clock.rs
@@ -10,31 +10,39 @@
 #[derive(Debug, Clone, Copy)]
 pub struct SystemClock {
     start: Duration,
+    offset: Duration,
 }
 
 impl SystemClock {
     /// Creates a clock that counts from now.
     #[must_use]
     pub fn new() -> Self {
+        Self::starting_at(ClockTime(0))
+    }
+
+    /// Creates a clock that shows `offset` now, so that it can represent times before its creation.
+    #[must_use]
+    pub fn starting_at(offset: ClockTime) -> Self {
         Self {
             start: time_since_boot(),
+            offset: offset.to_duration(),
         }
     }
 
-    /// Returns the time since the creation of this clock.
+    /// Returns the time since the creation of this clock, plus its offset.
     #[must_use]
     pub fn now(&self) -> ClockTime {
         ClockTime(self.elapsed().as_millis() as u64)
     }
 
-    /// Returns the time since the creation of this clock in milliseconds, with a fractional part.
+    /// Returns the time that the clock shows in milliseconds, with a fractional part.
     #[must_use]
     pub fn elapsed_ms(&self) -> f64 {
         self.elapsed().as_secs_f64() * 1_000.0
     }
 
     fn elapsed(&self) -> Duration {
-        time_since_boot().saturating_sub(self.start)
+        time_since_boot().saturating_sub(self.start) + self.offset
     }
 
     /// Returns the wall-clock time in milliseconds since the Unix epoch.
--- a/src/mesh/registry_read.rs
+++ b/src/mesh/registry_read.rs
@@ -23,4 +23,6 @@
     pub is_snapshot: bool,
     /// Changes in the order of the history.
     pub changes: Vec<RegistryChange>,
+    /// Key after which the list of endpoints continues; `None` if it is complete.
+    pub continues_after: Option<String>,
 }
--- a/src/mesh/registry_source.rs
+++ b/src/mesh/registry_source.rs
@@ -8,19 +8,27 @@
 
 /// A source of the configuration and the endpoints in the registry of the platform.
 pub trait RegistrySource {
-    /// Reads all endpoints.
+    /// Reads the first page of the list of endpoints.
     ///
     /// # Errors
     ///
     /// `PlatformUnreachable` if the registry does not respond, `PlatformInvalid` if its response is
     /// invalid.
-    fn endpoints(&self) -> LocalBoxFuture<'_, Result<RegistryRead>>;
+    fn first_endpoints(&self) -> LocalBoxFuture<'_, Result<RegistryRead>>;
+
+    /// Reads the pages that follow the first one; returns the whole list, at the position of the
+    /// first page.
+    ///
+    /// # Errors
+    ///
+    /// As for [`RegistrySource::first_endpoints`].
+    fn all_endpoints(&self, first: RegistryRead) -> LocalBoxFuture<'_, Result<RegistryRead>>;
 
     /// Reads the latest configuration. Returns `None` if there is no usable one.
     ///
     /// # Errors
     ///
-    /// As for [`RegistrySource::endpoints`].
+    /// As for [`RegistrySource::first_endpoints`].
     fn config(&self) -> LocalBoxFuture<'_, Result<Option<Arc<MeshConfig>>>>;
 
     /// Waits for changes after `position`, for at most `wait`, and returns them.
@@ -28,6 +36,6 @@
     /// # Errors
     ///
     /// `HistoryGone` if the history no longer reaches back to `position`; otherwise as for
-    /// [`RegistrySource::endpoints`].
+    /// [`RegistrySource::first_endpoints`].
     fn watch(&self, position: u64, wait: ClockTime) -> LocalBoxFuture<'_, Result<RegistryRead>>;
 }
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -78,9 +78,15 @@
     addresses: HashMap<SocketAddr, EndpointId>,
     tombstones: HashMap<EndpointId, Rc<EndpointRecord>>,
     change_log: VecDeque<EndpointId>,
+    /// Generations that reflected the registry up to a position, in ascending order.
+    reached: VecDeque<(u64, u64)>,
+    /// Generation from which the change log lacks no change of the registry.
+    complete_since: u64,
     generation: u64,
     keep_missing_until: ClockTime,
     position: u64,
+    /// Position that the endpoints reflect, at least `position`.
+    listed_position: u64,
 }
 
 impl ServiceDirectory {
@@ -105,6 +111,48 @@
     /// Records that the directory reflects the registry up to a position.
     pub fn advance(&mut self, position: u64) {
         self.position = self.position.max(position);
+        self.record_listing(position);
+    }
+
+    /// Returns the position that the endpoints reflect. It is later than that of the directory while
+    /// the configuration of the same position is not known.
+    #[must_use]
+    pub fn listed_position(&self) -> u64 {
+        self.listed_position
+    }
+
+    /// Records that the endpoints reflect the registry up to a position.
+    pub fn record_listing(&mut self, position: u64) {
+        self.listed_position = self.listed_position.max(position);
+        let last = self.reached.back().map(|(_, generation)| *generation);
+        if last != Some(self.generation) {
+            self.reached
+                .push_back((self.listed_position, self.generation));
+        }
+        if self.reached.len() > CHANGE_LOG_LIMIT {
+            self.reached.pop_front();
+        }
+    }
+
+    /// Records that the endpoints were replaced by a full list that reflects a position.
+    ///
+    /// The list does not tell which endpoints came and went since the last position, so deltas from
+    /// earlier generations are no longer complete.
+    pub fn record_full_listing(&mut self, position: u64) {
+        self.complete_since = self.generation;
+        self.reached.clear();
+        self.record_listing(position);
+    }
+
+    /// Returns the latest known generation that reflects nothing after a position. A directory that
+    /// reflects the registry up to that position lacks only the changes since this generation.
+    #[must_use]
+    pub fn generation_at(&self, position: u64) -> Option<u64> {
+        let count = self
+            .reached
+            .partition_point(|(reached, _)| *reached <= position);
+        let (_, generation) = self.reached.get(count.checked_sub(1)?)?;
+        Some(*generation)
     }
 
     /// Inserts or updates the record of an endpoint, unless a newer one is known.
@@ -123,6 +171,7 @@
         let unchanged = held.is_some_and(|held| {
             held.record.state == record.state && held.record.born == record.born && !held.missing
         });
+        let is_resized = held.is_some_and(|held| held.record.capacity != record.capacity);
         let state = record.state;
         let warm_up_end = now + record.warm_up;
         let service_changed = held.is_none_or(|held| held.record.service != record.service);
@@ -139,7 +188,7 @@
         self.claim_address(&entry.record);
         self.entries.insert(id.clone(), entry);
         self.tombstones.remove(&id);
-        if !unchanged {
+        if !unchanged || is_resized {
             self.record_change(&id);
         }
         match state {
@@ -256,11 +305,15 @@
 
     /// Removes an endpoint that another node reports as removed, even during the reregistration
     /// window.
+    ///
+    /// An unknown endpoint is recorded as a change too: a node that follows this one may know it.
     pub fn remove_immediately(&mut self, id: &EndpointId) -> Option<DirectoryEvent> {
-        self.entries.contains_key(id).then(|| {
-            self.evict(id);
-            DirectoryEvent::Gone(id.clone())
-        })
+        if !self.entries.contains_key(id) {
+            self.record_change(id);
+            return None;
+        }
+        self.evict(id);
+        Some(DirectoryEvent::Gone(id.clone()))
     }
 
     /// Returns the number of changes so far.
@@ -269,9 +322,10 @@
         self.generation
     }
 
-    /// Returns the changes since a generation, or the full content if they are no longer known.
+    /// Returns the changes since a generation, or the full content if not all of them are known.
     #[must_use]
     pub fn delta(&self, since: Option<u64>) -> DirectoryDelta {
+        let since = since.filter(|since| *since >= self.complete_since);
         let count = since.and_then(|since| self.generation.checked_sub(since));
         let count = count.and_then(|count| usize::try_from(count).ok());
         let Some(count) = count.filter(|count| *count <= self.change_log.len()) else {
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -49,6 +49,7 @@
 mod view_client;
 mod view_message;
 mod view_service;
+mod view_time;
 mod view_tree;
 mod view_trees;
 
@@ -69,4 +70,5 @@
 pub use sidecar_settings::SidecarSettings;
 pub use slot_queue::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
 pub use target_picker::TargetPicker;
+pub use view_time::earliest_read_time;
 pub use view_tree::ViewTree;
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -12,11 +12,13 @@
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
+use crate::mesh::{RegistryChange, RegistryRead};
 use crate::sidecar::mesh_updater::MeshUpdater;
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::refresh_plan::{self, PlannedSource, RefreshPlan, RefreshState, ViewSource};
 use crate::sidecar::view_client::ViewClient;
 use crate::sidecar::view_message::{ViewCursor, ViewReply, ViewRequest};
+use crate::sidecar::view_time;
 use crate::sidecar::view_trees::{ViewNeighbors, ViewTrees};
 use crate::sidecar::{PlatformAdapter, ReaderState, SidecarSettings};
 
@@ -28,8 +30,11 @@
 /// Mean delay after the first failed refresh; it doubles with each further failure up to the refresh
 /// interval.
 const INITIAL_BACKOFF: ClockTime = ClockTime(50);
-/// Number of random nodes that are asked when the usual sources fail.
-const RANDOM_NODE_COUNT: usize = 1;
+/// Number of nodes on the first page of the list of endpoints that a starting node asks.
+const INTRODUCED_NODE_COUNT: usize = 2;
+/// Age, in refresh intervals, up to which a starting node takes the view of another one while the
+/// registry responds.
+const MAX_FIRST_AGE_INTERVALS: f64 = 2.0;
 /// Time for the first read of the registry, in addition to the transfer of its largest value.
 const INITIAL_READ_TIMEOUT: ClockTime = ClockTime(3_000);
 /// Time that a node has to obtain its first configuration, which it may have to read from the
@@ -50,6 +55,9 @@
     pub(crate) position: Cell<Option<u64>>,
     /// Set while the endpoints of a full read have been applied and the configuration has not.
     pub(crate) pending_config_read: Cell<Option<PendingConfigRead>>,
+    /// The first page of the list of endpoints and the time when it was requested, while a starting
+    /// node asks the nodes on it.
+    pub(crate) first_page: RefCell<Option<(ClockTime, RegistryRead)>>,
     /// Consecutive failed refreshes.
     pub(crate) failures: Cell<u32>,
     pub(crate) registry_unreachable: Cell<bool>,
@@ -85,7 +93,7 @@
             let reads_registry = self.reads_registry();
             let is_first = self.state.age().is_none();
             let limit = self.refresh_limit();
-            let refresh = time::timeout(limit.to_duration(), self.refresh(self.plan()));
+            let refresh = time::timeout(limit.to_duration(), self.refresh(self.plan(limit)));
             let result = refresh.await.unwrap_or(Err(()));
             if !is_first {
                 self.record_source(reads_registry, result);
@@ -158,13 +166,18 @@
         let mut planned = plan.into_iter().peekable();
         let mut running = FuturesUnordered::new();
         let mut asked: SmallVec<[IpAddr; 8]> = SmallVec::new();
+        let mut waiting: SmallVec<[IpAddr; 8]> = SmallVec::new();
         loop {
             let elapsed = self.state.clock.now() - started_at;
             while let Some(next) =
                 planned.next_if(|next: &PlannedSource| running.is_empty() || next.delay <= elapsed)
             {
                 let source = match next.source {
-                    ViewSource::FreshestNode => self.freshest_node(&asked).map(ViewSource::Node),
+                    ViewSource::FreshestNode => self.freshest_node(&waiting).map(ViewSource::Node),
+                    ViewSource::RandomNode => self.random_node(&asked, false).map(ViewSource::Node),
+                    ViewSource::RandomFarNode => {
+                        self.random_node(&asked, true).map(ViewSource::Node)
+                    }
                     source => Some(source),
                 };
                 let Some(source) = source else {
@@ -172,6 +185,7 @@
                 };
                 if let ViewSource::Node(address) = source {
                     asked.push(address);
+                    waiting.push(address);
                 }
                 running.push(self.query(source));
             }
@@ -186,30 +200,34 @@
                 }
             });
             match future::select(running.next(), timer).await {
-                Either::Left((Some(Ok(source)), _)) => return Ok(source),
+                Either::Left((Some((source, Ok(()))), _)) => return Ok(source),
+                Either::Left((Some((ViewSource::Node(address), Err(()))), _)) => {
+                    waiting.retain(|other| *other != address);
+                }
                 Either::Left(_) | Either::Right(_) => {}
             }
         }
     }
 
-    async fn query(&self, source: ViewSource) -> std::result::Result<ViewSource, ()> {
+    async fn query(&self, source: ViewSource) -> (ViewSource, std::result::Result<(), ()>) {
         let result = match source {
             ViewSource::Registry => self.read_registry().await,
             ViewSource::Node(address) => self.query_node(address).await,
-            ViewSource::FreshestNode => Err(()),
+            ViewSource::FreshestNode | ViewSource::RandomNode | ViewSource::RandomFarNode => {
+                Err(())
+            }
         };
-        result.map(|()| source)
+        (source, result)
     }
 
-    fn freshest_node(&self, asked: &[IpAddr]) -> Option<IpAddr> {
+    fn freshest_node(&self, waiting: &[IpAddr]) -> Option<IpAddr> {
         let fresh_peers = self.state.fresh_peers.borrow();
         let mut fresher = fresh_peers.fresher_than(self.state.read_at());
-        fresher.find(|address| !asked.contains(address))
+        fresher.find(|address| !waiting.contains(address))
     }
 
-    fn plan(&self) -> RefreshPlan {
+    fn plan(&self, limit: ClockTime) -> RefreshPlan {
         let mut neighbors = self.neighbors();
-        let others = self.other_nodes();
         // Before a parent has responded, the random order spreads the nodes over both trees.
         let last_parent = self.last_parent.get();
         neighbors.parents.shuffle(&mut rand::rng());
@@ -223,10 +241,13 @@
             is_standby: neighbors.is_standby,
             lacks_config: self.pending_config_read.get().is_some(),
             parents: &neighbors.parents,
-            others: &others,
+            introduced: &self.introduced_nodes(),
+            limit,
             fleet_size: self.state.directory.borrow().len(),
             registry_rate: self.settings.registry_rate.0,
+            region_size: neighbors.region_size,
             spread: rand::random_range(0.0..1.0),
+            chance: rand::random_range(0.0..1.0),
         })
     }
 
@@ -247,38 +268,69 @@
         neighbors.clone()
     }
 
-    /// Returns random nodes to ask in addition to the parents. A node without a view may ask the
-    /// nodes of all regions, others those of their own.
-    fn other_nodes(&self) -> SmallVec<[IpAddr; 2]> {
+    /// Returns a random node that is not in `asked`, of the node's own region or of all regions.
+    fn random_node(&self, asked: &[IpAddr], is_far: bool) -> Option<IpAddr> {
         let local_ip = self.settings.endpoint.ip();
         let directory = self.state.directory.borrow();
         let regions = &self.settings.regions;
         let region = regions.get(&self.settings.zone);
-        // A reply may hold the whole view and configuration, and links between regions are narrow.
-        let near = |zone| self.state.age().is_none() || regions.get(zone) == region;
-        let known = directory.records().filter(|record| near(&record.zone));
+        let is_candidate = |zone| is_far || regions.get(zone) == region;
+        let known = directory
+            .records()
+            .filter(|record| is_candidate(&record.zone));
         let known = known.map(|record| record.address.ip());
         let seeds = self.settings.seeds.iter().copied();
-        let nodes = known.chain(seeds).filter(|address| *address != local_ip);
-        let nodes = nodes.choose_multiple(&mut rand::rng(), RANDOM_NODE_COUNT);
-        nodes.into_iter().collect()
+        known
+            .chain(seeds)
+            .filter(|address| *address != local_ip && !asked.contains(address))
+            .choose(&mut rand::rng())
+    }
+
+    /// Returns random nodes on the first page of the list of endpoints, those of the same region
+    /// first.
+    fn introduced_nodes(&self) -> SmallVec<[IpAddr; 2]> {
+        let first_page = self.first_page.borrow();
+        let Some((_, read)) = first_page.as_ref() else {
+            return SmallVec::new();
+        };
+        let local_ip = self.settings.endpoint.ip();
+        let regions = &self.settings.regions;
+        let region = regions.get(&self.settings.zone);
+        let mut nodes: Vec<(bool, IpAddr)> = read
+            .changes
+            .iter()
+            .filter_map(|change| match change {
+                RegistryChange::Endpoint(record) => Some(record),
+                _ => None,
+            })
+            .map(|record| (regions.get(&record.zone) != region, record.address.ip()))
+            .filter(|(_, address)| *address != local_ip)
+            .collect();
+        nodes.shuffle(&mut rand::rng());
+        nodes.sort_by_key(|(is_far, _)| *is_far);
+        nodes.truncate(INTRODUCED_NODE_COUNT);
+        nodes.into_iter().map(|(_, address)| address).collect()
     }
 
     async fn query_node(&self, address: IpAddr) -> std::result::Result<(), ()> {
         let request = ViewRequest {
+            sender: self.settings.endpoint.ip(),
             cursor: self.cursors.borrow().get(&address).copied(),
+            position: self.state.directory.borrow().listed_position(),
             version: self.state.config().map(|config| config.version()),
             age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
             wait: match self.pending_config_read.get() {
                 Some(_) => INITIAL_CONFIG_WAIT,
+                None if self.first_page.borrow().is_some() => ClockTime(0),
                 None => self.remaining_wait(),
             },
         };
         let previous_read_at = self.state.read_at();
+        let sent_at = self.state.clock.now();
         let metrics = &self.state.metrics;
         match self.views.fetch(address, &request).await {
             Ok(reply) => {
-                self.apply_reply(address, reply);
+                self.apply_reply(address, sent_at, reply);
                 // A reply that is no fresher counts as a failure, so that all sources are queried
                 // next.
                 if self.state.read_at() > previous_read_at {
@@ -299,14 +351,19 @@
     }
 
     /// Applies the view of another node unless the local view is newer.
-    fn apply_reply(&self, address: IpAddr, reply: ViewReply) {
+    fn apply_reply(&self, address: IpAddr, sent_at: ClockTime, reply: ViewReply) {
         let Some(age) = reply.age else {
             return;
         };
-        let now = self.state.clock.now();
+        let read_at = view_time::earliest_read_time(sent_at, reply.held, age);
         let mut fresh_peers = self.state.fresh_peers.borrow_mut();
-        fresh_peers.record(address, now - age);
+        fresh_peers.record(address, read_at);
         drop(fresh_peers);
+        let max_age = ClockTime((self.interval().as_f64() * MAX_FIRST_AGE_INTERVALS) as u64);
+        let is_start = self.state.age().is_none() && self.failures.get() == 0;
+        if is_start && age > max_age {
+            return;
+        }
         let updated = reply
             .config
             .as_ref()
@@ -328,18 +385,23 @@
             self.updater.advance(reply.position);
             self.position.set(Some(reply.position));
             self.pending_config_read.set(None);
-            self.state.mark_fresh(pending.started_at.min(now - age));
+            self.state.mark_fresh(pending.started_at.min(read_at));
             return;
         }
-        if reply.position < self.state.directory.borrow().position() {
+        let directory = self.state.directory.borrow();
+        if reply.position < directory.position()
+            || reply.listed_position < directory.listed_position()
+        {
             return;
         }
+        drop(directory);
         let (cursor, position) = (reply.cursor, reply.position);
         self.updater.merge_view(reply);
         self.cursors.borrow_mut().insert(address, cursor);
         self.position.set(Some(position));
         self.pending_config_read.set(None);
-        self.state.mark_fresh(now - age);
+        self.first_page.take();
+        self.state.mark_fresh(read_at);
     }
 
     /// Waits until the next refresh is due. Most registry changes are heartbeats without new
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -85,6 +85,10 @@
             for id in removed {
                 events.extend(directory.remove_immediately(&id));
             }
+            if reply.is_snapshot {
+                directory.record_full_listing(reply.listed_position);
+            }
+            directory.record_listing(reply.listed_position);
             directory.advance(reply.position);
         }
         self.handle_events(events);
@@ -103,6 +107,12 @@
         self.state.directory.borrow_mut().advance(position);
     }
 
+    /// Records that the endpoints were replaced by a full list that reflects a position.
+    pub(crate) fn record_full_listing(&self, position: u64) {
+        let mut directory = self.state.directory.borrow_mut();
+        directory.record_full_listing(position);
+    }
+
     /// Applies the changes returned by a registry read.
     pub(crate) fn apply(&self, read: RegistryRead) {
         let now = self.state.clock.now();
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -10,17 +10,19 @@
 /// Age, in refresh intervals, at which a node asks further sources in addition to its usual ones.
 /// More than half of the propagation bound is then left for them.
 const BACKUP_AGE_INTERVALS: f64 = 1.75;
-/// Number of times at which the freshest known node is asked, and the delay between them in refresh
-/// intervals.
-const FRESHEST_QUERY_COUNT: u32 = 3;
-const FRESHEST_QUERY_INTERVALS: f64 = 0.5;
+/// Delay, in refresh intervals, between two times at which a further node is asked.
+const NODE_QUERY_INTERVALS: f64 = 0.25;
+/// Number of random nodes that are asked. With half of the nodes turned away, at least one of them
+/// reads the registry in 15 of 16 cases, and each random node asks others in turn.
+const RANDOM_NODE_COUNT: usize = 4;
+/// Number of random nodes of all regions that are asked.
+const FAR_NODE_COUNT: usize = 2;
+/// Mean number of nodes of a region that ask nodes of other regions, besides its readers.
+const FAR_ASKING_COUNT: f64 = 2.0;
 /// Delay, in refresh intervals, between asking further nodes and reading the registry.
 const REGISTRY_DELAY_INTERVALS: f64 = 0.35;
 /// Fraction of the registry's rate that nodes may use for reads of their own at the same time.
 const SHARED_RATE_RATIO: f64 = 0.5;
-
-/// Delay, in refresh intervals, between the first and the following further nodes.
-const OTHER_NODE_INTERVALS: f64 = 0.25;
 /// Time, in refresh intervals, from asking the first further node to the next plan.
 const LIMIT_INTERVALS: f64 = 2.5;
 
@@ -33,6 +35,10 @@
     Node(IpAddr),
     /// The node with the freshest view that is known by then, if it is fresher than this node's.
     FreshestNode,
+    /// A random node of the region that has not been asked.
+    RandomNode,
+    /// A random node of all regions that has not been asked.
+    RandomFarNode,
 }
 
 /// A source with the time after which it is asked, unless an earlier one has succeeded.
@@ -45,7 +51,7 @@
 }
 
 /// The sources of one refresh.
-pub type RefreshPlan = SmallVec<[PlannedSource; 16]>;
+pub type RefreshPlan = SmallVec<[PlannedSource; 24]>;
 
 /// What a node knows when it plans a refresh.
 #[derive(Debug, Clone, Copy)]
@@ -62,14 +68,21 @@
     pub lacks_config: bool,
     /// Parents in the distribution trees; the first one is asked before the other.
     pub parents: &'a [IpAddr],
-    /// Further nodes that may have a fresher view.
-    pub others: &'a [IpAddr],
+    /// Nodes on the first page of the list of endpoints, for a node that starts. They send the whole
+    /// view at once if they have one, which spares the registry the other pages.
+    pub introduced: &'a [IpAddr],
+    /// Time for which the plan is followed.
+    pub limit: ClockTime,
+    /// Number of nodes of the region.
+    pub region_size: usize,
     /// Number of nodes of the fleet.
     pub fleet_size: usize,
     /// Reads per second that the registry allows to all nodes.
     pub registry_rate: f64,
     /// Random number from 0 to 1, which spreads the reads of the nodes.
     pub spread: f64,
+    /// Random number from 0 to 1, which decides whether the node asks nodes of other regions.
+    pub chance: f64,
 }
 
 /// Plans a refresh: the sources in the order in which they are asked.
@@ -78,7 +91,9 @@
 /// answers the load of a fleet whose readers are turned away or cut off, so that all views age at
 /// the same moment: nodes with a fresher view are asked while most of the bound is left, and the
 /// registry after them, spread so that the nodes together stay within its rate. The first node that
-/// has read it becomes known to the others with the messages that it sends.
+/// has read it becomes known to the others with the messages that it sends. Nodes are asked until the
+/// end of the plan, since a full read of the registry that does not respond may last longer than the
+/// bound.
 #[must_use]
 pub fn plan_refresh(state: &RefreshState<'_>) -> RefreshPlan {
     let mut plan = match state.age {
@@ -98,15 +113,26 @@
 
 fn plan_start(state: &RefreshState<'_>) -> RefreshPlan {
     let mut plan = RefreshPlan::new();
+    let introduced = state.introduced.iter().enumerate();
+    for (index, node) in introduced.filter(|_| !state.lacks_config) {
+        let delay = state.intervals(NODE_QUERY_INTERVALS * index as f64);
+        add(&mut plan, ViewSource::Node(*node), delay);
+    }
+    if !plan.is_empty() {
+        let delay = state.intervals(NODE_QUERY_INTERVALS * plan.len() as f64);
+        add(&mut plan, ViewSource::Registry, delay);
+        return plan;
+    }
     let node_delay = if state.lacks_config {
         ClockTime(0)
     } else {
         add(&mut plan, ViewSource::Registry, ClockTime(0));
         state.intervals(0.5)
     };
-    for node in state.parents.iter().chain(state.others) {
+    for node in state.parents {
         add(&mut plan, ViewSource::Node(*node), node_delay);
     }
+    add(&mut plan, ViewSource::RandomFarNode, node_delay);
     // A restarted fleet would otherwise read the configuration at the same moment.
     let delay = state.intervals(1.0 + state.spread) + state.registry_delay();
     add(&mut plan, ViewSource::Registry, delay);
@@ -132,19 +158,37 @@
         }
     }
     let backup = state.intervals(BACKUP_AGE_INTERVALS) - age;
-    for (count, node) in state.others.iter().enumerate() {
-        let delay = state.intervals(OTHER_NODE_INTERVALS * count.saturating_sub(1) as f64);
-        add(&mut plan, ViewSource::Node(*node), backup + delay);
-    }
-    for count in 0..FRESHEST_QUERY_COUNT {
-        let delay = state.intervals(FRESHEST_QUERY_INTERVALS * f64::from(count));
+    let spacing = state.intervals(NODE_QUERY_INTERVALS).max(ClockTime(1));
+    for count in 0.. {
+        let delay = backup + ClockTime(spacing.0 * count as u64);
+        if delay >= state.limit {
+            break;
+        }
         plan.push(PlannedSource {
             source: ViewSource::FreshestNode,
-            delay: backup + delay,
+            delay,
         });
+        if count < RANDOM_NODE_COUNT {
+            plan.push(PlannedSource {
+                source: ViewSource::RandomNode,
+                delay,
+            });
+        }
     }
-    let delay = state.intervals(REGISTRY_DELAY_INTERVALS) + state.registry_delay();
-    add(&mut plan, ViewSource::Registry, backup + delay);
+    // The answer of a far node may hold the whole view, and links between regions are narrow.
+    let asks_far = state.reads_registry
+        || state.is_standby
+        || state.chance * (state.region_size as f64) < FAR_ASKING_COUNT;
+    let far_count = if asks_far { FAR_NODE_COUNT } else { 0 };
+    let registry = backup + state.intervals(REGISTRY_DELAY_INTERVALS);
+    for count in 0..far_count {
+        plan.push(PlannedSource {
+            source: ViewSource::RandomFarNode,
+            delay: registry + ClockTime(spacing.0 * count as u64),
+        });
+    }
+    let delay = registry + state.registry_delay();
+    add(&mut plan, ViewSource::Registry, delay);
     plan
 }
 
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -31,6 +31,7 @@
                 // read is a full one.
                 self.position.set(None);
                 self.pending_config_read.set(None);
+                self.first_page.take();
                 let now = self.state.clock.now();
                 self.reader
                     .borrow_mut()
@@ -65,7 +66,18 @@
             self.state.mark_fresh(self.state.clock.now());
             return Ok(());
         }
-        let read = source.endpoints().await?;
+        let known = self.first_page.take();
+        let is_introduced = known.is_some();
+        let (started_at, first) = match known {
+            Some(known) => known,
+            None => (started_at, source.first_endpoints().await?),
+        };
+        if self.state.age().is_none() && !is_introduced && !first.is_snapshot {
+            // Another node can send the rest of the list together with the configuration.
+            self.first_page.replace(Some((started_at, first)));
+            return Ok(());
+        }
+        let read = source.all_endpoints(first).await?;
         self.end_registry_outage();
         let pending = PendingConfigRead {
             started_at,
@@ -73,6 +85,7 @@
         };
         self.pending_config_read.set(Some(pending));
         self.updater.apply(read);
+        self.updater.record_full_listing(pending.position);
         let is_first = self.state.config().is_none() && self.failures.get() == 0;
         let neighbors = self.neighbors();
         if is_first && !neighbors.is_reader && !neighbors.parents.is_empty() {
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -61,6 +61,9 @@
     idle_interval_ticks: Some(4),
     timeout_ticks: 3,
 };
+/// Time that the clock of a starting node shows. A view read by another node earlier than that
+/// would seem to be as old as the node.
+const MAX_VIEW_AGE: ClockTime = ClockTime(86_400_000);
 /// Interval of the platform's readiness checks.
 const READY_CHECK_INTERVAL: ClockTime = ClockTime(1_000);
 /// Failed readiness checks after which the platform routes no more clients to the node.
@@ -101,7 +104,7 @@
         settings: Rc<SidecarSettings>,
         adapter: Rc<dyn PlatformAdapter>,
     ) -> Result<Self> {
-        let clock = SystemClock::new();
+        let clock = SystemClock::starting_at(MAX_VIEW_AGE);
         let signal = ReloadSignal::new()?;
         let listeners = [bind(settings.ready_listen)?, bind(settings.metrics_listen)?];
         let state = Rc::new(NodeState::new(clock, &settings)?);
@@ -159,6 +162,7 @@
             cursors: RefCell::default(),
             position: Cell::new(None),
             pending_config_read: Cell::new(None),
+            first_page: RefCell::default(),
             failures: Cell::new(0),
             registry_unreachable: Cell::new(false),
             reader: RefCell::default(),
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -1,3 +1,5 @@
+use std::net::IpAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::clock::ClockTime;
@@ -25,8 +27,13 @@
 /// Request for the mesh view of a node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct ViewRequest {
+    /// Address of the sender.
+    pub(crate) sender: IpAddr,
     /// The last state that the sender received from this node.
     pub(crate) cursor: Option<ViewCursor>,
+    /// Position in the registry's history that the sender's endpoints reflect, for a node from which
+    /// it has not received a state.
+    pub(crate) position: u64,
     /// Version of the configuration that the sender has installed.
     pub(crate) version: Option<ConfigVersion>,
     /// Age of the sender's view.
@@ -57,6 +64,10 @@
     pub(crate) cursor: ViewCursor,
     /// Position in the registry's history that the view reflects.
     pub(crate) position: u64,
+    /// Position that the endpoints reflect, which may be later.
+    pub(crate) listed_position: u64,
+    /// Time from the arrival of the request to the reply.
+    pub(crate) held: ClockTime,
     /// Age of the view; `None` if it has never been synchronized.
     pub(crate) age: Option<ClockTime>,
     /// Version of the installed configuration.
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -14,6 +14,10 @@
 /// Maximum wait that a request can specify.
 const MAX_WAIT: ClockTime = ClockTime(5_000);
 
+/// Difference in age from which a view is sent at once. Smaller ones come from the network latency
+/// in the estimates of the ages.
+const MIN_GAIN: ClockTime = ClockTime(25);
+
 /// Service that provides the mesh view of this node to other nodes.
 pub(crate) struct ViewService {
     pub(crate) state: Rc<NodeState>,
@@ -31,9 +35,17 @@
     /// requested wait is over.
     pub(crate) async fn handle(&self, request: &ViewRequest) -> ViewReply {
         let now = self.state.clock.now();
+        let sender_read_at = now - request.age;
+        self.state
+            .fresh_peers
+            .borrow_mut()
+            .record(request.sender, sender_read_at);
         let until = now + request.wait.min(MAX_WAIT);
         let initial_read_at = self.state.read_at();
-        let is_fresher = self.state.age().is_some_and(|age| age < request.age);
+        let is_fresher = self
+            .state
+            .age()
+            .is_some_and(|age| age + MIN_GAIN < request.age);
         if !is_fresher {
             while self.state.read_at() == initial_read_at {
                 let remaining = until - self.state.clock.now();
@@ -44,15 +56,16 @@
                 }
             }
         }
-        self.reply(request)
+        self.reply(request, now)
     }
 
-    fn reply(&self, request: &ViewRequest) -> ViewReply {
+    fn reply(&self, request: &ViewRequest, received_at: ClockTime) -> ViewReply {
         let directory = self.state.directory.borrow();
         let since = request
             .cursor
             .filter(|cursor| cursor.process == self.process)
-            .map(|cursor| cursor.number);
+            .map(|cursor| cursor.number)
+            .max(directory.generation_at(request.position));
         let DirectoryDelta {
             is_snapshot,
             present,
@@ -72,6 +85,8 @@
                 number: directory.generation(),
             },
             position: directory.position(),
+            listed_position: directory.listed_position(),
+            held: self.state.clock.now() - received_at,
             age: self.state.age(),
             version: config.as_ref().map(|config| config.version()),
             config: config
