Spread the reads of starting nodes, and let no calm node read for others

Read from a log line on the small twin: 103 of 451 reads were first pages, 203 were made by the reader and its standby, and 141 watches came from followers, all of them in the first seven seconds. Nodes whose parents had not started yet read the registry at once (correct) and then went on to read it for six intervals as substitutes (not needed: their view was not late). In a simultaneous start the two introduced nodes have no view either and answer so at once, so each node read the other pages itself.

A follower becomes a substitute only if its view was late when it read. Starting nodes spread their reads of the further pages over half of an interval, and the nodes that they ask reply as soon as they have a view.

--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -91,12 +91,14 @@
         loop {
             let started_at = self.state.clock.now();
             let reads_registry = self.reads_registry();
+            let previous_read_at = self.state.read_at();
             let is_first = self.state.age().is_none();
             let limit = self.refresh_limit();
             let refresh = time::timeout(limit.to_duration(), self.refresh(self.plan(limit)));
             let result = refresh.await.unwrap_or(Err(()));
             if !is_first {
-                self.record_source(reads_registry, result);
+                let age = self.state.clock.now() - previous_read_at;
+                self.record_source(reads_registry, age, result);
             }
             self.updater.expire();
             match result {
@@ -136,14 +138,21 @@
         }
     }
 
-    /// Records which kind of source has refreshed the view of a node that `reads_registry`, or does
-    /// not do so.
-    fn record_source(&self, reads_registry: bool, result: std::result::Result<ViewSource, ()>) {
+    /// Records which kind of source has refreshed a view of the given age, of a node that
+    /// `reads_registry` or does not do so.
+    fn record_source(
+        &self,
+        reads_registry: bool,
+        age: ClockTime,
+        result: std::result::Result<ViewSource, ()>,
+    ) {
         let now = self.state.clock.now();
         let interval = self.interval();
         let mut reader = self.reader.borrow_mut();
         match (reads_registry, result) {
             (true, Ok(ViewSource::Registry)) | (false, Ok(ViewSource::Node(_)) | Err(())) => {}
+            // The parents could not be reached, but the view was not late.
+            (false, Ok(_)) if age < self.intervals(refresh_plan::SECOND_PARENT_AGE_INTERVALS) => {}
             (false, Ok(_)) => {
                 let neighbors = self.neighbors();
                 let region_size = neighbors.region_size;
@@ -321,7 +330,9 @@
             age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
             wait: match self.pending_config_read.get() {
                 Some(_) => INITIAL_CONFIG_WAIT,
-                None if self.first_page.borrow().is_some() => ClockTime(0),
+                None if self.first_page.borrow().is_some() => {
+                    self.intervals(refresh_plan::START_SPREAD_INTERVALS)
+                }
                 None => self.remaining_wait(),
             },
         };
@@ -359,7 +370,7 @@
         let mut fresh_peers = self.state.fresh_peers.borrow_mut();
         fresh_peers.record(address, read_at);
         drop(fresh_peers);
-        let max_age = ClockTime((self.interval().as_f64() * MAX_FIRST_AGE_INTERVALS) as u64);
+        let max_age = self.intervals(MAX_FIRST_AGE_INTERVALS);
         let is_start = self.state.age().is_none() && self.failures.get() == 0;
         if is_start && age > max_age {
             return;
@@ -434,10 +445,13 @@
 
     /// Returns how long another node may wait for a fresher view than this node's.
     fn remaining_wait(&self) -> ClockTime {
-        let interval = self.interval();
-        let max_age = ClockTime((interval.as_f64() * MAX_WAIT_INTERVALS) as u64);
         let age = self.state.age().unwrap_or_default();
-        (max_age - age).max(ClockTime(interval.0 / 2))
+        (self.intervals(MAX_WAIT_INTERVALS) - age).max(self.intervals(0.5))
+    }
+
+    /// Returns a number of refresh intervals as a time.
+    fn intervals(&self, count: f64) -> ClockTime {
+        ClockTime((self.interval().as_f64() * count) as u64)
     }
 
     /// Returns the refresh interval.
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -6,7 +6,7 @@
 
 /// Age, in refresh intervals, at which a node also asks its other parent. The views of a parent that
 /// works are younger.
-const SECOND_PARENT_AGE_INTERVALS: f64 = 1.25;
+pub(crate) const SECOND_PARENT_AGE_INTERVALS: f64 = 1.25;
 /// Age, in refresh intervals, at which a node asks further sources in addition to its usual ones.
 /// More than half of the propagation bound is then left for them.
 const BACKUP_AGE_INTERVALS: f64 = 1.75;
@@ -15,6 +15,9 @@
 /// Number of random nodes that are asked. With half of the nodes turned away, at least one of them
 /// reads the registry in 15 of 16 cases, and each random node asks others in turn.
 const RANDOM_NODE_COUNT: usize = 4;
+/// Time, in refresh intervals, over which starting nodes spread their reads of the whole list of
+/// endpoints.
+pub(crate) const START_SPREAD_INTERVALS: f64 = 0.5;
 /// Number of random nodes of all regions that are asked.
 const FAR_NODE_COUNT: usize = 2;
 /// Mean number of nodes of a region that ask nodes of other regions, besides its readers.
@@ -119,7 +122,8 @@
         add(&mut plan, ViewSource::Node(*node), delay);
     }
     if !plan.is_empty() {
-        let delay = state.intervals(NODE_QUERY_INTERVALS * plan.len() as f64);
+        // When all nodes start together, the first of them to read the whole list serve the others.
+        let delay = state.intervals(START_SPREAD_INTERVALS * state.spread);
         add(&mut plan, ViewSource::Registry, delay);
         return plan;
     }
--- a/tests/refresh_rules.rs
+++ b/tests/refresh_rules.rs
@@ -129,6 +129,7 @@
             RefreshState {
                 age: None,
                 introduced: &parents,
+                spread: 1.0,
                 ..usual
             },
             vec![(first, 0), (second, 187), (registry, 375)],
