Answer the requests that outlast a planned stop; probe before removing

The node cut all client sessions at the end of the grace time. Change: 200 ms before that, requests still running are answered, with 503 if no endpoint can have received them and 504 otherwise.

A node that had contact with the instance shortly before the list was read did not probe it until that contact was 30 s old, and at that moment also removed it, so the order of the two decided; the removal spread until the instance refuted it. Change: the time before the removal from which a node is probed counts from the contact as well. Test contacted_ instances_are_probed_before_they_are_removed failed before.

--- a/src/membership/list_merge.rs
+++ b/src/membership/list_merge.rs
@@ -57,9 +57,7 @@
     pub fn expire(&mut self, now: ClockTime) -> bool {
         let mut changed = self.suspicions.expire(now);
         let due = |record: &&MemberRecord| {
-            record.is_removal_pending()
-                && !record.has_recent_contact(now)
-                && now >= record.protected_until
+            record.is_removal_pending() && now >= record.earliest_removal()
         };
         let removed: Vec<_> = self.records.values().filter(due).cloned().collect();
         for mut record in removed {
@@ -106,9 +104,7 @@
     #[must_use]
     pub fn next_probe(&self, now: ClockTime) -> Option<NodeAddress> {
         let due = |record: &&MemberRecord| {
-            record.is_removal_pending()
-                && !record.has_recent_contact(now)
-                && now + PROBE_LEAD_TIME >= record.protected_until
+            record.is_removal_pending() && now + PROBE_LEAD_TIME >= record.earliest_removal()
         };
         let mut records = self.records.values();
         records.find(due).map(|record| record.entry.address)
--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -46,6 +46,13 @@
             .is_some_and(|at| now - at < CONTACT_LIFETIME)
     }
 
+    /// Returns the time before which the node is not removed because of the list, unless it is
+    /// contacted again.
+    pub(crate) fn earliest_removal(&self) -> ClockTime {
+        let contact = self.last_contact.map(|at| at + CONTACT_LIFETIME);
+        self.protected_until.max(contact.unwrap_or_default())
+    }
+
     /// Returns whether the node is to be removed because it is no longer in the list.
     pub(crate) fn is_removal_pending(&self) -> bool {
         self.unlisted && self.gone_at.is_none()
--- a/src/sidecar/dispatch_state.rs
+++ b/src/sidecar/dispatch_state.rs
@@ -35,6 +35,18 @@
 }
 
 impl DispatchState {
+    /// Returns the response to a request that is given up for the reason `code`.
+    ///
+    /// Only a request that no endpoint may have received is refused, since a refusal states that it
+    /// has not run.
+    pub(crate) fn abandoned(&self, code: ResultCode) -> ClientResponse {
+        let is_unsent = self.attempts == 0 && self.failure.is_none();
+        if code == ResultCode::NodeLeaving && is_unsent {
+            return ClientResponse::local(code, Some(ClockTime(0)));
+        }
+        ClientResponse::local(ResultCode::DeadlinePassed, None)
+    }
+
     /// Makes those endpoints available again whose node refused the request before it reached them.
     pub(crate) fn clear_refusals(&mut self) {
         self.overloaded.clear();
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -5,6 +5,7 @@
 use futures_util::future::{self, Either};
 use monoio::time;
 
+use crate::caller::StopSignal;
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::mesh::EndpointRecord;
@@ -31,6 +32,8 @@
     pub(crate) attempts: AttemptSender,
     pub(crate) retries: RetryBudgets,
     pub(crate) picker: RefCell<TargetPicker>,
+    /// Triggered when a stopping node gives up the requests that are still running.
+    pub(crate) abort: StopSignal,
 }
 
 impl Dispatcher {
@@ -41,11 +44,13 @@
         self.retries.record_request(&request.service, now);
         let left = request.deadline - now;
         let mut progress = DispatchState::default();
-        let running = self.run(request, &mut progress);
-        let response = match time::timeout(left.to_duration(), running).await {
-            Ok(response) => response,
-            Err(_) => ClientResponse::local(ResultCode::DeadlinePassed, None),
+        let running = time::timeout(left.to_duration(), self.run(request, &mut progress));
+        let result = match future::select(pin!(running), pin!(self.abort.wait())).await {
+            Either::Left((Ok(response), _)) => Ok(response),
+            Either::Left((Err(_), _)) => Err(ResultCode::DeadlinePassed),
+            Either::Right(_) => Err(ResultCode::NodeLeaving),
         };
+        let response = result.unwrap_or_else(|code| progress.abandoned(code));
         self.record_outcome(request, &response, &progress);
         response
     }
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -156,6 +156,10 @@
             (false, Ok(_)) => {
                 let neighbors = self.neighbors();
                 let region_size = neighbors.region_size;
+                if neighbors.parents.is_empty() {
+                    // No other node is known, so none could have been asked.
+                    return;
+                }
                 let chance = match neighbors.is_standby {
                     true => 0.0,
                     false => rand::random_range(0.0..1.0),
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -75,6 +75,8 @@
 /// Time for other nodes to receive the last responses. A connection to an unreachable or stopped
 /// node does not end by itself.
 const PEER_SHUTDOWN_TIMEOUT: ClockTime = ClockTime(300);
+/// Time for clients to receive the responses to requests that a stopping node gives up.
+const ANSWER_TIME: ClockTime = ClockTime(200);
 /// Divisor of the grace time that gives the length of its last part, in which remaining work is
 /// aborted and the process exits. The platform expects no responses within the last sixth.
 const ABORT_TIME_DIVISOR: u64 = 6;
@@ -88,6 +90,7 @@
     peers: PeerServer,
     tasks: Rc<TaskGroup>,
     stop_clients: oneshot::Sender<()>,
+    abort_requests: oneshot::Sender<()>,
     clients: JoinHandle<()>,
     stop_background: oneshot::Sender<()>,
     /// Tasks for readiness, metrics, registry synchronization and settings reload.
@@ -114,7 +117,8 @@
         let peers = new_peer_server(&settings, &state, &inbound)?;
         let response_limit = memory_share(&settings, RESPONSE_MEMORY_DIVISOR);
         let pool = Rc::new(PeerPool::new(clock, response_limit).with_keepalive(KEEPALIVE));
-        let dispatcher = new_dispatcher(&settings, &inbound, &pool);
+        let (abort_requests, requests_aborted) = StopSignal::new();
+        let dispatcher = new_dispatcher(&settings, &inbound, &pool, requests_aborted);
         let (stop_clients, clients_stopped) = StopSignal::new();
         let (stop_background, background_stopped) = StopSignal::new();
         let context = Rc::new(ClientContext {
@@ -192,6 +196,7 @@
             peers,
             tasks,
             stop_clients,
+            abort_requests,
             clients,
             stop_background,
             background_tasks,
@@ -214,9 +219,16 @@
         time::sleep(drain_time.to_duration()).await;
         drop(self.stop_clients);
         self.inbound.closed.set(true);
-        let remaining = end - clock.now();
-        let clients_answered = time::timeout(remaining.to_duration(), self.clients).await;
-        let clients_answered = clients_answered.is_ok();
+        let mut clients = self.clients;
+        let remaining = end - ANSWER_TIME - clock.now();
+        let clients_answered = time::timeout(remaining.to_duration(), &mut clients).await;
+        let mut clients_answered = clients_answered.is_ok();
+        if !clients_answered {
+            log::info!("event=requests_given_up node={}", self.settings.name);
+            drop(self.abort_requests);
+            let answered = time::timeout(ANSWER_TIME.to_duration(), clients).await;
+            clients_answered = answered.is_ok();
+        }
         while self.inbound.slots.load().outstanding > 0 && clock.now() < end {
             time::sleep(OUTSTANDING_POLL_INTERVAL.to_duration()).await;
         }
@@ -290,6 +302,7 @@
     settings: &Rc<SidecarSettings>,
     inbound: &Rc<InboundService>,
     pool: &Rc<PeerPool>,
+    abort: StopSignal,
 ) -> Rc<Dispatcher> {
     let state = &inbound.state;
     let balancer = Rc::new(LoadBalancer {
@@ -320,6 +333,7 @@
         attempts,
         retries,
         picker: RefCell::new(TargetPicker::new()),
+        abort,
     })
 }
 
--- a/tests/membership_process.rs
+++ b/tests/membership_process.rs
@@ -19,11 +19,25 @@
 
 /// Returns the entry of the node `member` in the member table of the node `observer`.
 fn read_member(fleet: &RunningFleet, observer: usize, member: usize) -> Option<MemberEntry> {
+    try_read_member(fleet, observer, member).ok()
+}
+
+/// Returns the entry of the node `member` in the member table of the node `observer`, or why it
+/// cannot be read.
+fn try_read_member(
+    fleet: &RunningFleet,
+    observer: usize,
+    member: usize,
+) -> Result<MemberEntry, String> {
     let probe = HttpProbe::new(fleet.plan.endpoints[observer].admin);
-    let response = probe.get("/v1/members").ok()?;
-    let members: Vec<MemberEntry> = serde_json::from_slice(&response.body).ok()?;
+    let response = probe
+        .get("/v1/members")
+        .map_err(|error| error.to_string())?;
+    let members: Vec<MemberEntry> =
+        serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
     let peer = fleet.plan.endpoints[member].peer;
-    members.into_iter().find(|entry| entry.address.0 == peer)
+    let entry = members.into_iter().find(|entry| entry.address.0 == peer);
+    entry.ok_or_else(|| "no entry".to_owned())
 }
 
 /// Calls a service through each running node; returns the instances that answered and the failed
@@ -97,11 +111,11 @@
     let mut not_live = std::collections::BTreeMap::<usize, Vec<String>>::new();
     while Instant::now() < end {
         for observer in &all {
-            let entry = read_member(&watched.fleet, *observer, missing_node);
+            let entry = try_read_member(&watched.fleet, *observer, missing_node);
             let listed = match entry {
-                Some(entry) if entry.state == MemberState::Live => continue,
-                Some(entry) => format!("sample {samples}: {:?}", entry.state),
-                None => format!("sample {samples}: no entry or no response"),
+                Ok(entry) if entry.state == MemberState::Live => continue,
+                Ok(entry) => format!("sample {samples}: {entry:?}"),
+                Err(cause) => format!("sample {samples}: {cause}"),
             };
             not_live.entry(*observer).or_default().push(listed);
         }
--- a/tests/membership_rules.rs
+++ b/tests/membership_rules.rs
@@ -104,6 +104,31 @@
     assert_ne!(forward.digest(), backward.digest());
 }
 
+/// Guards against removing a live instance that was contacted shortly before it was missing from a
+/// list: it must be probed before its last contact is too long ago.
+#[test]
+fn contacted_instances_are_probed_before_they_are_removed() {
+    let mut members = table();
+    let at = ClockTime;
+    let state = |members: &MemberTable| members.get(&address(3)).map(|entry| entry.state);
+    members.merge(&entry(3, 7, "bangna", Live), address(9), false, at(0));
+    members.apply_list(&list(5, &[1, 3]), at(0));
+    members.record_contact(&address(3), at(1_000));
+    members.apply_list(&list(6, &[1]), at(2_000));
+    assert_eq!(members.next_probe(at(10_999)), None);
+    for time in [11_000, 20_000, 30_999] {
+        assert_eq!(members.next_probe(at(time)), Some(address(3)), "{time}");
+        members.expire(at(time));
+        assert_eq!(state(&members), Some(Live), "{time}");
+    }
+    members.record_contact(&address(3), at(30_999));
+    assert_eq!(members.next_probe(at(31_000)), None);
+    members.expire(at(60_998));
+    assert_eq!(state(&members), Some(Live));
+    members.expire(at(60_999));
+    assert_eq!(state(&members), Some(Gone));
+}
+
 /// Guards against keeping an instance forever that restarted, failed and left the list, and against
 /// removing a live instance that is missing from a stale list before it can refute the removal.
 #[test]
