Refuse what cannot end within the grace time of a planned stop

Replay with logs: a request was read 1.2 s after SIGTERM, waited 2.5 s in the queue of its endpoint and was given up 1.05 s after it had been started, when the grace time of the node ended.

A stopping node caps the deadline of each request that it starts at the time by which it answers, so that the queue refuses at once what cannot be ready by then; the client can try another node.

Ruled out: a cut by the client, or by the node beside the endpoint (log).

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -1,6 +1,7 @@
 //! Data model of the mesh as nodes see it: the installed configuration and the endpoints of each
 //! service.
 
+mod change_log;
 mod client_limits;
 mod config_delta;
 mod config_history;
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -1,9 +1,10 @@
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use crate::clock::ClockTime;
 use crate::id::{EndpointId, ServiceName};
+use crate::mesh::change_log::ChangeLog;
 use crate::mesh::{EndpointRecord, EndpointState};
 
 /// A change to the directory entry of one endpoint.
@@ -51,9 +52,6 @@
     pub removed: Vec<EndpointId>,
 }
 
-/// Number of changes kept for deltas; a node that is further behind gets the full directory.
-const CHANGE_LOG_LIMIT: usize = 1_024;
-
 /// Number of removed endpoints that are remembered. An identifier has at most 64 bytes, so they
 /// take less than 1 MB. A request for an endpoint that is no longer remembered is rejected by the
 /// endpoint itself.
@@ -77,12 +75,7 @@
     services: HashMap<ServiceName, Vec<EndpointId>>,
     addresses: HashMap<SocketAddr, EndpointId>,
     tombstones: HashMap<EndpointId, Rc<EndpointRecord>>,
-    change_log: VecDeque<EndpointId>,
-    /// Generations that reflected the registry up to a position, in ascending order.
-    reached: VecDeque<(u64, u64)>,
-    /// Generation from which the change log lacks no change of the registry.
-    complete_since: u64,
-    generation: u64,
+    change_log: ChangeLog,
     keep_missing_until: ClockTime,
     position: u64,
     /// Position that the endpoints reflect, at least `position`.
@@ -124,14 +117,7 @@
     /// Records that the endpoints reflect the registry up to a position.
     pub fn record_listing(&mut self, position: u64) {
         self.listed_position = self.listed_position.max(position);
-        let last = self.reached.back().map(|(_, generation)| *generation);
-        if last != Some(self.generation) {
-            self.reached
-                .push_back((self.listed_position, self.generation));
-        }
-        if self.reached.len() > CHANGE_LOG_LIMIT {
-            self.reached.pop_front();
-        }
+        self.change_log.record_position(self.listed_position);
     }
 
     /// Records that the endpoints were replaced by a full list that reflects a position.
@@ -139,8 +125,7 @@
     /// The list does not tell which endpoints came and went since the last position, so deltas from
     /// earlier generations are no longer complete.
     pub fn record_full_listing(&mut self, position: u64) {
-        self.complete_since = self.generation;
-        self.reached.clear();
+        self.change_log.record_gap();
         self.record_listing(position);
     }
 
@@ -148,11 +133,7 @@
     /// reflects the registry up to that position lacks only the changes since this generation.
     #[must_use]
     pub fn generation_at(&self, position: u64) -> Option<u64> {
-        let count = self
-            .reached
-            .partition_point(|(reached, _)| *reached <= position);
-        let (_, generation) = self.reached.get(count.checked_sub(1)?)?;
-        Some(*generation)
+        self.change_log.generation_at(position)
     }
 
     /// Inserts or updates the record of an endpoint, unless a newer one is known.
@@ -189,7 +170,7 @@
         self.entries.insert(id.clone(), entry);
         self.tombstones.remove(&id);
         if !unchanged || is_resized {
-            self.record_change(&id);
+            self.change_log.record(&id);
         }
         match state {
             _ if unchanged => None,
@@ -205,7 +186,7 @@
         let entry = self.entries.get_mut(id)?;
         if now < self.keep_missing_until && entry.record.state == EndpointState::Ready {
             let was_missing = std::mem::replace(&mut entry.missing, true);
-            self.record_change(id);
+            self.change_log.record(id);
             return (!was_missing).then(|| DirectoryEvent::Missing(id.clone()));
         }
         self.evict(id);
@@ -309,7 +290,7 @@
     /// An unknown endpoint is recorded as a change too: a node that follows this one may know it.
     pub fn remove_immediately(&mut self, id: &EndpointId) -> Option<DirectoryEvent> {
         if !self.entries.contains_key(id) {
-            self.record_change(id);
+            self.change_log.record(id);
             return None;
         }
         self.evict(id);
@@ -319,16 +300,14 @@
     /// Returns the number of changes so far.
     #[must_use]
     pub fn generation(&self) -> u64 {
-        self.generation
+        self.change_log.generation()
     }
 
     /// Returns the changes since a generation, or the full content if not all of them are known.
     #[must_use]
     pub fn delta(&self, since: Option<u64>) -> DirectoryDelta {
-        let since = since.filter(|since| *since >= self.complete_since);
-        let count = since.and_then(|since| self.generation.checked_sub(since));
-        let count = count.and_then(|count| usize::try_from(count).ok());
-        let Some(count) = count.filter(|count| *count <= self.change_log.len()) else {
+        let changed = since.and_then(|since| self.change_log.changed_since(since));
+        let Some(changed) = changed else {
             let entries = self.entries.values();
             return DirectoryDelta {
                 is_snapshot: true,
@@ -338,13 +317,12 @@
                 removed: Vec::new(),
             };
         };
-        let recent: HashSet<_> = self.change_log.iter().rev().take(count).collect();
         let mut delta = DirectoryDelta {
             is_snapshot: false,
             present: Vec::new(),
             removed: Vec::new(),
         };
-        for id in recent {
+        for id in changed {
             match self.entries.get(id) {
                 Some(entry) => delta
                     .present
@@ -355,14 +333,6 @@
         delta
     }
 
-    fn record_change(&mut self, id: &EndpointId) {
-        self.generation += 1;
-        self.change_log.push_back(id.clone());
-        if self.change_log.len() > CHANGE_LOG_LIMIT {
-            self.change_log.pop_front();
-        }
-    }
-
     /// Maps an address to the record that names it, unless a later incarnation holds it.
     fn claim_address(&mut self, record: &EndpointRecord) {
         let holder = self.addresses.get(&record.address);
@@ -399,7 +369,7 @@
     /// Removes an entry and remembers its record as a tombstone.
     fn evict(&mut self, id: &EndpointId) {
         self.remove_from_service(id);
-        self.record_change(id);
+        self.change_log.record(id);
         if let Some(entry) = self.entries.remove(id) {
             self.release_address(&entry.record);
             if self.tombstones.len() >= TOMBSTONE_LIMIT {
--- a/src/node/call_router.rs
+++ b/src/node/call_router.rs
@@ -108,7 +108,7 @@
             Error::new(ResultCode::NoEndpoint, message)
         })?;
         let incarnation = self.incarnation_of(address).ok_or_else(|| {
-            let message = format!("endpoint {address} has not been heard yet");
+            let message = format!("endpoint {address} has not sent a message yet");
             Error::new(ResultCode::NoEndpoint, message)
         })?;
         let wall_ms = self.clock.unix_time_ms();
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -24,6 +24,7 @@
 mod mesh_sync_task;
 mod mesh_updater;
 mod monitoring_service;
+mod node_queries;
 mod node_state;
 mod outbound_request;
 mod peer_clock;
--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -56,7 +56,7 @@
     running: FuturesUnordered<LocalBoxFuture<'static, FinishedRequest>>,
 }
 
-/// Reason why a session wakes up.
+/// Event that a session processes next.
 enum SessionEvent {
     Received,
     Finished(FinishedRequest),
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -7,39 +7,28 @@
 use futures_util::future::{self, Either};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use monoio::time;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::SliceRandom;
 use smallvec::SmallVec;
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
-use crate::mesh::{RegistryChange, RegistryRead};
+use crate::mesh::RegistryRead;
 use crate::sidecar::mesh_updater::MeshUpdater;
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::refresh_plan::{self, PlannedSource, RefreshPlan, RefreshState, ViewSource};
 use crate::sidecar::view_client::ViewClient;
-use crate::sidecar::view_message::{ViewCursor, ViewReply, ViewRequest};
-use crate::sidecar::view_time;
+use crate::sidecar::view_message::ViewCursor;
 use crate::sidecar::view_trees::{ViewNeighbors, ViewTrees};
 use crate::sidecar::{PlatformAdapter, ReaderState, SidecarSettings};
 
 /// Number of refresh intervals in the shortest propagation bound, so that a change arrives within
 /// the bound even if one read is slow.
 const INTERVALS_PER_BOUND: u64 = 4;
-/// Age of the view, in refresh intervals, up to which another node may wait before it responds.
-const MAX_WAIT_INTERVALS: f64 = 3.0;
 /// Mean delay after the first failed refresh; it doubles with each further failure up to the refresh
 /// interval.
 const INITIAL_BACKOFF: ClockTime = ClockTime(50);
-/// Number of nodes on the first page of the list of endpoints that a starting node asks.
-const INTRODUCED_NODE_COUNT: usize = 2;
-/// Age, in refresh intervals, up to which a starting node takes the view of another one while the
-/// registry responds.
-const MAX_FIRST_AGE_INTERVALS: f64 = 2.0;
 /// Time for the first read of the registry, in addition to the transfer of its largest value.
 const INITIAL_READ_TIMEOUT: ClockTime = ClockTime(3_000);
-/// Time that a node has to obtain its first configuration, which it may have to read from the
-/// registry.
-const INITIAL_CONFIG_WAIT: ClockTime = ClockTime(1_000);
 
 /// Task that synchronizes the node's view of the mesh with the registry, either directly or through
 /// another node.
@@ -233,12 +222,6 @@
         (source, result)
     }
 
-    fn freshest_node(&self, waiting: &[IpAddr]) -> Option<IpAddr> {
-        let fresh_peers = self.state.fresh_peers.borrow();
-        let mut fresher = fresh_peers.fresher_than(self.state.read_at());
-        fresher.find(|address| !waiting.contains(address))
-    }
-
     fn plan(&self, limit: ClockTime) -> RefreshPlan {
         let mut neighbors = self.neighbors();
         // Before a parent has responded, the random order spreads the nodes over both trees.
@@ -281,144 +264,6 @@
         neighbors.clone()
     }
 
-    /// Returns a random node that is not in `asked`, of the node's own region or of all regions.
-    fn random_node(&self, asked: &[IpAddr], is_far: bool) -> Option<IpAddr> {
-        let local_ip = self.settings.endpoint.ip();
-        let directory = self.state.directory.borrow();
-        let regions = &self.settings.regions;
-        let region = regions.get(&self.settings.zone);
-        let is_candidate = |zone| is_far || regions.get(zone) == region;
-        let known = directory
-            .records()
-            .filter(|record| is_candidate(&record.zone));
-        let known = known.map(|record| record.address.ip());
-        let seeds = self.settings.seeds.iter().copied();
-        known
-            .chain(seeds)
-            .filter(|address| *address != local_ip && !asked.contains(address))
-            .choose(&mut rand::rng())
-    }
-
-    /// Returns random nodes on the first page of the list of endpoints, those of the same region
-    /// first.
-    fn introduced_nodes(&self) -> SmallVec<[IpAddr; 2]> {
-        let first_page = self.first_page.borrow();
-        let Some((_, read)) = first_page.as_ref() else {
-            return SmallVec::new();
-        };
-        let local_ip = self.settings.endpoint.ip();
-        let regions = &self.settings.regions;
-        let region = regions.get(&self.settings.zone);
-        let mut nodes: Vec<(bool, IpAddr)> = read
-            .changes
-            .iter()
-            .filter_map(|change| match change {
-                RegistryChange::Endpoint(record) => Some(record),
-                _ => None,
-            })
-            .map(|record| (regions.get(&record.zone) != region, record.address.ip()))
-            .filter(|(_, address)| *address != local_ip)
-            .collect();
-        nodes.shuffle(&mut rand::rng());
-        nodes.sort_by_key(|(is_far, _)| *is_far);
-        nodes.truncate(INTRODUCED_NODE_COUNT);
-        nodes.into_iter().map(|(_, address)| address).collect()
-    }
-
-    async fn query_node(&self, address: IpAddr) -> std::result::Result<(), ()> {
-        let request = ViewRequest {
-            sender: self.settings.endpoint.ip(),
-            cursor: self.cursors.borrow().get(&address).copied(),
-            position: self.state.directory.borrow().listed_position(),
-            version: self.state.config().map(|config| config.version()),
-            age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
-            wait: match self.pending_config_read.get() {
-                Some(_) => INITIAL_CONFIG_WAIT,
-                None if self.first_page.borrow().is_some() => {
-                    self.intervals(refresh_plan::START_SPREAD_INTERVALS)
-                }
-                None => self.remaining_wait(),
-            },
-        };
-        let previous_read_at = self.state.read_at();
-        let sent_at = self.state.clock.now();
-        let metrics = &self.state.metrics;
-        match self.views.fetch(address, &request).await {
-            Ok(reply) => {
-                self.apply_reply(address, sent_at, reply);
-                // A reply that is no fresher counts as a failure, so that all sources are queried
-                // next.
-                if self.state.read_at() > previous_read_at {
-                    metrics.record_view_query("fresher");
-                    Ok(())
-                } else {
-                    metrics.record_view_query("not_fresher");
-                    Err(())
-                }
-            }
-            Err(error) => {
-                metrics.record_view_query("failed");
-                self.state.fresh_peers.borrow_mut().remove(address);
-                log::info!("event=view_source_lost node={address} cause=\"{error}\"");
-                Err(())
-            }
-        }
-    }
-
-    /// Applies the view of another node unless the local view is newer.
-    fn apply_reply(&self, address: IpAddr, sent_at: ClockTime, reply: ViewReply) {
-        let Some(age) = reply.age else {
-            return;
-        };
-        let read_at = view_time::earliest_read_time(sent_at, reply.held, age);
-        let mut fresh_peers = self.state.fresh_peers.borrow_mut();
-        fresh_peers.record(address, read_at);
-        drop(fresh_peers);
-        let max_age = self.intervals(MAX_FIRST_AGE_INTERVALS);
-        let is_start = self.state.age().is_none() && self.failures.get() == 0;
-        if is_start && age > max_age {
-            return;
-        }
-        let updated = reply
-            .config
-            .as_ref()
-            .map_or(Ok(()), |compressed| self.updater.update_config(compressed));
-        if let Err(error) = updated {
-            // The view stays unconfirmed, so the configuration is requested again.
-            log::error!("event=config_refused node={address} cause=\"{error}\"");
-            return;
-        }
-        let installed = self.state.config().map(|config| config.version());
-        if installed < reply.version {
-            log::warn!("event=config_not_received node={address}");
-            return;
-        }
-        let pending = self.pending_config_read.get();
-        if let Some(pending) = pending.filter(|pending| reply.position < pending.position) {
-            // The local endpoint list is newer; only the configuration was missing. Watching
-            // resumes at the older position, which the configuration reflects.
-            self.updater.advance(reply.position);
-            self.position.set(Some(reply.position));
-            self.pending_config_read.set(None);
-            self.state.mark_fresh(pending.started_at.min(read_at));
-            return;
-        }
-        let directory = self.state.directory.borrow();
-        if reply.position < directory.position()
-            || reply.listed_position < directory.listed_position()
-        {
-            return;
-        }
-        drop(directory);
-        let (cursor, position) = (reply.cursor, reply.position);
-        self.updater.merge_view(reply);
-        self.cursors.borrow_mut().insert(address, cursor);
-        self.position.set(Some(position));
-        self.pending_config_read.set(None);
-        self.first_page.take();
-        self.state.mark_fresh(read_at);
-    }
-
     /// Waits until the next refresh is due. Most registry changes are heartbeats without new
     /// content, so waiting collects them in one read.
     async fn wait_for_next_interval(&self, started_at: ClockTime) {
@@ -447,14 +292,8 @@
             .max(ClockTime(interval.0 / 4))
     }
 
-    /// Returns how long another node may wait for a fresher view than this node's.
-    fn remaining_wait(&self) -> ClockTime {
-        let age = self.state.age().unwrap_or_default();
-        (self.intervals(MAX_WAIT_INTERVALS) - age).max(self.intervals(0.5))
-    }
-
     /// Returns a number of refresh intervals as a time.
-    fn intervals(&self, count: f64) -> ClockTime {
+    pub(crate) fn intervals(&self, count: f64) -> ClockTime {
         ClockTime((self.interval().as_f64() * count) as u64)
     }
 
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -22,6 +22,8 @@
     /// Whether the view has been synchronized at least once.
     loaded: Cell<bool>,
     shutting_down: Cell<bool>,
+    /// Time by which a stopping node answers all requests; far in the future before that.
+    answer_by: Cell<ClockTime>,
     /// Time up to which the view is known to match the registry.
     read_at: Cell<ClockTime>,
     refresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
@@ -46,6 +48,7 @@
             history: RefCell::default(),
             loaded: Cell::new(false),
             shutting_down: Cell::new(false),
+            answer_by: Cell::new(ClockTime(u64::MAX)),
             read_at: Cell::new(ClockTime(0)),
             refresh_waiters: RefCell::default(),
             fresh_peers: RefCell::default(),
@@ -129,8 +132,15 @@
         let _ = receiver.await;
     }
 
-    pub(crate) fn begin_shutdown(&self) {
+    /// Records that the node stops and answers all requests by `answer_by`.
+    pub(crate) fn begin_shutdown(&self, answer_by: ClockTime) {
         self.shutting_down.set(true);
+        self.answer_by.set(answer_by);
+    }
+
+    /// Returns the time by which all requests are answered.
+    pub(crate) fn answer_by(&self) -> ClockTime {
+        self.answer_by.get()
     }
 
     pub(crate) fn is_shutting_down(&self) -> bool {
--- a/src/sidecar/pending_request.rs
+++ b/src/sidecar/pending_request.rs
@@ -49,10 +49,12 @@
         permit: Option<AheadPermit>,
     ) -> FinishedRequest {
         let Self {
-            request,
+            mut request,
             is_head,
             reservation,
         } = self;
+        // A stopping node refuses what cannot end in time, instead of giving it up while it runs.
+        request.deadline = request.deadline.min(dispatcher.state.answer_by());
         let mut log = CancelLog(Some(&request.id));
         let response = dispatcher.dispatch(&request).await;
         log.0 = None;
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -209,9 +209,9 @@
         let clock = self.state.clock;
         let started_at = clock.now();
         log::info!("event=stop_begun node={}", self.settings.name);
-        self.state.begin_shutdown();
         let grace = self.state.bounds().grace;
         let end = started_at + grace - ClockTime(grace.0 / ABORT_TIME_DIVISOR);
+        self.state.begin_shutdown(end - ANSWER_TIME);
         // The platform routes clients to this node until its readiness checks have failed.
         let detection =
             ClockTime(READY_CHECK_INTERVAL.0 * READY_FAILURE_THRESHOLD) + READY_CHECK_MARGIN;
