--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -29,7 +29,7 @@
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of interim and unrelated responses skipped before the expected one.
-const MAX_SKIPPED_RESPONSES: usize = 8;
+const MAX_SKIPPED_RESPONSE_COUNT: usize = 8;
 
 /// Connection kept open for reuse.
 struct IdleConnection {
@@ -234,7 +234,7 @@
         header: &ForwardRequestHeader,
     ) -> Result<EndpointResponse, WireError> {
         let written = stream.write_until_response(message).await?;
-        for _ in 0..MAX_SKIPPED_RESPONSES {
+        for _ in 0..MAX_SKIPPED_RESPONSE_COUNT {
             let head = stream.read_head(MAX_HEAD_BYTES).await?;
             let parts = caller::parse_response(&head).await?;
             if parts.status.is_informational() {
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -18,7 +18,7 @@
 /// The backoff doubles with each further refusal.
 const BACKOFF_HOLD_RATIO: f64 = 0.25;
 /// Fraction by which processing takes longer on a fully loaded endpoint.
-const SATURATION_SLOWDOWN: f64 = 0.3;
+const SATURATION_SLOWDOWN_FACTOR: f64 = 0.3;
 
 /// Statistics about one endpoint.
 #[derive(Debug, Clone, Default)]
@@ -184,7 +184,7 @@
         let slowness = 1.0 + (entry.slowness.unwrap_or(1.0) - 1.0) * confidence;
         let latency_ms = entry.latency_ms.unwrap_or(default_latency_ms);
         let latency_ms = default_latency_ms + (latency_ms - default_latency_ms) * confidence;
-        let saturation = 1.0 + SATURATION_SLOWDOWN * (outstanding / capacity).min(1.0);
+        let saturation = 1.0 + SATURATION_SLOWDOWN_FACTOR * (outstanding / capacity).min(1.0);
         EndpointForecast {
             response_time_ms: latency_ms + processing_ms * slowness * saturation + wait_ms,
             wait_ms,
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -22,7 +22,7 @@
 /// request cannot arrive after its fence has expired.
 const FENCE_TIME: ClockTime = ClockTime(60_000);
 /// A queued request is refused after this multiple of its maximum queue wait, plus the margin.
-const WAIT_TOLERANCE: f64 = 1.5;
+const WAIT_TOLERANCE_FACTOR: f64 = 1.5;
 const WAIT_MARGIN: ClockTime = ClockTime(20);
 /// Weight of the newest request in the moving average of the retry share.
 const RETRY_SAMPLE_WEIGHT: f64 = 0.02;
@@ -127,7 +127,7 @@
             objective: header.objective,
         };
         // The expected wait is only an estimate; a request that queues for much longer is refused.
-        let limit = ClockTime((header.max_queue_wait.as_f64() * WAIT_TOLERANCE) as u64);
+        let limit = ClockTime((header.max_queue_wait.as_f64() * WAIT_TOLERANCE_FACTOR) as u64);
         let last_start = arrived + header.remaining - header.work;
         let until = last_start.min(arrived + limit + WAIT_MARGIN);
         let slot = self
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -39,19 +39,19 @@
 const CROSS_ZONE_COST: f64 = 0.15;
 const CROSS_REGION_COST: f64 = 0.5;
 /// Endpoints probed for a free slot before the request joins the shortest queue.
-const MAX_PROBES: usize = 3;
+const MAX_PROBE_COUNT: usize = 3;
 /// Endpoints passed over as ineligible before no further one is considered.
-const MAX_INELIGIBLE: usize = 4;
+const MAX_INELIGIBLE_COUNT: usize = 4;
 /// Limits on the doublings of the backoff after an endpoint in another zone or region refuses a
 /// request.
 ///
 /// The backoff reaches one mean slot hold time in another zone, within which most slots become
 /// free, and eight in another region, because each probe sends the whole request over a link with
 /// little bandwidth.
-const ZONE_BACKOFF_DOUBLINGS: u32 = 2;
-const REGION_BACKOFF_DOUBLINGS: u32 = 5;
+const ZONE_BACKOFF_DOUBLING_COUNT: u32 = 2;
+const REGION_BACKOFF_DOUBLING_COUNT: u32 = 5;
 /// Assumed slowdown of an endpoint that is warming up.
-const WARM_UP_SLOWDOWN: f64 = 2.0;
+const WARM_UP_SLOWDOWN_FACTOR: f64 = 2.0;
 /// Fraction of the objective that a request may queue if it cannot meet the objective.
 const LATE_WAIT_RATIO: f64 = 0.25;
 /// Maximum factor by which the queue wait of a short request is extended. Route timeouts are
@@ -82,7 +82,7 @@
         let mut skipped = progress.excluded.clone();
         skipped.extend(progress.overloaded.iter().map(|(id, _)| id.clone()));
         let mut ineligible = 0;
-        while progress.overloaded.len() < MAX_PROBES && ineligible < MAX_INELIGIBLE {
+        while progress.overloaded.len() < MAX_PROBE_COUNT && ineligible < MAX_INELIGIBLE_COUNT {
             let Some(record) = self.lowest_cost_endpoint(request, &skipped, now) else {
                 break;
             };
@@ -158,8 +158,8 @@
     fn is_backing_off(&self, record: &EndpointRecord, now: ClockTime) -> bool {
         let doublings = match self.is_in_other_region(record) {
             _ if record.zone == self.settings.zone => return false,
-            true => REGION_BACKOFF_DOUBLINGS,
-            false => ZONE_BACKOFF_DOUBLINGS,
+            true => REGION_BACKOFF_DOUBLING_COUNT,
+            false => ZONE_BACKOFF_DOUBLING_COUNT,
         };
         let endpoints = self.endpoints.borrow();
         endpoints.is_backing_off(&record.id, now, doublings)
@@ -261,7 +261,7 @@
             let (latency_ms, distance) = self.network_defaults(record);
             let warm = directory.warm_up(&record.id, now) > ClockTime(0);
             let processing_ms = if warm {
-                processing_ms * WARM_UP_SLOWDOWN
+                processing_ms * WARM_UP_SLOWDOWN_FACTOR
             } else {
                 processing_ms
             };
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -23,7 +23,7 @@
 
 /// Number of refresh intervals in the shortest propagation bound, so that a change arrives within
 /// the bound even if one read is slow.
-const INTERVALS_PER_BOUND: u64 = 4;
+const BOUND_INTERVAL_COUNT: u64 = 4;
 /// Mean delay after the first failed refresh; it doubles with each further failure up to the refresh
 /// interval.
 const INITIAL_BACKOFF: ClockTime = ClockTime(50);
@@ -301,6 +301,6 @@
     pub(crate) fn interval(&self) -> ClockTime {
         let bounds = self.state.bounds();
         let bound = bounds.config_apply.min(bounds.drain);
-        ClockTime(bound.0 / INTERVALS_PER_BOUND)
+        ClockTime(bound.0 / BOUND_INTERVAL_COUNT)
     }
 }
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -24,7 +24,8 @@
 const MAX_WAIT_INTERVALS: f64 = 3.0;
 
 impl MeshSyncTask {
-    /// Returns the node with the freshest view, if it is fresher than this node's and not asked yet.
+    /// Returns the node with the freshest view, if it is fresher than this node's and not in
+    /// `waiting`.
     pub(crate) fn freshest_node(&self, waiting: &[IpAddr]) -> Option<IpAddr> {
         let fresh_peers = self.state.fresh_peers.borrow();
         let mut fresher = fresh_peers.fresher_than(self.state.read_at());
--- a/src/sidecar/reader_state.rs
+++ b/src/sidecar/reader_state.rs
@@ -1,7 +1,7 @@
 use crate::clock::ClockTime;
 
 /// Number of doublings of the time for which a node whose read failed asks other nodes instead.
-const MAX_BACKOFF_DOUBLINGS: u32 = 3;
+const MAX_BACKOFF_DOUBLING_COUNT: u32 = 3;
 /// Mean number of nodes of a region that read the registry for others while its readers fail.
 const SUBSTITUTE_COUNT: f64 = 2.0;
 /// Refresh intervals for which such a node reads the registry.
@@ -54,7 +54,7 @@
 
     /// Records a failed read.
     pub fn record_failure(&mut self, now: ClockTime, interval: ClockTime) {
-        let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
+        let doublings = self.failures.min(MAX_BACKOFF_DOUBLING_COUNT);
         self.failures = self.failures.saturating_add(1);
         self.backoff_until = now + ClockTime(interval.0 << doublings);
     }
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -114,6 +114,8 @@
     (intervals(BACKUP_AGE_INTERVALS) - age) + intervals(LIMIT_INTERVALS)
 }
 
+/// Plans the refresh of a node that has no view: one page of the registry, then nodes on that page,
+/// then the whole list and the configuration.
 fn plan_start(state: &RefreshState<'_>) -> RefreshPlan {
     let mut plan = RefreshPlan::new();
     let introduced = state.introduced.iter().enumerate();
@@ -143,6 +145,7 @@
     plan
 }
 
+/// Plans the refresh of a view of the given age.
 fn plan_update(state: &RefreshState<'_>, age: ClockTime) -> RefreshPlan {
     let mut plan = RefreshPlan::new();
     let second = state.intervals(SECOND_PARENT_AGE_INTERVALS) - age;
@@ -161,6 +164,12 @@
             add(&mut plan, ViewSource::Registry, second);
         }
     }
+    plan_further_sources(state, age, &mut plan);
+    plan
+}
+
+/// Adds the sources for a view that the usual ones have not refreshed in time.
+fn plan_further_sources(state: &RefreshState<'_>, age: ClockTime, plan: &mut RefreshPlan) {
     let backup = state.intervals(BACKUP_AGE_INTERVALS) - age;
     let spacing = state.intervals(NODE_QUERY_INTERVALS).max(ClockTime(1));
     for count in 0.. {
@@ -192,8 +201,7 @@
         });
     }
     let delay = registry + state.registry_delay();
-    add(&mut plan, ViewSource::Registry, delay);
-    plan
+    add(plan, ViewSource::Registry, delay);
 }
 
 /// Adds a source unless it is planned already.
--- a/src/sidecar/reload_task.rs
+++ b/src/sidecar/reload_task.rs
@@ -14,7 +14,7 @@
 const SIGNAL_CHECK_INTERVAL: ClockTime = ClockTime(100);
 /// Number of signal checks after which the file is read even without a signal, because it may be
 /// changed without one.
-const CHECKS_PER_FILE_READ: u32 = 20;
+const FILE_READ_CHECK_COUNT: u32 = 20;
 
 /// Task that applies changed settings while the node runs.
 pub(crate) struct ReloadTask {
@@ -36,7 +36,7 @@
             }
             checks += 1;
             let signaled = self.signal.take();
-            if signaled || checks >= CHECKS_PER_FILE_READ {
+            if signaled || checks >= FILE_READ_CHECK_COUNT {
                 checks = 0;
                 self.reload(signaled);
             }
--- a/src/sidecar/route_stats.rs
+++ b/src/sidecar/route_stats.rs
@@ -6,7 +6,7 @@
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Number of mean absolute deviations above the mean at which a response counts as slow. For a
 /// normal distribution, 2.5 correspond to about the 98th percentile.
-const SLOW_DEVIATIONS: f64 = 2.5;
+const SLOW_DEVIATION_COUNT: f64 = 2.5;
 
 /// Moving averages of one route, in ms.
 #[derive(Debug, Clone, Copy, Default)]
@@ -47,7 +47,7 @@
     pub(crate) fn slow_threshold(&self, route: &str, objective: ClockTime) -> ClockTime {
         let floor = objective.as_f64() / 2.0;
         let slow = self.routes.get(route).map_or(floor, |latency| {
-            latency.total_ms + SLOW_DEVIATIONS * latency.deviation_ms
+            latency.total_ms + SLOW_DEVIATION_COUNT * latency.deviation_ms
         });
         ClockTime(slow.max(floor) as u64)
     }
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -38,7 +38,7 @@
 use crate::size::ByteSize;
 
 /// Slots of the local endpoint until the registry provides its capacity.
-const INITIAL_CAPACITY: usize = 1;
+const INITIAL_SLOT_COUNT: usize = 1;
 /// Divisor of the memory that gives the size limit of one response.
 const RESPONSE_MEMORY_DIVISOR: u64 = 8;
 /// Divisor of the memory that gives the limit for all request bodies of clients. The same amount is
@@ -48,10 +48,10 @@
 /// their connection.
 const HELD_MEMORY_DIVISOR: u64 = 8;
 /// Maximum number of pipelined requests that a node starts before their turn.
-const MAX_REQUESTS_AHEAD: usize = 512;
+const AHEAD_REQUEST_LIMIT: usize = 512;
 /// Limit for accepted peer connections per second. It lets a restarted fleet of several hundred
 /// nodes connect within seconds.
-const PEER_ACCEPTS_PER_SECOND: usize = 500;
+const PEER_ACCEPTS_PER_S: usize = 500;
 /// Probe intervals short enough to detect an unresponsive peer connection within the latency
 /// objective of slow requests.
 const KEEPALIVE: KeepaliveConfig = KeepaliveConfig {
@@ -67,7 +67,7 @@
 /// Interval of the platform's readiness checks.
 const READY_CHECK_INTERVAL: ClockTime = ClockTime(1_000);
 /// Failed readiness checks after which the platform routes no more clients to the node.
-const READY_FAILURE_THRESHOLD: u64 = 2;
+const READY_FAILURE_LIMIT: u64 = 2;
 /// Time for the last of these checks to arrive.
 const READY_CHECK_MARGIN: ClockTime = ClockTime(500);
 /// Interval at which a stopping node checks whether the endpoint still has outstanding requests.
@@ -127,7 +127,7 @@
             dispatcher: Rc::clone(&dispatcher),
             bodies: BodyBudget::new(ByteSize(memory_share(&settings, BODY_MEMORY_DIVISOR) as u64)),
             ahead: AheadBudget::new(
-                MAX_REQUESTS_AHEAD,
+                AHEAD_REQUEST_LIMIT,
                 memory_share(&settings, HELD_MEMORY_DIVISOR),
             ),
         });
@@ -214,7 +214,7 @@
         self.state.begin_shutdown(end - ANSWER_TIME);
         // The platform routes clients to this node until its readiness checks have failed.
         let detection =
-            ClockTime(READY_CHECK_INTERVAL.0 * READY_FAILURE_THRESHOLD) + READY_CHECK_MARGIN;
+            ClockTime(READY_CHECK_INTERVAL.0 * READY_FAILURE_LIMIT) + READY_CHECK_MARGIN;
         let drain_time = detection.min(ClockTime((end - started_at).0 / 2));
         time::sleep(drain_time.to_duration()).await;
         drop(self.stop_clients);
@@ -265,7 +265,7 @@
     Rc::new(InboundService {
         process,
         state: Rc::clone(state),
-        slots: SlotSemaphore::new(clock, INITIAL_CAPACITY),
+        slots: SlotSemaphore::new(clock, INITIAL_SLOT_COUNT),
         client: EndpointClient::new(
             settings.endpoint,
             clock,
@@ -295,7 +295,7 @@
         body_limit: memory_share(settings, BODY_MEMORY_DIVISOR),
     });
     let address = NodeAddress(settings.peer_listen);
-    PeerServer::bind_streams(address, streams, PEER_ACCEPTS_PER_SECOND, state.clock)
+    PeerServer::bind_streams(address, streams, PEER_ACCEPTS_PER_S, state.clock)
 }
 
 fn new_dispatcher(
--- a/src/sidecar/view_tree.rs
+++ b/src/sidecar/view_tree.rs
@@ -7,7 +7,7 @@
 use crate::mesh::ServiceDirectory;
 
 /// Number of children per node. With 8 children, five levels hold 5,500 nodes.
-const FANOUT: usize = 8;
+const CHILD_COUNT: usize = 8;
 
 /// The two distribution trees of a region, which limit the number of nodes that read the registry.
 ///
@@ -87,5 +87,5 @@
 
 /// Returns the place of the parent in the order of a tree, or `None` for the root.
 fn parent_place(place: usize) -> Option<usize> {
-    place.checked_sub(1).map(|place| place / FANOUT)
+    place.checked_sub(1).map(|place| place / CHILD_COUNT)
 }
