Forget removed endpoints one by one

The endpoint that was removed first is forgotten (Tombstones).

Test. late_reports_of_many_removed_endpoints_restore_none_of_the_last_ones failed before.

Conclusion: shown and mended.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -15,6 +15,7 @@
 mod route_rule;
 mod service_directory;
 mod service_target;
+mod tombstones;
 
 pub use client_limits::ClientLimits;
 pub use config_delta::ConfigDelta;
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -5,6 +5,7 @@
 use crate::clock::ClockTime;
 use crate::id::{EndpointId, ServiceName};
 use crate::mesh::change_log::ChangeLog;
+use crate::mesh::tombstones::Tombstones;
 use crate::mesh::{EndpointRecord, EndpointState};
 
 /// A change to the directory entry of one endpoint.
@@ -52,11 +53,6 @@
     pub removed: Vec<EndpointId>,
 }
 
-/// Number of removed endpoints that are remembered. An identifier has at most 64 bytes, so they
-/// take less than 1 MB. A request for an endpoint that is no longer remembered is rejected by the
-/// endpoint itself.
-const TOMBSTONE_LIMIT: usize = 4_096;
-
 /// An endpoint in the directory.
 #[derive(Debug)]
 struct DirectoryEntry {
@@ -74,7 +70,7 @@
     entries: BTreeMap<EndpointId, DirectoryEntry>,
     services: HashMap<ServiceName, Vec<EndpointId>>,
     addresses: HashMap<SocketAddr, EndpointId>,
-    tombstones: HashMap<EndpointId, Rc<EndpointRecord>>,
+    tombstones: Tombstones,
     change_log: ChangeLog,
     keep_missing_until: ClockTime,
     position: u64,
@@ -281,7 +277,7 @@
     /// Returns true if the endpoint was known and has been removed.
     #[must_use]
     pub fn is_gone(&self, id: &EndpointId) -> bool {
-        self.tombstones.contains_key(id)
+        self.tombstones.get(id).is_some()
     }
 
     /// Removes an endpoint that another node reports as removed, even during the reregistration
@@ -372,10 +368,7 @@
         self.change_log.record(id);
         if let Some(entry) = self.entries.remove(id) {
             self.release_address(&entry.record);
-            if self.tombstones.len() >= TOMBSTONE_LIMIT {
-                self.tombstones.clear();
-            }
-            self.tombstones.insert(id.clone(), entry.record);
+            self.tombstones.insert(id, entry.record);
         }
     }
 
--- a/tests/mesh_rules.rs
+++ b/tests/mesh_rules.rs
@@ -10,8 +10,8 @@
 use endivelanding::clock::ClockTime;
 use endivelanding::id::{EndpointId, RegionName, ServiceName, ZoneName};
 use endivelanding::mesh::{
-    ClientLimits, ConfigVersion, DirectoryEvent, EndpointState, MeshConfig, RouteRule,
-    ServiceDirectory, ServiceTarget,
+    ClientLimits, ConfigVersion, DirectoryEvent, EndpointRecord, EndpointState, MeshConfig,
+    RouteRule, ServiceDirectory, ServiceTarget,
 };
 use endivelanding::sidecar::{TargetPicker, ViewTree};
 use endivelanding::size::ByteSize;
@@ -198,6 +198,26 @@
     }
 }
 
+#[test]
+fn late_reports_of_many_removed_endpoints_restore_none_of_the_last_ones() {
+    let mut directory = ServiceDirectory::new();
+    let now = ClockTime(0);
+    let record = |number: usize| endpoint(&format!("i-{number}"), 1, 10, 2);
+    for number in 0..6_000 {
+        directory.upsert(now, record(number));
+        directory.remove(now, &record(number).id);
+    }
+    for number in 2_000..6_000 {
+        let late = EndpointRecord {
+            sequence: 1,
+            ..record(number)
+        };
+        assert_eq!(directory.upsert(now, late), None, "{number}");
+    }
+    assert!(directory.is_empty());
+    assert!(!directory.is_gone(&record(0).id), "removed first");
+}
+
 #[test]
 fn each_region_has_two_trees_of_few_levels_that_share_no_inner_node() {
     let mut directory = ServiceDirectory::new();
