Open the reregistration window only for outages that others saw too

From the log: apac-b-2 had been turned away by the store until 18.6 s and had learned from other nodes; it read the store again at 21.68 s (registry_back) and opened the window of 2.5 s in which entries that an outage lost may come back. The endpoint removed at 22.06 s was flagged as missing and stayed in use, there and at the five nodes that follow it.

The window opens only if the view of the node is at least two refresh intervals old, so that no other node could read the store either.

--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -5,6 +5,10 @@
 use crate::sidecar::mesh_sync_task::{MeshSyncTask, PendingConfigRead};
 use crate::sidecar::mesh_updater;
 
+/// Age of the view, in refresh intervals, from which an outage concerns more than this node. Entries
+/// outlive several missed heartbeats, so none expires in a shorter one.
+const MIN_OUTAGE_INTERVALS: f64 = 2.0;
+
 impl MeshSyncTask {
     /// Reads the registry and records the result.
     pub(crate) async fn read_registry(&self) -> std::result::Result<(), ()> {
@@ -97,10 +101,18 @@
     /// Ends a registry outage and starts the window in which endpoints may register again.
     ///
     /// Must be called before the first response after the outage is applied, which may lack entries
-    /// that expired in the meantime.
+    /// that expired in the meantime. If other nodes kept the view fresh, only this node was turned
+    /// away, and a missing entry was removed.
     fn end_registry_outage(&self) {
         if self.registry_unreachable.replace(false) {
-            log::info!("event=registry_back failures={}", self.failures.get());
+            let age = self.state.age().unwrap_or_default();
+            log::info!(
+                "event=registry_back failures={} view_age={age}",
+                self.failures.get()
+            );
+            if age < self.intervals(MIN_OUTAGE_INTERVALS) {
+                return;
+            }
             let until = self.state.clock.now() + mesh_updater::REREGISTRATION_WINDOW;
             self.state.directory.borrow_mut().keep_missing_until(until);
         }
