State in logs and metrics on what a refusal as wrong relies on

Callers saw: nothing yet; this commit changes no behaviour towards them.

Cause: `event=no_route` had only the version, an exit logged nothing of a 3xx or 4xx from the address of an endpoint, `event=config_in_force` neither source nor size, and responses of the node itself with 4xx were in no metric.

Change: `no_route` and `bad_request` carry the view (version, routes, position, listed, view_age, source), where `source` is the node or the registry that refreshed it last. `endpoint_status` is written beside the endpoint for each 3xx and 4xx but 421 and 429, with the presence of identifier and proof. `config_in_force` has the previous version, the number of routes, the source, and of a delta the numbers of changed and removed routes. Counters: `endive_rejections` by result code, `endive_endpoint_statuses` by status and proof.

--- a/src/mesh/mesh_config.rs
+++ b/src/mesh/mesh_config.rs
@@ -54,6 +54,12 @@
         self.version
     }
 
+    /// Returns the number of routes.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(HashMap::len).sum()
+    }
+
     /// Returns the limits for client connections.
     #[must_use]
     pub fn limits(&self) -> &ClientLimits {
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -20,6 +20,8 @@
     requests: Counter<u64>,
     request_duration: Histogram<f64>,
     attempts: Counter<u64>,
+    rejections: Counter<u64>,
+    endpoint_statuses: Counter<u64>,
     resends: Counter<u64>,
     requests_ahead: Counter<u64>,
     responses_held: Counter<u64>,
@@ -69,6 +71,14 @@
                 "Time from the head of a request to its final answer",
             ),
             attempts: counter("endive_attempts", "Requests at the endpoint by result code"),
+            rejections: counter(
+                "endive_rejections",
+                "Responses of the node itself with status 4xx by result code",
+            ),
+            endpoint_statuses: counter(
+                "endive_endpoint_statuses",
+                "Responses of the endpoint with status 3xx or 4xx by status and proof",
+            ),
             resends: counter("endive_repeats", "Requests sent to a further endpoint"),
             requests_ahead: counter(
                 "endive_requests_ahead",
@@ -119,6 +129,21 @@
         self.attempts.add(1, &[code_label(code)]);
     }
 
+    /// Counts a response by which this node itself states that a request is wrong.
+    pub fn record_rejection(&self, code: ResultCode) {
+        self.rejections.add(1, &[code_label(code)]);
+    }
+
+    /// Counts a response of the own endpoint with status 3xx or 4xx, with or without proof that the
+    /// endpoint produced it.
+    pub fn record_endpoint_status(&self, status: u16, proven: bool) {
+        let labels = [
+            KeyValue::new("status", i64::from(status)),
+            KeyValue::new("proven", proven),
+        ];
+        self.endpoint_statuses.add(1, &labels);
+    }
+
     /// Counts a retry or a hedge by its reason.
     pub fn record_resend(&self, reason: &'static str) {
         self.resends.add(1, &[KeyValue::new("reason", reason)]);
--- a/src/sidecar/client_response.rs
+++ b/src/sidecar/client_response.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Returns the result code if this node itself responds that the request is wrong.
+    pub(crate) fn rejection_code(&self) -> Option<ResultCode> {
+        let is_rejection = self.code != ResultCode::Ok && (400..500).contains(&self.status);
+        is_rejection.then_some(self.code)
+    }
+
     /// Encodes the response as an HTTP/1.1 message.
     pub(crate) fn encode(&self, keep_alive: bool, is_head: bool) -> Vec<u8> {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -1,6 +1,5 @@
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use futures_util::future::{self, Either, FutureExt, LocalBoxFuture};
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -13,11 +12,11 @@
 use crate::mesh::{ClientLimits, MeshConfig};
 use crate::sidecar::client_response::ClientResponse;
 use crate::sidecar::client_server::ClientContext;
-use crate::sidecar::outbound_request::OutboundRequest;
 use crate::sidecar::pending_request::{FinishedRequest, PendingRequest, PendingResponse};
 use crate::sidecar::request_receiver::{
     ReceiveLimits, ReceiveProgress, ReceivedRequest, RequestReceiver,
 };
+use crate::sidecar::route_match;
 use crate::sidecar::{PipelineLimits, PipelinedRequest, RequestPipeline};
 use crate::size::ByteSize;
 
@@ -30,8 +29,6 @@
 };
 /// Extra time beyond the idle limit, for a request that is already in transit.
 const IDLE_MARGIN: ClockTime = ClockTime(1_000);
-/// Assumed remaining time of a request whose client does not state one.
-const DEFAULT_REMAINING_TIME: ClockTime = ClockTime(30_000);
 /// Time limit for writing a response.
 const WRITE_TIMEOUT: ClockTime = ClockTime(30_000);
 /// Limit in bytes for data that is read while no further request is accepted. Reading detects a
@@ -44,7 +41,7 @@
     held_bytes: 256 * 1024,
 };
 /// Suggested delay of a retry while no configuration is installed or no memory for a body is free.
-const UNAVAILABLE_RETRY_AFTER: ClockTime = ClockTime(300);
+pub(crate) const UNAVAILABLE_RETRY_AFTER: ClockTime = ClockTime(300);
 
 /// Server side of one client connection.
 pub(crate) struct ClientSession {
@@ -180,7 +177,7 @@
         let size = received.head_size + body_size;
         let is_head = received.head.method == http::Method::HEAD;
         let is_last = !received.head.keep_alive;
-        match self.match_route(received) {
+        match route_match::match_route(&self.context, received) {
             Ok(request) => self.pipeline.push(PipelinedRequest {
                 size,
                 is_idempotent: request.rule.idempotent,
@@ -200,7 +197,8 @@
 
     /// Rejects the request that arrives. Its end is unknown, so the connection is closed.
     fn reject(&mut self, code: ResultCode) {
-        log::info!("event=bad_request code={code}");
+        let view = self.context.state.view_summary();
+        log::info!("event=bad_request code={code} {view}");
         let retry_after = (code == ResultCode::Overloaded).then_some(UNAVAILABLE_RETRY_AFTER);
         self.push_response(ClientResponse::local(code, retry_after), false);
         self.pipeline.close();
@@ -291,60 +289,12 @@
         }
     }
 
-    /// Matches a request with its route and picks the target service.
-    ///
-    /// # Errors
-    ///
-    /// The response for the client if no configuration is installed or no route matches.
-    fn match_route(&self, received: ReceivedRequest) -> Result<OutboundRequest, ClientResponse> {
-        let ReceivedRequest {
-            head,
-            body,
-            arrived,
-            ..
-        } = received;
-        let Some(config) = self.context.state.config() else {
-            let id = head.id.as_deref().unwrap_or("-");
-            log::info!("event=no_configuration request={id}");
-            return Err(ClientResponse::local(
-                ResultCode::NodeNotReady,
-                Some(UNAVAILABLE_RETRY_AFTER),
-            ));
-        };
-        let Some(rule) = config.lookup(&head.host, head.path()) else {
-            log::info!(
-                "event=no_route request={} host={} path={} version={}",
-                head.id.as_deref().unwrap_or("-"),
-                head.host,
-                head.path(),
-                config.version()
-            );
-            return Err(ClientResponse::local(ResultCode::NoRoute, None));
-        };
-        let remaining_time = head.remaining_time.unwrap_or(DEFAULT_REMAINING_TIME);
-        let service = self
-            .context
-            .dispatcher
-            .picker
-            .borrow_mut()
-            .pick(rule)
-            .clone();
-        Ok(OutboundRequest {
-            id: head.id.unwrap_or_default(),
-            method: head.method.as_str().to_owned(),
-            target: head.target,
-            headers: head.headers,
-            body,
-            arrived,
-            deadline: arrived + remaining_time.min(rule.timeout),
-            rule: Arc::clone(rule),
-            service,
-            version: config.version(),
-        })
-    }
-
     /// Writes a response while the other requests run on; returns whether it was written.
     async fn write_response(&mut self, pending: PendingResponse, closes: bool) -> bool {
+        let rejection = pending.response.rejection_code();
+        if let Some(code) = rejection {
+            self.context.state.metrics.record_rejection(code);
+        }
         let bytes = pending.response.encode(!closes, pending.is_head);
         let Self {
             stream,
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -15,6 +15,7 @@
 use crate::sidecar::HeaderNames;
 use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::forward_message::{ForwardOutcome, ForwardRequestHeader, HeaderFields};
+use crate::sidecar::node_state::NodeState;
 
 /// Timeout for connecting to the endpoint on the same machine, where a handshake takes about a
 /// millisecond. A longer wait means that the endpoint hangs or no longer runs.
@@ -42,6 +43,7 @@
 pub(crate) struct EndpointClient {
     address: SocketAddr,
     clock: SystemClock,
+    state: Rc<NodeState>,
     names: Rc<HeaderNames>,
     max_response_bytes: usize,
     /// Limit on the responses that arrive at the same time.
@@ -63,14 +65,15 @@
 impl EndpointClient {
     pub(crate) fn new(
         address: SocketAddr,
-        clock: SystemClock,
+        state: Rc<NodeState>,
         names: Rc<HeaderNames>,
         max_response_bytes: usize,
         responses: Rc<BodyBudget>,
     ) -> Self {
         Self {
             address,
-            clock,
+            clock: state.clock,
+            state,
             names,
             max_response_bytes,
             responses,
@@ -308,6 +311,7 @@
         header: &ForwardRequestHeader,
     ) -> (ForwardOutcome, Bytes) {
         let status = response.status.as_u16();
+        self.record_status(&response, header);
         if status == 421 {
             let name = response.headers.get(&self.names.responding_endpoint);
             let name = name.and_then(|value| value.to_str().ok());
@@ -337,6 +341,25 @@
         let headers = end_to_end_headers(&response.headers);
         (ForwardOutcome::Completed { status, headers }, response.body)
     }
+
+    /// Logs and counts a response that may be passed on as a statement that the request is wrong.
+    fn record_status(&self, response: &EndpointResponse, header: &ForwardRequestHeader) {
+        let status = response.status.as_u16();
+        if !matches!(status, 300..=499) || matches!(status, 421 | 429) {
+            return;
+        }
+        let has = |name| response.headers.contains_key(name);
+        let has_id = has(&self.names.request_id);
+        let has_proof = has(&self.names.endpoint_proof);
+        let proven = has_id && has_proof;
+        self.state.metrics.record_endpoint_status(status, proven);
+        log::info!(
+            "event=endpoint_status request={} endpoint={} status={status} not_run={} id={has_id} proof={has_proof}",
+            header.request_id,
+            header.endpoint,
+            has(&self.names.not_run)
+        );
+    }
 }
 
 fn not_run(code: ResultCode, reached_endpoint: bool) -> ForwardOutcome {
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -1,4 +1,5 @@
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -7,6 +8,7 @@
 use crate::id::EndpointId;
 use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead};
 use crate::sidecar::compressed_config::CompressedConfig;
+use crate::sidecar::config_origin::ConfigOrigin;
 use crate::sidecar::dispatcher::Dispatcher;
 use crate::sidecar::inbound_service::InboundService;
 use crate::sidecar::node_state::NodeState;
@@ -25,33 +27,47 @@
 }
 
 impl MeshUpdater {
-    /// Applies a configuration update from another node unless the installed configuration is at
-    /// least as new.
+    /// Applies a configuration update from the node `sender` unless the installed configuration is
+    /// at least as new.
     ///
     /// # Errors
     ///
     /// `PeerProtocol` if the update cannot be decoded, or a manifest code if its configuration is
     /// invalid. The installed configuration then stays unchanged.
-    pub(crate) fn update_config(&self, compressed: &CompressedConfig) -> Result<()> {
+    pub(crate) fn update_config(
+        &self,
+        sender: IpAddr,
+        compressed: &CompressedConfig,
+    ) -> Result<()> {
         let update = compressed.decode()?;
         let installed = self.state.config();
         let is_installed = |version| {
             let installed = installed.as_ref();
             installed.is_some_and(|installed| installed.version() >= version)
         };
-        let config = match (update, &installed) {
+        let (config, origin) = match (update, &installed) {
             (ConfigUpdate::Snapshot(snapshot), _) if is_installed(snapshot.version) => {
                 return Ok(());
             }
             (ConfigUpdate::Delta(delta), _) if is_installed(delta.version) => return Ok(()),
-            (ConfigUpdate::Snapshot(snapshot), _) => MeshConfig::from_snapshot(snapshot)?,
-            (ConfigUpdate::Delta(delta), Some(config)) => config.with_delta(delta)?,
+            (ConfigUpdate::Snapshot(snapshot), _) => {
+                let config = MeshConfig::from_snapshot(snapshot)?;
+                (config, ConfigOrigin::Snapshot(sender))
+            }
+            (ConfigUpdate::Delta(delta), Some(config)) => {
+                let origin = ConfigOrigin::Delta {
+                    node: sender,
+                    changed_count: delta.changed.len(),
+                    removed_count: delta.removed.len(),
+                };
+                (config.with_delta(delta)?, origin)
+            }
             (ConfigUpdate::Delta(_), None) => {
                 let message = "received a configuration delta, but no configuration is installed";
                 return Err(Error::new(ResultCode::ManifestOutOfRange, message));
             }
         };
-        self.install(&Arc::new(config));
+        self.install(&Arc::new(config), origin);
         Ok(())
     }
 
@@ -95,10 +111,16 @@
     }
 
     /// Installs a configuration unless the installed one is at least as new.
-    pub(crate) fn install(&self, config: &Arc<MeshConfig>) {
+    pub(crate) fn install(&self, config: &Arc<MeshConfig>, origin: ConfigOrigin) {
+        let previous = self.state.config().map(|config| config.version());
         if self.state.install(config) {
             self.dispatcher.picker.borrow_mut().reset();
-            log::info!("event=config_in_force version={}", config.version());
+            let previous = previous.map_or_else(|| "-".to_owned(), |version| version.to_string());
+            log::info!(
+                "event=config_in_force version={} previous={previous} routes={} {origin}",
+                config.version(),
+                config.route_count()
+            );
         }
     }
 
@@ -123,7 +145,7 @@
             match change {
                 RegistryChange::Config(config) => {
                     drop(directory);
-                    self.install(&config);
+                    self.install(&config, ConfigOrigin::Registry);
                 }
                 RegistryChange::Endpoint(record) => {
                     listed.insert(record.id.clone());
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -10,6 +10,7 @@
 use crate::sidecar::mesh_sync_task::MeshSyncTask;
 use crate::sidecar::refresh_plan;
 use crate::sidecar::view_message::{ViewReply, ViewRequest};
+use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_time;
 
 /// Number of nodes on the first page of the list of endpoints that a starting node asks.
@@ -131,10 +132,9 @@
         if is_start && age > max_age {
             return;
         }
-        let updated = reply
-            .config
-            .as_ref()
-            .map_or(Ok(()), |compressed| self.updater.update_config(compressed));
+        let updated = reply.config.as_ref().map_or(Ok(()), |compressed| {
+            self.updater.update_config(address, compressed)
+        });
         if let Err(error) = updated {
             // The view stays unconfirmed, so the configuration is requested again.
             log::error!("event=config_refused node={address} cause=\"{error}\"");
@@ -152,7 +152,8 @@
             self.updater.advance(reply.position);
             self.position.set(Some(reply.position));
             self.pending_config_read.set(None);
-            self.state.mark_fresh(pending.started_at.min(read_at));
+            let read_at = pending.started_at.min(read_at);
+            self.state.mark_fresh(read_at, ViewOrigin::Node(address));
             return;
         }
         let directory = self.state.directory.borrow();
@@ -168,7 +169,7 @@
         self.position.set(Some(position));
         self.pending_config_read.set(None);
         self.first_page.take();
-        self.state.mark_fresh(read_at);
+        self.state.mark_fresh(read_at, ViewOrigin::Node(address));
     }
 
     /// Returns how long another node may wait for a fresher view than this node's.
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -9,6 +9,8 @@
 use crate::error::Result;
 use crate::mesh::{ConfigHistory, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
+use crate::sidecar::view_origin::ViewOrigin;
+use crate::sidecar::view_summary::ViewSummary;
 use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings};
 
 /// The state of the node and its view of the mesh, owned by a single event loop.
@@ -26,6 +28,8 @@
     answer_by: Cell<ClockTime>,
     /// Time up to which the view is known to match the registry.
     read_at: Cell<ClockTime>,
+    /// Source from which `read_at` was learned.
+    origin: Cell<Option<ViewOrigin>>,
     refresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Nodes whose views were the freshest.
     pub(crate) fresh_peers: RefCell<FreshPeers>,
@@ -50,6 +54,7 @@
             shutting_down: Cell::new(false),
             answer_by: Cell::new(ClockTime(u64::MAX)),
             read_at: Cell::new(ClockTime(0)),
+            origin: Cell::default(),
             refresh_waiters: RefCell::default(),
             fresh_peers: RefCell::default(),
             bounds: RefCell::new(Rc::new(settings.bounds.clone())),
@@ -101,12 +106,13 @@
     }
 
     /// Records that the view matches the registry as of `read_at`, and wakes the waiting tasks.
-    pub(crate) fn mark_fresh(&self, read_at: ClockTime) {
+    pub(crate) fn mark_fresh(&self, read_at: ClockTime, origin: ViewOrigin) {
         self.loaded.set(true);
         if read_at <= self.read_at.get() {
             return;
         }
         self.read_at.set(read_at);
+        self.origin.set(Some(origin));
         for waiter in self.refresh_waiters.take() {
             // Sending fails if the waiting task was dropped.
             let _ = waiter.send(());
@@ -124,6 +130,20 @@
         self.read_at.get()
     }
 
+    /// Returns what this node knows, for the log.
+    pub(crate) fn view_summary(&self) -> ViewSummary {
+        let config = self.config.borrow();
+        let directory = self.directory.borrow();
+        ViewSummary {
+            version: config.as_ref().map(|config| config.version()),
+            route_count: config.as_ref().map_or(0, |config| config.route_count()),
+            position: directory.position(),
+            listed_position: directory.listed_position(),
+            age: self.age(),
+            origin: self.origin.get(),
+        }
+    }
+
     /// Waits for the next refresh of the view.
     pub(crate) async fn wait_for_refresh(&self) {
         let (sender, receiver) = oneshot::channel();
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -2,8 +2,10 @@
 
 use crate::error::{Result, ResultCode};
 use crate::mesh::RegistrySource;
+use crate::sidecar::config_origin::ConfigOrigin;
 use crate::sidecar::mesh_sync_task::{MeshSyncTask, PendingConfigRead};
 use crate::sidecar::mesh_updater;
+use crate::sidecar::view_origin::ViewOrigin;
 
 /// Age of the view, in refresh intervals, from which an outage concerns more than this node. Entries
 /// outlive several missed heartbeats, so none expires in a shorter one.
@@ -67,7 +69,8 @@
             self.position.set(Some(reached));
             self.updater.apply(read);
             self.updater.advance(reached);
-            self.state.mark_fresh(self.state.clock.now());
+            let read_at = self.state.clock.now();
+            self.state.mark_fresh(read_at, ViewOrigin::Registry);
             return Ok(());
         }
         let known = self.first_page.take();
@@ -124,12 +127,13 @@
         pending: PendingConfigRead,
     ) -> Result<()> {
         if let Some(config) = source.config().await? {
-            self.updater.install(&config);
+            self.updater.install(&config, ConfigOrigin::Registry);
         }
         self.updater.advance(pending.position);
         self.position.set(Some(pending.position));
         self.pending_config_read.set(None);
-        self.state.mark_fresh(pending.started_at);
+        self.state
+            .mark_fresh(pending.started_at, ViewOrigin::Registry);
         Ok(())
     }
 }
--- a/src/sidecar/request_receiver.rs
+++ b/src/sidecar/request_receiver.rs
@@ -107,7 +107,7 @@
             let head_size = head.len();
             let head = request_parser::parse(&head, names)
                 .await
-                .map_err(|error| rejection(&error, false))?;
+                .map_err(|error| rejection(&error, None, false))?;
             self.body = Some(PendingBody::new(head, head_size, limits, now)?);
         }
         let Some(body) = &mut self.body else {
@@ -120,7 +120,7 @@
         let is_memory_limited = body.is_memory_limited;
         let content = stream
             .take_body(&mut body.decoder)
-            .map_err(|error| rejection(&error, is_memory_limited))?;
+            .map_err(|error| rejection(&error, body.head.id.as_deref(), is_memory_limited))?;
         match (content, self.body.take()) {
             (Some(content), Some(body)) => {
                 Ok(ReceiveProgress::Complete(Box::new(ReceivedRequest {
@@ -148,7 +148,7 @@
         let is_memory_limited = limits.free_memory < limits.client.body_size.0;
         let limit = limits.client.body_size.0.min(limits.free_memory) as usize;
         let decoder = BodyDecoder::new(head.length, limit)
-            .map_err(|error| rejection(&error, is_memory_limited))?;
+            .map_err(|error| rejection(&error, head.id.as_deref(), is_memory_limited))?;
         let has_body = !matches!(head.length, BodyLength::Absent | BodyLength::Fixed(0));
         Ok(Self {
             awaits_continue: head.expects_continue && has_body,
@@ -162,8 +162,9 @@
 }
 
 /// Returns the code with which an invalid request is rejected.
-fn rejection(error: &WireError, is_memory_limited: bool) -> ResultCode {
-    log::info!("event=bad_request cause=\"{error}\"");
+fn rejection(error: &WireError, id: Option<&str>, is_memory_limited: bool) -> ResultCode {
+    let id = id.unwrap_or("-");
+    log::info!("event=bad_request request={id} cause=\"{error}\"");
     match error {
         // The body may be within the limit of clients but exceeds the memory that is free.
         WireError::TooLarge if is_memory_limited => ResultCode::Overloaded,
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -268,7 +268,7 @@
         slots: SlotSemaphore::new(clock, INITIAL_SLOT_COUNT),
         client: EndpointClient::new(
             settings.endpoint,
-            clock,
+            Rc::clone(state),
             names,
             response_limit,
             BodyBudget::new(ByteSize(memory_share(settings, BODY_MEMORY_DIVISOR) as u64)),
