Believe a 3xx or 4xx only with proof that the endpoint wrote it

Callers saw: a 3xx or 4xx that no endpoint had written for their request as the final response, for instance 404 from a process that had taken over the address of an endpoint, or from spoilt bytes. Clients retry none of these.

Cause: `endpoint_client::classify` asked for proof (identifier of the request, stamp of an endpoint, no content encoding) only of successes. Class: a response is believed without proof that the endpoint wrote it for this request.

Ruled out: the identifier of another request, which was skipped before. Same cause elsewhere: 400, 408, 413 and 429 are covered by the same rule.

Conclusion: fixed here; whether it is what the users saw is not shown.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -13,6 +13,7 @@
 mod config_origin;
 mod dispatch_state;
 mod dispatcher;
+mod endpoint_answer;
 mod endpoint_client;
 mod endpoint_stats;
 mod forward_handler;
@@ -58,6 +59,7 @@
 mod view_tree;
 mod view_trees;
 
+pub use endpoint_answer::{AnswerVerdict, EndpointAnswer};
 pub use fresh_peers::FreshPeers;
 pub use header_names::HeaderNames;
 pub use mesh_bounds::MeshBounds;
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -14,6 +14,7 @@
 use crate::id::EndpointId;
 use crate::sidecar::HeaderNames;
 use crate::sidecar::body_budget::BodyBudget;
+use crate::sidecar::endpoint_answer::{AnswerVerdict, EndpointAnswer};
 use crate::sidecar::forward_message::{ForwardOutcome, ForwardRequestHeader, HeaderFields};
 use crate::sidecar::node_state::NodeState;
 
@@ -311,53 +312,46 @@
         header: &ForwardRequestHeader,
     ) -> (ForwardOutcome, Bytes) {
         let status = response.status.as_u16();
-        self.record_status(&response, header);
+        let has = |name| response.headers.contains_key(name);
+        let answer = EndpointAnswer {
+            status,
+            states_not_run: has(&self.names.not_run),
+            has_request_id: has(&self.names.request_id),
+            has_proof: has(&self.names.endpoint_proof),
+            is_encoded: response.headers.contains_key(header::CONTENT_ENCODING),
+        };
+        self.record_status(&answer, header);
         if status == 421 {
             let name = response.headers.get(&self.names.responding_endpoint);
             let name = name.and_then(|value| value.to_str().ok());
             *self.responding_endpoint.borrow_mut() = name.map(str::to_owned);
         }
-        if response.headers.contains_key(&self.names.not_run) || status == 421 {
-            let code = match status {
-                421 => ResultCode::NoEndpoint,
-                400 => ResultCode::MalformedRequest,
-                _ => ResultCode::Overloaded,
-            };
-            return (not_run(code, status != 421), Bytes::new());
-        }
-        let proven = response.headers.contains_key(&self.names.endpoint_proof)
-            && response.headers.contains_key(&self.names.request_id)
-            && !response.headers.contains_key(header::CONTENT_ENCODING);
-        if response.status.is_success() && !proven {
-            let code = ResultCode::AnswerMalformed;
-            return (ForwardOutcome::Unknown { code }, Bytes::new());
-        }
-        // These statuses imply that the request has not run, which only the endpoint itself may
-        // state.
-        if !header.idempotent && matches!(status, 408 | 429 | 503) {
-            let code = ResultCode::ConnectionLost;
-            return (ForwardOutcome::Unknown { code }, Bytes::new());
+        match answer.verdict(header.idempotent) {
+            AnswerVerdict::NotRun(code) => (not_run(code, status != 421), Bytes::new()),
+            AnswerVerdict::Unknown(code) => (ForwardOutcome::Unknown { code }, Bytes::new()),
+            AnswerVerdict::Final => {
+                let headers = end_to_end_headers(&response.headers);
+                (ForwardOutcome::Completed { status, headers }, response.body)
+            }
         }
-        let headers = end_to_end_headers(&response.headers);
-        (ForwardOutcome::Completed { status, headers }, response.body)
     }
 
-    /// Logs and counts a response that may be passed on as a statement that the request is wrong.
-    fn record_status(&self, response: &EndpointResponse, header: &ForwardRequestHeader) {
-        let status = response.status.as_u16();
+    /// Logs and counts a response whose status states that the request is wrong.
+    fn record_status(&self, answer: &EndpointAnswer, header: &ForwardRequestHeader) {
+        let status = answer.status;
         if !matches!(status, 300..=499) || matches!(status, 421 | 429) {
             return;
         }
-        let has = |name| response.headers.contains_key(name);
-        let has_id = has(&self.names.request_id);
-        let has_proof = has(&self.names.endpoint_proof);
-        let proven = has_id && has_proof;
+        let proven = answer.is_proven();
         self.state.metrics.record_endpoint_status(status, proven);
         log::info!(
-            "event=endpoint_status request={} endpoint={} status={status} not_run={} id={has_id} proof={has_proof}",
+            "event=endpoint_status request={} endpoint={} status={status} not_run={} id={} proof={} encoded={}",
             header.request_id,
             header.endpoint,
-            has(&self.names.not_run)
+            answer.states_not_run,
+            answer.has_request_id,
+            answer.has_proof,
+            answer.is_encoded
         );
     }
 }
