Refuse a proper request with 503, whatever status its endpoint refused with

Callers saw: 400 for a proper request whose endpoints had refused it with `Not-Executed` and status 400. Clients do not retry a 400.

Cause: a marked refusal with status 400 became `MalformedRequest`, and a refusal by endpoints was answered with the status of its code, as if the node itself had found the request wrong. Class: a statement about the request is believed without proof that it is about this request. An endpoint has one reason for a 400 (PROTOCOL.md: a request without an identifier), and the node knows whether that holds.

Ruled out: 404 and 413 with `Not-Executed` were 503 before. Same cause elsewhere: requests without an identifier were sent to a second endpoint after the 400 and counted against the endpoints, which could take a sound endpoint out of use.

Why this works: `MalformedRequest` arises only for a request that was sent without an identifier and is then final; what the dispatcher refuses for endpoints has status 503 by construction (`ClientResponse::refused`).

Conclusion: fixed here; whether it is what the users saw is not shown.

--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -282,7 +282,8 @@
                 ) {
                     endpoints.eject(&record.id, now);
                 }
-                if reached_endpoint {
+                // A wrong request says nothing about the endpoint.
+                if reached_endpoint && code != ResultCode::MalformedRequest {
                     endpoints.record_failure(&record.id, now);
                 } else if code == ResultCode::Overloaded {
                     endpoints.record_refusal(&record.id, now);
--- a/src/sidecar/client_response.rs
+++ b/src/sidecar/client_response.rs
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Creates the response to a request that no endpoint has run and that may be sent again,
+    /// whatever the reason.
+    pub(crate) fn refused(code: ResultCode, retry_after: ClockTime) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            ..Self::local(code, Some(retry_after))
+        }
+    }
+
     /// Returns the result code if this node itself responds that the request is wrong.
     pub(crate) fn rejection_code(&self) -> Option<ResultCode> {
         let is_rejection = self.code != ResultCode::Ok && (400..500).contains(&self.status);
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -87,6 +87,9 @@
                     progress.record_refusal(&record.id, code, wait, reached_endpoint);
                     progress.is_retry |= reached_endpoint;
                     progress.refused_by_endpoint = reached_endpoint;
+                    if code == ResultCode::MalformedRequest {
+                        return self.refusal(request, progress);
+                    }
                     if reached_endpoint && !self.retries.try_take(&request.service, 1.0) {
                         return self.refusal(request, progress);
                     }
@@ -187,6 +190,9 @@
         if let Some(failure) = progress.failure.take() {
             return failure;
         }
+        if progress.last_refusal == Some(ResultCode::MalformedRequest) {
+            return ClientResponse::local(ResultCode::MalformedRequest, None);
+        }
         let wait = progress.overloaded.iter().map(|(_, wait)| *wait).min();
         let code = progress.last_refusal.unwrap_or(ResultCode::NoEndpoint);
         let wait = match wait {
@@ -195,7 +201,7 @@
             Some(wait) => wait.max(request.rule.objective),
             None => NO_ENDPOINT_RETRY_AFTER,
         };
-        ClientResponse::local(code, Some(wait))
+        ClientResponse::refused(code, wait)
     }
 
     fn record_outcome(
--- a/src/sidecar/endpoint_answer.rs
+++ b/src/sidecar/endpoint_answer.rs
@@ -36,15 +36,20 @@
         self.has_request_id && self.has_proof && !self.is_encoded
     }
 
-    /// Returns what the response proves about a request that is `idempotent` or not.
+    /// Returns what the response proves about a request that is `idempotent` or not, and was sent
+    /// with or without an identifier.
     ///
+    /// An endpoint refuses a request without an identifier with 400. Any other refusal says nothing
+    /// about the request, whatever its status.
     /// A server error without proof is final too: it promises nothing, and the client may retry what
     /// is idempotent.
     #[must_use]
-    pub fn verdict(&self, idempotent: bool) -> AnswerVerdict {
+    pub fn verdict(&self, idempotent: bool, is_identified: bool) -> AnswerVerdict {
         match self.status {
             421 => AnswerVerdict::NotRun(ResultCode::NoEndpoint),
-            400 if self.states_not_run => AnswerVerdict::NotRun(ResultCode::MalformedRequest),
+            400 if self.states_not_run && !is_identified => {
+                AnswerVerdict::NotRun(ResultCode::MalformedRequest)
+            }
             _ if self.states_not_run => AnswerVerdict::NotRun(ResultCode::Overloaded),
             status if !matches!(status, 500..=599) && !self.is_proven() => {
                 AnswerVerdict::Unknown(ResultCode::AnswerMalformed)
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -326,7 +326,8 @@
             let name = name.and_then(|value| value.to_str().ok());
             *self.responding_endpoint.borrow_mut() = name.map(str::to_owned);
         }
-        match answer.verdict(header.idempotent) {
+        let is_identified = !header.request_id.is_empty();
+        match answer.verdict(header.idempotent, is_identified) {
             AnswerVerdict::NotRun(code) => (not_run(code, status != 421), Bytes::new()),
             AnswerVerdict::Unknown(code) => (ForwardOutcome::Unknown { code }, Bytes::new()),
             AnswerVerdict::Final => {
--- a/tests/answer_rules.rs
+++ b/tests/answer_rules.rs
@@ -35,11 +35,32 @@
             _ => AnswerVerdict::Unknown(ResultCode::AnswerMalformed),
         };
         for idempotent in [false, true] {
-            assert_eq!(proven.verdict(idempotent), AnswerVerdict::Final, "{status}");
+            let verdict = proven.verdict(idempotent, true);
+            assert_eq!(verdict, AnswerVerdict::Final, "{status}");
             for answer in unproven {
                 let answer = EndpointAnswer { status, ..answer };
-                assert_eq!(answer.verdict(idempotent), malformed, "{answer:?}");
+                assert_eq!(answer.verdict(idempotent, true), malformed, "{answer:?}");
             }
         }
     }
 }
+
+#[test]
+fn only_a_request_without_an_identifier_is_refused_as_malformed() {
+    for status in (200..600).filter(|status| *status != 421) {
+        let refusal = EndpointAnswer {
+            status,
+            states_not_run: true,
+            ..PROVEN
+        };
+        let unidentified = match status {
+            400 => ResultCode::MalformedRequest,
+            _ => ResultCode::Overloaded,
+        };
+        for idempotent in [false, true] {
+            let verdict = |is_identified| refusal.verdict(idempotent, is_identified);
+            assert_eq!(verdict(true), AnswerVerdict::NotRun(ResultCode::Overloaded));
+            assert_eq!(verdict(false), AnswerVerdict::NotRun(unidentified));
+        }
+    }
+}
