Date a response of the registry by its question, not by its arrival

A node whose responses from the registry are late took its view to be fresh while it answered 404 by an old version; nodes that follow it took over that age, and none of them turned to another source.

Cause: after a watch the view was marked as read "now". The response may have been produced long before: the registry is slow, a large configuration takes its time on the link, or the process was paused with the response in its socket.

Ruled out: full reads are dated by their start; views of other nodes by `earliest_read_time`; a reply whose configuration cannot be used or was not sent (`config_not_sent`, `config_not_received`) does not refresh the view; the branch of `pending_config_read` takes the earlier of both times. `FreshPeers` dates by arrival, but decides only who is asked.

Evidence: denied::a_view_is_not_younger_than_the_response_that_it_comes_from (each response 400 ms late) failed before with an age of 13 ms and, again, 16 ms; passes after. registry::* and leaving::* pass.

Why this works: a response with changes proves nothing later than its question; one without changes is sent when the wait is over. Heartbeats make changes the rule, so the age rises by one round trip in calm.

Conclusion: fixed here; whether it is what the users saw is not shown.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -77,5 +77,5 @@
 pub use sidecar_settings::SidecarSettings;
 pub use slot_queue::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
 pub use target_picker::TargetPicker;
-pub use view_time::earliest_read_time;
+pub use view_time::{earliest_read_time, watched_read_time};
 pub use view_tree::ViewTree;
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -6,6 +6,7 @@
 use crate::sidecar::mesh_sync_task::{MeshSyncTask, PendingConfigRead};
 use crate::sidecar::mesh_updater;
 use crate::sidecar::view_origin::ViewOrigin;
+use crate::sidecar::view_time;
 
 /// Age of the view, in refresh intervals, from which an outage concerns more than this node. Entries
 /// outlive several missed heartbeats, so none expires in a shorter one.
@@ -63,13 +64,16 @@
         }
         let started_at = self.state.clock.now();
         if let Some(position) = self.position.get() {
-            let read = source.watch(position, self.watch_time()).await?;
+            let wait = self.watch_time();
+            let read = source.watch(position, wait).await?;
+            let received_at = self.state.clock.now();
             self.end_registry_outage();
             let reached = read.position;
             self.position.set(Some(reached));
             self.updater.apply(read);
             self.updater.advance(reached);
-            let read_at = self.state.clock.now();
+            let is_changed = reached != position;
+            let read_at = view_time::watched_read_time(started_at, wait, received_at, is_changed);
             self.state.mark_fresh(read_at, ViewOrigin::Registry);
             return Ok(());
         }
