--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -106,7 +106,115 @@
     assert!(history.delta(ConfigVersion(198), &held).is_some());
 }
 
+#[test]
+fn a_delta_from_any_version_that_is_kept_lacks_no_route() {
+    let routes_of = |version: u64| BTreeMap::from([(version as u8, 1), (250, version as u32 + 1)]);
+    let mut history = ConfigHistory::new();
+    let mut held = config(0, &routes_of(0));
+    history.record(None, &held);
+    for version in (3..240).step_by(3) {
+        let next = config(version, &routes_of(version));
+        history.record(Some(&held), &next);
+        held = next;
+        for base in (0..version).step_by(3) {
+            let own = config(base, &routes_of(base));
+            let updated = update_from(Some(own), &history, &held);
+            assert_eq!(
+                sorted_weights(&updated),
+                sorted_weights(&held),
+                "from {base}"
+            );
+        }
+    }
+}
+
+/// A node that follows the registry and other nodes.
+#[derive(Debug, Default)]
+struct HistoryNode {
+    config: Option<MeshConfig>,
+    history: ConfigHistory,
+}
+
+impl HistoryNode {
+    fn version(&self) -> Option<ConfigVersion> {
+        self.config.as_ref().map(MeshConfig::version)
+    }
+
+    fn install(&mut self, config: MeshConfig) {
+        if self.version() < Some(config.version()) {
+            self.history.record(self.config.as_ref(), &config);
+            self.config = Some(config);
+        }
+    }
+}
+
+/// One step of a random run of several nodes, which are given by their number.
+#[derive(Debug, Clone)]
+enum HistoryStep {
+    /// Publishes routes under a version that is higher by the number.
+    Publish(u64, BTreeMap<u8, u32>),
+    Read(usize),
+    /// The first node asks the second one.
+    Ask(usize, usize),
+    Restart(usize),
+}
+
+fn history_step() -> impl Strategy<Value = HistoryStep> {
+    let routes = prop::collection::btree_map(0u8..6, 1u32..3, 0..6);
+    let node = || 0..NODE_COUNT;
+    prop_oneof![
+        8 => (1u64..9, routes).prop_map(|(step, routes)| HistoryStep::Publish(step, routes)),
+        5 => node().prop_map(HistoryStep::Read),
+        12 => (node(), node()).prop_map(|(from, to)| HistoryStep::Ask(from, to)),
+        1 => node().prop_map(HistoryStep::Restart),
+    ]
+}
+
+const NODE_COUNT: usize = 5;
+
 proptest! {
+    #[test]
+    fn no_node_of_a_chain_lacks_a_route_of_its_version(
+        steps in prop::collection::vec(history_step(), 1..2_000),
+    ) {
+        let mut nodes: [HistoryNode; NODE_COUNT] = Default::default();
+        let mut published = BTreeMap::from([(0, BTreeMap::new())]);
+        let mut newest = 0;
+        for step in steps {
+            let changed = match step {
+                HistoryStep::Publish(step, routes) => {
+                    newest += step;
+                    published.insert(newest, routes);
+                    continue;
+                }
+                HistoryStep::Read(node) => {
+                    nodes[node].install(config(newest, &published[&newest]));
+                    node
+                }
+                HistoryStep::Ask(node, source) => {
+                    let is_newer = nodes[source].version() > nodes[node].version();
+                    let Some(held) = nodes[source].config.as_ref().filter(|_| is_newer) else {
+                        continue;
+                    };
+                    let own = nodes[node].config.as_ref().map(MeshConfig::snapshot);
+                    let own = own.map(|own| MeshConfig::from_snapshot(own).expect("valid"));
+                    let updated = update_from(own, &nodes[source].history, held);
+                    nodes[node].install(updated);
+                    node
+                }
+                HistoryStep::Restart(node) => {
+                    nodes[node] = HistoryNode::default();
+                    continue;
+                }
+            };
+            let installed = nodes[changed].config.as_ref().expect("installed");
+            let version = installed.version().0;
+            let expected = config(version, &published[&version]);
+            prop_assert_eq!(installed.limits(), expected.limits());
+            prop_assert_eq!(sorted_weights(installed), sorted_weights(&expected));
+        }
+    }
+
     #[test]
     fn a_follower_arrives_at_the_routes_of_its_source(
         versions in prop::collection::vec(
