State that a request is wrong only while the configuration is confirmed

Callers saw: 404, 413 or 431 from a node that had lost touch with the store and the other nodes, for requests that a newer configuration allows. Clients retry none of these. A node without a configuration answered 431 by built-in limits.

Cause: the node answered by the installed configuration whatever the age of the view. 404, 413 and 431 state that the configuration in force does not allow the request; a node whose view is older than the bound within which a configuration applies (`config-apply`) cannot know this. Class: a statement about the request is believed without proof.

Ruled out: requests that an old version routes are still run: refusing them would cost far more than an old route. 400 and 408 do not depend on the configuration or on its age.

Why this works: in touch a view is younger than the bound, so 404 stays 404; out of touch the answer is 503 with `Retry-After`, which promises only that nothing ran.

Conclusion: this bounds what an old view does to callers. It does not make views younger, and it relies on honest ages.

--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -197,9 +197,19 @@
 
     /// Rejects the request that arrives. Its end is unknown, so the connection is closed.
     fn reject(&mut self, code: ResultCode) {
-        let view = self.context.state.view_summary();
-        log::info!("event=bad_request code={code} {view}");
-        let retry_after = (code == ResultCode::Overloaded).then_some(UNAVAILABLE_RETRY_AFTER);
+        let state = &self.context.state;
+        let is_confirmed = state.confirms_config();
+        let view = state.view_summary();
+        log::info!("event=bad_request code={code} confirmed={is_confirmed} {view}");
+        let code = match code {
+            // A newer configuration may have other limits.
+            ResultCode::RequestTooLarge | ResultCode::RequestHeadTooLarge if !is_confirmed => {
+                ResultCode::NodeNotReady
+            }
+            code => code,
+        };
+        let may_retry = matches!(code, ResultCode::Overloaded | ResultCode::NodeNotReady);
+        let retry_after = may_retry.then_some(UNAVAILABLE_RETRY_AFTER);
         self.push_response(ClientResponse::local(code, retry_after), false);
         self.pipeline.close();
     }
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -130,6 +130,15 @@
         self.read_at.get()
     }
 
+    /// Returns whether the installed configuration is known to be in force, up to the time within
+    /// which a newer one applies.
+    ///
+    /// Only then may the node state that a request is wrong; a newer configuration may allow it.
+    pub(crate) fn confirms_config(&self) -> bool {
+        let bound = self.bounds().config_apply;
+        self.config.borrow().is_some() && self.age().is_some_and(|age| age < bound)
+    }
+
     /// Returns what this node knows, for the log.
     pub(crate) fn view_summary(&self) -> ViewSummary {
         let config = self.config.borrow();
--- a/src/sidecar/route_match.rs
+++ b/src/sidecar/route_match.rs
@@ -17,7 +17,8 @@
 ///
 /// # Errors
 ///
-/// The response for the client if no configuration is installed or no route matches.
+/// The response for the client if no configuration is installed or no route matches. It states that
+/// there is no route only if the configuration is known to be in force.
 pub(crate) fn match_route(
     context: &ClientContext,
     received: ReceivedRequest,
@@ -37,14 +38,18 @@
         ));
     };
     let Some(rule) = config.lookup(&head.host, head.path()) else {
+        let is_confirmed = context.state.confirms_config();
         log::info!(
-            "event=no_route request={} host={} path={} {}",
+            "event=no_route request={} confirmed={is_confirmed} host={} path={} {}",
             head.id.as_deref().unwrap_or("-"),
             head.host,
             head.path(),
             context.state.view_summary()
         );
-        return Err(ClientResponse::local(ResultCode::NoRoute, None));
+        return Err(match is_confirmed {
+            true => ClientResponse::local(ResultCode::NoRoute, None),
+            false => ClientResponse::local(ResultCode::NodeNotReady, Some(UNAVAILABLE_RETRY_AFTER)),
+        });
     };
     let remaining_time = head.remaining_time.unwrap_or(DEFAULT_REMAINING_TIME);
     let service = context.dispatcher.picker.borrow_mut().pick(rule).clone();
