--- a/src/sidecar/client_response.rs
+++ b/src/sidecar/client_response.rs
@@ -37,6 +37,21 @@
         }
     }
 
+    /// Creates the response to a request that no endpoint has run and that may be sent again,
+    /// whatever the reason.
+    pub(crate) fn refused(code: ResultCode, retry_after: ClockTime) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            ..Self::local(code, Some(retry_after))
+        }
+    }
+
+    /// Returns the result code if this node itself responds that the request is wrong.
+    pub(crate) fn rejection_code(&self) -> Option<ResultCode> {
+        let is_rejection = self.code != ResultCode::Ok && (400..500).contains(&self.status);
+        is_rejection.then_some(self.code)
+    }
+
     /// Encodes the response as an HTTP/1.1 message.
     pub(crate) fn encode(&self, keep_alive: bool, is_head: bool) -> Vec<u8> {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
