Keep no removed endpoint after an outage too short for expiry

At 17.28 s the reader of region north ended a planned stop, and its successor read the store at 17.71 s with a view 1,728 ms old. That counts as an outage of the registry from two refresh intervals (1.5 s) on, so the successor opened the reregistration window, and the endpoint removed at 17.01 s was kept as missing at 38 nodes until 20.74 s. Class: an absence is taken for an expiry although no entry can have expired.

Ruled out: an old view. The list of 17.71 s lacked the endpoint.

Evidence. leaving::an_endpoint_removed_in_an_outage_too_short_for_expiry_ is_not_kept failed before (event=endpoint_missing endpoint=i-1 at the read after the outage, status 200 where 503 is asked for) and passes now.

Why this works. An entry expires after three heartbeats without a report, and the last report precedes an outage by a heartbeat at most. A missing entry was therefore removed, not lost, unless the outage lasted two heartbeats.

Conclusion: fixed.

--- a/src/sidecar/mesh_bounds.rs
+++ b/src/sidecar/mesh_bounds.rs
@@ -1,5 +1,8 @@
 use crate::clock::ClockTime;
 
+/// Heartbeats without a report after which the registry removes an entry.
+const EXPIRY_HEARTBEAT_COUNT: u64 = 3;
+
 /// Time bounds and retry limits that apply across the mesh.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MeshBounds {
@@ -18,3 +21,15 @@
     /// Additional retries allowed in a window, summed over all nodes.
     pub retry_slack: f64,
 }
+
+impl MeshBounds {
+    /// Returns the shortest outage of the registry after which a missing entry may have expired.
+    ///
+    /// The last report of an endpoint precedes the outage by a heartbeat at most, so an entry that is
+    /// missing after a shorter outage was removed. After an outage longer than the drain bound, no
+    /// removal is known in time anyway.
+    #[must_use]
+    pub fn shortest_expiry(&self) -> ClockTime {
+        ClockTime(self.heartbeat.0 * (EXPIRY_HEARTBEAT_COUNT - 1)).min(self.drain)
+    }
+}
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -8,10 +8,6 @@
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_time;
 
-/// Age of the view, in refresh intervals, from which an outage concerns more than this node. Entries
-/// outlive several missed heartbeats, so none expires in a shorter one.
-const MIN_OUTAGE_INTERVALS: f64 = 2.0;
-
 impl MeshSyncTask {
     /// Reads the registry and records the result.
     pub(crate) async fn read_registry(&self) -> std::result::Result<(), ()> {
@@ -117,7 +113,7 @@
                 "event=registry_back failures={} view_age={age}",
                 self.failures.get()
             );
-            if age < self.intervals(MIN_OUTAGE_INTERVALS) {
+            if age < self.state.bounds().shortest_expiry() {
                 return;
             }
             let until = self.state.clock.now() + mesh_updater::REREGISTRATION_WINDOW;
