Compare positions of the registry as pairs of era and revision

Callers saw, after the store had come back from a copy some seconds old, requests routed by an old version seconds after a new one had been acknowledged, and 404 on routes that it had added.

Positions were revisions. A restored store assigns its latest revisions again, and what operator and endpoints write again carries it past the position that a reader holds before the reader watches again. The watch then gets no 410 and begins after changes that the reader has never seen, and the reader confirms its view as fresh. Followers compare the position of a view with theirs in the same way, a list could be completed with pages or a configuration of another history, and a delta could start from a revision of the lost one.

Ruled out: an older configuration of the copy being installed (versions only rise; restore::a_confirmed_configuration_that_a_restore_lost_stays_in_force passed before).

On these tests of mesh_process failed: restore::a_configuration_whose_revision_was_assigned_before_a_restore_is_not_missed, two_restores_between_two_reads_do_not_hide_a_configuration, a_node_cut_off_across_a_restore_follows_the_new_history, a_list_and_a_configuration_are_not_taken_from_two_histories and a_restored_store_is_read_whole_by_few_nodes_only with "version 2 at node 0, left: 404, right: 200"; an_endpoint_whose_entry_does_not_return_after_a_restore_is_removed with "requests through node 3, left: 7, right: 5". They pass now. The other tests of restore passed before and after.

Why this works. The store sends its era with each response. A position is (era, revision), between nodes too, so a position of the lost history is lower than any of the new one. A watch whose response is of another era ends like one whose history is gone: the reader reads everything once. The others get the whole list with a view; a view of an earlier era is neither applied nor counted as fresher. The first reading of an era opens the reregistration window, so lost entries of live endpoints stay in use.

Conclusion: the class is a number that orders only within one history and was compared across two.

--- a/src/mesh/change_log.rs
+++ b/src/mesh/change_log.rs
@@ -1,6 +1,7 @@
 use std::collections::{HashSet, VecDeque};
 
 use crate::id::EndpointId;
+use crate::mesh::HistoryPosition;
 
 /// Number of changes kept for deltas; a node that is further behind gets the full directory.
 const CHANGE_LIMIT: usize = 1_024;
@@ -13,7 +14,7 @@
     changes: VecDeque<EndpointId>,
     generation: u64,
     /// Generations that reflected the registry up to a position, in ascending order.
-    reached: VecDeque<(u64, u64)>,
+    reached: VecDeque<(HistoryPosition, u64)>,
     /// Generation from which the log lacks no change of the registry.
     complete_since: u64,
 }
@@ -29,7 +30,7 @@
     }
 
     /// Records that the current generation reflects the registry up to a position.
-    pub(super) fn record_position(&mut self, position: u64) {
+    pub(super) fn record_position(&mut self, position: HistoryPosition) {
         let last = self.reached.back().map(|(_, generation)| *generation);
         if last == Some(self.generation) {
             return;
@@ -52,7 +53,7 @@
     }
 
     /// Returns the latest known generation that reflects nothing after a position.
-    pub(super) fn generation_at(&self, position: u64) -> Option<u64> {
+    pub(super) fn generation_at(&self, position: HistoryPosition) -> Option<u64> {
         let count = self
             .reached
             .partition_point(|(reached, _)| *reached <= position);
--- a/src/mesh/registry_read.rs
+++ b/src/mesh/registry_read.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use crate::id::EndpointId;
-use crate::mesh::{EndpointRecord, MeshConfig};
+use crate::mesh::{EndpointRecord, HistoryPosition, MeshConfig};
 
 /// One change reported by a registry read.
 #[derive(Debug, Clone)]
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub struct RegistryRead {
     /// Position in the registry history that the changes reach.
-    pub position: u64,
+    pub position: HistoryPosition,
     /// Whether `changes` lists all endpoints, so that any other endpoint has been removed.
     pub is_snapshot: bool,
     /// Changes in the order of the history.
@@ -26,3 +26,12 @@
     /// Key after which the list of endpoints continues; `None` if it is complete.
     pub continues_after: Option<String>,
 }
+
+/// The result of reading the configuration.
+#[derive(Debug)]
+pub struct ConfigRead {
+    /// Position in the registry history at which the configuration was read.
+    pub position: HistoryPosition,
+    /// The latest configuration; `None` if there is no usable one.
+    pub config: Option<Arc<MeshConfig>>,
+}
--- a/src/mesh/registry_source.rs
+++ b/src/mesh/registry_source.rs
@@ -1,10 +1,8 @@
-use std::sync::Arc;
-
 use futures_util::future::LocalBoxFuture;
 
 use crate::clock::ClockTime;
 use crate::error::Result;
-use crate::mesh::{MeshConfig, RegistryRead};
+use crate::mesh::{ConfigRead, HistoryPosition, RegistryRead};
 
 /// A source of the configuration and the endpoints in the registry of the platform.
 pub trait RegistrySource {
@@ -21,21 +19,26 @@
     ///
     /// # Errors
     ///
-    /// As for [`RegistrySource::first_endpoints`].
+    /// `HistoryGone` if the registry was restored since the first page was read; otherwise as for
+    /// [`RegistrySource::first_endpoints`].
     fn all_endpoints(&self, first: RegistryRead) -> LocalBoxFuture<'_, Result<RegistryRead>>;
 
-    /// Reads the latest configuration. Returns `None` if there is no usable one.
+    /// Reads the latest configuration.
     ///
     /// # Errors
     ///
-    /// As for [`RegistrySource::first_endpoints`].
-    fn config(&self) -> LocalBoxFuture<'_, Result<Option<Arc<MeshConfig>>>>;
+    /// As for [`RegistrySource::all_endpoints`].
+    fn config(&self) -> LocalBoxFuture<'_, Result<ConfigRead>>;
 
     /// Waits for changes after `position`, for at most `wait`, and returns them.
     ///
     /// # Errors
     ///
-    /// `HistoryGone` if the history no longer reaches back to `position`; otherwise as for
-    /// [`RegistrySource::first_endpoints`].
-    fn watch(&self, position: u64, wait: ClockTime) -> LocalBoxFuture<'_, Result<RegistryRead>>;
+    /// `HistoryGone` if the history no longer reaches back to `position` or the registry was restored
+    /// since; otherwise as for [`RegistrySource::first_endpoints`].
+    fn watch(
+        &self,
+        position: HistoryPosition,
+        wait: ClockTime,
+    ) -> LocalBoxFuture<'_, Result<RegistryRead>>;
 }
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -6,7 +6,7 @@
 use crate::id::{EndpointId, ServiceName};
 use crate::mesh::change_log::ChangeLog;
 use crate::mesh::tombstones::Tombstones;
-use crate::mesh::{EndpointRecord, EndpointState};
+use crate::mesh::{EndpointRecord, EndpointState, HistoryPosition};
 
 /// A change to the directory entry of one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,9 +73,9 @@
     tombstones: Tombstones,
     change_log: ChangeLog,
     keep_missing_until: ClockTime,
-    position: u64,
+    position: HistoryPosition,
     /// Position that the endpoints reflect, at least `position`.
-    listed_position: u64,
+    listed_position: HistoryPosition,
 }
 
 impl ServiceDirectory {
@@ -93,12 +93,12 @@
 
     /// Returns the position in the registry's history that the directory reflects.
     #[must_use]
-    pub fn position(&self) -> u64 {
+    pub fn position(&self) -> HistoryPosition {
         self.position
     }
 
     /// Records that the directory reflects the registry up to a position.
-    pub fn advance(&mut self, position: u64) {
+    pub fn advance(&mut self, position: HistoryPosition) {
         self.position = self.position.max(position);
         self.record_listing(position);
     }
@@ -106,12 +106,12 @@
     /// Returns the position that the endpoints reflect. It is later than that of the directory while
     /// the configuration of the same position is not known.
     #[must_use]
-    pub fn listed_position(&self) -> u64 {
+    pub fn listed_position(&self) -> HistoryPosition {
         self.listed_position
     }
 
     /// Records that the endpoints reflect the registry up to a position.
-    pub fn record_listing(&mut self, position: u64) {
+    pub fn record_listing(&mut self, position: HistoryPosition) {
         self.listed_position = self.listed_position.max(position);
         self.change_log.record_position(self.listed_position);
     }
@@ -120,7 +120,7 @@
     ///
     /// The list does not tell which endpoints came and went since the last position, so deltas from
     /// earlier generations are no longer complete.
-    pub fn record_full_listing(&mut self, position: u64) {
+    pub fn record_full_listing(&mut self, position: HistoryPosition) {
         self.change_log.record_gap();
         self.record_listing(position);
     }
@@ -128,7 +128,7 @@
     /// Returns the latest known generation that reflects nothing after a position. A directory that
     /// reflects the registry up to that position lacks only the changes since this generation.
     #[must_use]
-    pub fn generation_at(&self, position: u64) -> Option<u64> {
+    pub fn generation_at(&self, position: HistoryPosition) -> Option<u64> {
         self.change_log.generation_at(position)
     }
 
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
-use crate::mesh::RegistryRead;
+use crate::mesh::{HistoryPosition, RegistryRead};
 use crate::sidecar::mesh_updater::MeshUpdater;
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::refresh_plan::{self, PlannedSource, RefreshPlan, RefreshState, ViewSource};
@@ -41,7 +41,7 @@
     /// Cursor of the last reply that was applied, by node.
     pub(crate) cursors: RefCell<HashMap<IpAddr, ViewCursor>>,
     /// Position up to which the registry has been read; `None` if a full read is required.
-    pub(crate) position: Cell<Option<u64>>,
+    pub(crate) position: Cell<Option<HistoryPosition>>,
     /// Set while the endpoints of a full read have been applied and the configuration has not.
     pub(crate) pending_config_read: Cell<Option<PendingConfigRead>>,
     /// The first page of the list of endpoints and the time when it was requested, while a starting
@@ -63,7 +63,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PendingConfigRead {
     pub(crate) started_at: ClockTime,
-    pub(crate) position: u64,
+    pub(crate) position: HistoryPosition,
 }
 
 impl MeshSyncTask {
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -5,7 +5,7 @@
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
 use crate::id::EndpointId;
-use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead};
+use crate::mesh::{DirectoryEvent, HistoryPosition, MeshConfig, RegistryChange, RegistryRead};
 use crate::sidecar::compressed_config::CompressedConfig;
 use crate::sidecar::dispatcher::Dispatcher;
 use crate::sidecar::inbound_service::InboundService;
@@ -58,6 +58,7 @@
     /// Merges the endpoints of another node's view into the directory.
     pub(crate) fn merge_view(&self, reply: ViewReply) {
         let now = self.state.clock.now();
+        let is_new_era = self.begin_era(reply.listed_position);
         let mut events = Vec::new();
         {
             let mut directory = self.state.directory.borrow_mut();
@@ -83,7 +84,11 @@
                 reply.removed
             };
             for id in removed {
-                events.extend(directory.remove_immediately(&id));
+                events.extend(if is_new_era {
+                    directory.remove(now, &id)
+                } else {
+                    directory.remove_immediately(&id)
+                });
             }
             if reply.is_snapshot {
                 directory.record_full_listing(reply.listed_position);
@@ -102,13 +107,28 @@
         }
     }
 
+    /// Prepares the directory for the endpoints at a position. If the registry was restored, this
+    /// starts the window in which endpoints whose entries were lost register again.
+    ///
+    /// Returns true if the position belongs to a later era than the directory.
+    pub(crate) fn begin_era(&self, position: HistoryPosition) -> bool {
+        let mut directory = self.state.directory.borrow_mut();
+        let previous = directory.listed_position();
+        if position.era <= previous.era || self.state.age().is_none() {
+            return false;
+        }
+        directory.keep_missing_until(self.state.clock.now() + REREGISTRATION_WINDOW);
+        log::warn!("event=registry_restored position={position} previous={previous}");
+        true
+    }
+
     /// Records that the configuration and the endpoints reflect the registry up to a position.
-    pub(crate) fn advance(&self, position: u64) {
+    pub(crate) fn advance(&self, position: HistoryPosition) {
         self.state.directory.borrow_mut().advance(position);
     }
 
     /// Records that the endpoints were replaced by a full list that reflects a position.
-    pub(crate) fn record_full_listing(&self, position: u64) {
+    pub(crate) fn record_full_listing(&self, position: HistoryPosition) {
         let mut directory = self.state.directory.borrow_mut();
         directory.record_full_listing(position);
     }
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -92,7 +92,7 @@
                 None => self.remaining_wait(),
             },
         };
-        let previous_read_at = self.state.read_at();
+        let previous_mark = self.state.read_mark();
         let sent_at = self.state.clock.now();
         let metrics = &self.state.metrics;
         match self.views.fetch(address, &request).await {
@@ -100,7 +100,7 @@
                 self.apply_reply(address, sent_at, reply);
                 // A reply that is no fresher counts as a failure, so that all sources are queried
                 // next.
-                if self.state.read_at() > previous_read_at {
+                if self.state.read_mark() > previous_mark {
                     metrics.record_view_query("fresher");
                     Ok(())
                 } else {
@@ -124,7 +124,11 @@
         };
         let read_at = view_time::earliest_read_time(sent_at, reply.held, age);
         let mut fresh_peers = self.state.fresh_peers.borrow_mut();
-        fresh_peers.record(address, read_at);
+        if reply.position.era < self.state.read_mark().0 {
+            fresh_peers.remove(address);
+        } else {
+            fresh_peers.record(address, read_at);
+        }
         drop(fresh_peers);
         let max_age = self.intervals(MAX_FIRST_AGE_INTERVALS);
         let is_start = self.state.age().is_none() && self.failures.get() == 0;
@@ -146,13 +150,18 @@
             return;
         }
         let pending = self.pending_config_read.get();
+        if pending.is_some_and(|pending| reply.position.era < pending.position.era) {
+            // The configuration may be older than that of the era of the endpoints.
+            return;
+        }
         if let Some(pending) = pending.filter(|pending| reply.position < pending.position) {
             // The local endpoint list is newer; only the configuration was missing. Watching
             // resumes at the older position, which the configuration reflects.
             self.updater.advance(reply.position);
             self.position.set(Some(reply.position));
             self.pending_config_read.set(None);
-            self.state.mark_fresh(pending.started_at.min(read_at));
+            let read_at = pending.started_at.min(read_at);
+            self.state.mark_fresh(reply.position.era, read_at);
             return;
         }
         let directory = self.state.directory.borrow();
@@ -168,7 +177,7 @@
         self.position.set(Some(position));
         self.pending_config_read.set(None);
         self.first_page.take();
-        self.state.mark_fresh(read_at);
+        self.state.mark_fresh(position.era, read_at);
     }
 
     /// Returns how long another node may wait for a fresher view than this node's.
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::Result;
-use crate::mesh::{ConfigHistory, MeshConfig, ServiceDirectory};
+use crate::mesh::{ConfigHistory, HistoryEra, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
 use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings};
 
@@ -24,8 +24,8 @@
     shutting_down: Cell<bool>,
     /// Time by which a stopping node answers all requests; far in the future before that.
     answer_by: Cell<ClockTime>,
-    /// Time up to which the view is known to match the registry.
-    read_at: Cell<ClockTime>,
+    /// Era of the registry's history and time up to which the view is known to match it.
+    read_mark: Cell<(HistoryEra, ClockTime)>,
     refresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Nodes whose views were the freshest.
     pub(crate) fresh_peers: RefCell<FreshPeers>,
@@ -49,7 +49,7 @@
             loaded: Cell::new(false),
             shutting_down: Cell::new(false),
             answer_by: Cell::new(ClockTime(u64::MAX)),
-            read_at: Cell::new(ClockTime(0)),
+            read_mark: Cell::default(),
             refresh_waiters: RefCell::default(),
             fresh_peers: RefCell::default(),
             bounds: RefCell::new(Rc::new(settings.bounds.clone())),
@@ -101,12 +101,14 @@
     }
 
     /// Records that the view matches the registry as of `read_at`, and wakes the waiting tasks.
-    pub(crate) fn mark_fresh(&self, read_at: ClockTime) {
+    ///
+    /// A reading of an earlier era is never fresher than one of a later era.
+    pub(crate) fn mark_fresh(&self, era: HistoryEra, read_at: ClockTime) {
         self.loaded.set(true);
-        if read_at <= self.read_at.get() {
+        if (era, read_at) <= self.read_mark.get() {
             return;
         }
-        self.read_at.set(read_at);
+        self.read_mark.set((era, read_at));
         for waiter in self.refresh_waiters.take() {
             // Sending fails if the waiting task was dropped.
             let _ = waiter.send(());
@@ -115,13 +117,18 @@
 
     /// Returns the age of the view, or `None` if it has never been synchronized.
     pub(crate) fn age(&self) -> Option<ClockTime> {
-        let age = self.clock.now() - self.read_at.get();
+        let age = self.clock.now() - self.read_at();
         self.loaded.get().then_some(age)
     }
 
     /// Returns the time up to which the view is known to match the registry.
     pub(crate) fn read_at(&self) -> ClockTime {
-        self.read_at.get()
+        self.read_mark.get().1
+    }
+
+    /// Returns the era and the time of the last reading of the registry that the view reflects.
+    pub(crate) fn read_mark(&self) -> (HistoryEra, ClockTime) {
+        self.read_mark.get()
     }
 
     /// Waits for the next refresh of the view.
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -1,41 +1,46 @@
 //! Reading of the registry by the synchronization task.
 
-use crate::error::{Result, ResultCode};
-use crate::mesh::RegistrySource;
+use crate::error::{Error, Result, ResultCode};
+use crate::mesh::{HistoryEra, HistoryPosition, RegistrySource};
 use crate::sidecar::mesh_sync_task::{MeshSyncTask, PendingConfigRead};
 use crate::sidecar::mesh_updater;
 
 /// Age of the view, in refresh intervals, from which an outage concerns more than this node. Entries
 /// outlive several missed heartbeats, so none expires in a shorter one.
 const MIN_OUTAGE_INTERVALS: f64 = 2.0;
+/// Number of full reads that are tried at once if the history was lost.
+const MAX_FULL_READ_COUNT: usize = 2;
 
 impl MeshSyncTask {
     /// Reads the registry and records the result.
     pub(crate) async fn read_registry(&self) -> std::result::Result<(), ()> {
         let metrics = &self.state.metrics;
-        match self.try_read_registry().await {
+        let mut result = self.try_read_registry().await;
+        for _ in 0..MAX_FULL_READ_COUNT {
+            let Err(error) = &result else {
+                break;
+            };
+            if error.code() != ResultCode::HistoryGone {
+                break;
+            }
+            metrics.record_registry_read("history_gone");
+            let position = self.position.get().unwrap_or_default();
+            log::info!("event=registry_history_gone position={position} cause=\"{error}\"");
+            self.forget_position();
+            // A full read needs no history; it fails so only if the registry is restored meanwhile.
+            result = self.try_read_registry().await;
+        }
+        match result {
             Ok(()) => {
                 metrics.record_registry_read("ok");
                 self.reader.borrow_mut().record_success();
                 Ok(())
             }
-            Err(error) if error.code() == ResultCode::HistoryGone => {
-                metrics.record_registry_read("history_gone");
-                log::info!(
-                    "event=registry_history_gone position={:?}",
-                    self.position.get()
-                );
-                self.position.set(None);
-                // A full read needs no history, so this recursion ends after one step.
-                Box::pin(self.read_registry()).await
-            }
             Err(error) => {
                 metrics.record_registry_read("failed");
                 // After an outage, the changes may no longer fit into one response, so the next
                 // read is a full one.
-                self.position.set(None);
-                self.pending_config_read.set(None);
-                self.first_page.take();
+                self.forget_position();
                 let now = self.state.clock.now();
                 self.reader
                     .borrow_mut()
@@ -62,12 +67,13 @@
         let started_at = self.state.clock.now();
         if let Some(position) = self.position.get() {
             let read = source.watch(position, self.watch_time()).await?;
+            self.check_era(read.position)?;
             self.end_registry_outage();
             let reached = read.position;
             self.position.set(Some(reached));
             self.updater.apply(read);
             self.updater.advance(reached);
-            self.state.mark_fresh(self.state.clock.now());
+            self.state.mark_fresh(reached.era, self.state.clock.now());
             return Ok(());
         }
         let known = self.first_page.take();
@@ -82,7 +88,9 @@
             return Ok(());
         }
         let read = source.all_endpoints(first).await?;
+        self.check_era(read.position)?;
         self.end_registry_outage();
+        self.updater.begin_era(read.position);
         let pending = PendingConfigRead {
             started_at,
             position: read.position,
@@ -118,18 +126,48 @@
         }
     }
 
+    /// Discards everything that later reads could continue from, so that the next one is a full read.
+    fn forget_position(&self) {
+        self.position.set(None);
+        self.pending_config_read.set(None);
+        self.first_page.take();
+    }
+
+    /// Rejects a read of an earlier era than that of the directory. Another node may have sent a view
+    /// of the later era since the read was requested.
+    fn check_era(&self, position: HistoryPosition) -> Result<()> {
+        let known = self.state.directory.borrow().listed_position();
+        if position.era < known.era {
+            return Err(registry_restored(position.era, known.era));
+        }
+        Ok(())
+    }
+
     async fn read_config(
         &self,
         source: &dyn RegistrySource,
         pending: PendingConfigRead,
     ) -> Result<()> {
-        if let Some(config) = source.config().await? {
+        let read = source.config().await?;
+        if read.position.era != pending.position.era {
+            return Err(registry_restored(pending.position.era, read.position.era));
+        }
+        self.check_era(pending.position)?;
+        if let Some(config) = read.config {
             self.updater.install(&config);
         }
         self.updater.advance(pending.position);
         self.position.set(Some(pending.position));
         self.pending_config_read.set(None);
-        self.state.mark_fresh(pending.started_at);
+        self.state
+            .mark_fresh(pending.position.era, pending.started_at);
         Ok(())
     }
 }
+
+fn registry_restored(read: HistoryEra, current: HistoryEra) -> Error {
+    Error::new(
+        ResultCode::HistoryGone,
+        format!("the registry was restored: era {current} follows era {read}"),
+    )
+}
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::ClockTime;
 use crate::id::EndpointId;
-use crate::mesh::{ConfigDelta, ConfigSnapshot, ConfigVersion, EndpointRecord};
+use crate::mesh::{ConfigDelta, ConfigSnapshot, ConfigVersion, EndpointRecord, HistoryPosition};
 use crate::peer::FrameCodec;
 use crate::sidecar::compressed_config::CompressedConfig;
 
@@ -33,7 +33,7 @@
     pub(crate) cursor: Option<ViewCursor>,
     /// Position in the registry's history that the sender's endpoints reflect, for a node from which
     /// it has not received a state.
-    pub(crate) position: u64,
+    pub(crate) position: HistoryPosition,
     /// Version of the configuration that the sender has installed.
     pub(crate) version: Option<ConfigVersion>,
     /// Age of the sender's view.
@@ -63,9 +63,9 @@
     /// State of the view, for the next request.
     pub(crate) cursor: ViewCursor,
     /// Position in the registry's history that the view reflects.
-    pub(crate) position: u64,
+    pub(crate) position: HistoryPosition,
     /// Position that the endpoints reflect, which may be later.
-    pub(crate) listed_position: u64,
+    pub(crate) listed_position: HistoryPosition,
     /// Time from the arrival of the request to the reply.
     pub(crate) held: ClockTime,
     /// Age of the view; `None` if it has never been synchronized.
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::cmp::Ordering;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -35,19 +36,24 @@
     /// requested wait is over.
     pub(crate) async fn handle(&self, request: &ViewRequest) -> ViewReply {
         let now = self.state.clock.now();
-        let sender_read_at = now - request.age;
-        self.state
-            .fresh_peers
-            .borrow_mut()
-            .record(request.sender, sender_read_at);
+        let initial_mark = self.state.read_mark();
+        let era = initial_mark.0;
+        if request.position.era >= era {
+            let sender_read_at = now - request.age;
+            let mut fresh_peers = self.state.fresh_peers.borrow_mut();
+            fresh_peers.record(request.sender, sender_read_at);
+        }
         let until = now + request.wait.min(MAX_WAIT);
-        let initial_read_at = self.state.read_at();
-        let is_fresher = self
-            .state
-            .age()
-            .is_some_and(|age| age + MIN_GAIN < request.age);
+        let is_fresher = match request.position.era.cmp(&era) {
+            Ordering::Less => true,
+            Ordering::Equal => {
+                let age = self.state.age();
+                age.is_some_and(|age| age + MIN_GAIN < request.age)
+            }
+            Ordering::Greater => false,
+        };
         if !is_fresher {
-            while self.state.read_at() == initial_read_at {
+            while self.state.read_mark() == initial_mark {
                 let remaining = until - self.state.clock.now();
                 let timer = pin!(time::sleep(remaining.to_duration()));
                 let refreshed = pin!(self.state.wait_for_refresh());
@@ -61,11 +67,14 @@
 
     fn reply(&self, request: &ViewRequest, received_at: ClockTime) -> ViewReply {
         let directory = self.state.directory.borrow();
+        let listed_position = directory.listed_position();
         let since = request
             .cursor
             .filter(|cursor| cursor.process == self.process)
             .map(|cursor| cursor.number)
-            .max(directory.generation_at(request.position));
+            .max(directory.generation_at(request.position))
+            // Endpoints of another era may be unknown to this node, so a delta could not remove them.
+            .filter(|_| request.position.era == listed_position.era);
         let DirectoryDelta {
             is_snapshot,
             present,
@@ -85,7 +94,7 @@
                 number: directory.generation(),
             },
             position: directory.position(),
-            listed_position: directory.listed_position(),
+            listed_position,
             held: self.state.clock.now() - received_at,
             age: self.state.age(),
             version: config.as_ref().map(|config| config.version()),
--- a/tests/directory_simulation.rs
+++ b/tests/directory_simulation.rs
@@ -7,7 +7,7 @@
 
 use endivelanding::clock::ClockTime;
 use endivelanding::id::EndpointId;
-use endivelanding::mesh::ServiceDirectory;
+use endivelanding::mesh::{HistoryPosition, ServiceDirectory};
 use mesh_records::{endpoint, name};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -30,13 +30,16 @@
         self.changes.push((index, is_added));
     }
 
-    fn position(&self) -> u64 {
-        self.changes.len() as u64
+    fn position(&self) -> HistoryPosition {
+        HistoryPosition {
+            revision: self.changes.len() as u64,
+            ..HistoryPosition::default()
+        }
     }
 
     /// Applies the changes after the position of the directory, as a watch reports them.
     fn watch(&self, directory: &mut ServiceDirectory) {
-        let start = directory.position();
+        let start = directory.position().revision;
         for (offset, (index, is_added)) in self.changes[start as usize..].iter().enumerate() {
             apply(directory, *index, start + offset as u64 + 1, *is_added);
         }
@@ -53,8 +56,11 @@
             directory.upsert(ClockTime(0), endpoint(id(*index).as_str(), *index, born, 1));
         }
         directory.record_full_listing(self.position());
-        let config_position = random.random_range(directory.position()..=self.position());
-        directory.advance(config_position);
+        let revisions = directory.position().revision..=self.position().revision;
+        directory.advance(HistoryPosition {
+            revision: random.random_range(revisions),
+            ..HistoryPosition::default()
+        });
     }
 }
 
