Report restores of the registry

An operator could not tell that the store had been restored: a reader that noticed logged registry_history_gone or nothing, and the others nothing at all.

Each node now logs registry_restored with the old and the new position, the source that told of it and the cause, and counts it in endive_registry_restores_total.

--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -25,6 +25,7 @@
     responses_held: Counter<u64>,
     slot_wait: Histogram<f64>,
     registry_reads: Counter<u64>,
+    registry_restores: Counter<u64>,
     view_queries: Counter<u64>,
     endpoint_events: Counter<u64>,
     config_version: Gauge<u64>,
@@ -80,6 +81,10 @@
             ),
             slot_wait: duration("endive_slot_wait", "Time that requests waited for a slot"),
             registry_reads: counter("endive_registry_reads", "Reads of the registry by result"),
+            registry_restores: counter(
+                "endive_registry_restores",
+                "Restores of the registry by the source that told of them",
+            ),
             view_queries: counter(
                 "endive_view_questions",
                 "Questions to other nodes for their view by result",
@@ -145,6 +150,12 @@
         self.registry_reads.add(1, &labels);
     }
 
+    /// Counts a restore of the registry by the source that told of it.
+    pub fn record_registry_restore(&self, source: &'static str) {
+        let labels = [KeyValue::new("source", source)];
+        self.registry_restores.add(1, &labels);
+    }
+
     /// Counts a query for the view of another node by its result.
     pub fn record_view_query(&self, result: &'static str) {
         let labels = [KeyValue::new("result", result)];
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -58,7 +58,7 @@
     /// Merges the endpoints of another node's view into the directory.
     pub(crate) fn merge_view(&self, reply: ViewReply) {
         let now = self.state.clock.now();
-        let is_new_era = self.begin_era(reply.listed_position);
+        let is_new_era = self.begin_era(reply.listed_position, "node");
         let mut events = Vec::new();
         {
             let mut directory = self.state.directory.borrow_mut();
@@ -110,15 +110,22 @@
     /// Prepares the directory for the endpoints at a position. If the registry was restored, this
     /// starts the window in which endpoints whose entries were lost register again.
     ///
-    /// Returns true if the position belongs to a later era than the directory.
-    pub(crate) fn begin_era(&self, position: HistoryPosition) -> bool {
+    /// `source` names what told of the position. Returns true if the position belongs to a later
+    /// era than the directory.
+    pub(crate) fn begin_era(&self, position: HistoryPosition, source: &'static str) -> bool {
         let mut directory = self.state.directory.borrow_mut();
         let previous = directory.listed_position();
         if position.era <= previous.era || self.state.age().is_none() {
             return false;
         }
         directory.keep_missing_until(self.state.clock.now() + REREGISTRATION_WINDOW);
-        log::warn!("event=registry_restored position={position} previous={previous}");
+        self.state.metrics.record_registry_restore(source);
+        log::warn!(
+            "event=registry_restored position={position} previous={previous} source={source} \
+             cause=\"era {} follows era {}\"",
+            position.era,
+            previous.era
+        );
         true
     }
 
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -90,7 +90,7 @@
         let read = source.all_endpoints(first).await?;
         self.check_era(read.position)?;
         self.end_registry_outage();
-        self.updater.begin_era(read.position);
+        self.updater.begin_era(read.position, "registry");
         let pending = PendingConfigRead {
             started_at,
             position: read.position,
@@ -115,8 +115,9 @@
         if self.registry_unreachable.replace(false) {
             let age = self.state.age().unwrap_or_default();
             log::info!(
-                "event=registry_back failures={} view_age={age}",
-                self.failures.get()
+                "event=registry_back failures={} view_age={age} position={}",
+                self.failures.get(),
+                self.state.directory.borrow().listed_position()
             );
             if age < self.intervals(MIN_OUTAGE_INTERVALS) {
                 return;
