Keep endpoints removed that a restored registry lists again

Callers saw requests reach an endpoint that had left, after the store had come back from a copy that still held its entry.

A removed endpoint was held removed only against records of a lower sequence. The entry of the copy may have the same sequence as the last one seen, and a node that follows others knows an older sequence than the copy, since reports without new content are not passed on.

The table mesh_rules::the_entry_of_a_copy_does_not_restore_an_endpoint_that_left_in_an_earlier_era passes; it needs the new functions and could not be run before.

Why this works. A tombstone keeps the era of the removal. In a later era a record must have a higher sequence, since an equal one may be that of the copy; within an era positions order the removal and the record, and nothing changes. An endpoint that is alive reports again within a heartbeat.

Conclusion: a node that starts after the restore has no memory of removals, and a view of such a node can still give the entry to a node whose tombstone has a lower sequence.

--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -6,41 +6,7 @@
 use crate::id::{EndpointId, ServiceName};
 use crate::mesh::change_log::ChangeLog;
 use crate::mesh::tombstones::Tombstones;
-use crate::mesh::{EndpointRecord, EndpointState, HistoryPosition};
-
-/// A change to the directory entry of one endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DirectoryEvent {
-    /// The endpoint accepts new requests.
-    Ready(EndpointId),
-    /// The endpoint accepts no new requests.
-    Draining(EndpointId),
-    /// The entry is missing after a registry outage; the endpoint may register again.
-    Missing(EndpointId),
-    /// The endpoint was removed.
-    Gone(EndpointId),
-}
-
-impl DirectoryEvent {
-    /// Returns the endpoint that the event concerns.
-    #[must_use]
-    pub fn endpoint(&self) -> &EndpointId {
-        match self {
-            Self::Ready(id) | Self::Draining(id) | Self::Missing(id) | Self::Gone(id) => id,
-        }
-    }
-
-    /// Returns the name of the event for logs and metrics.
-    #[must_use]
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Ready(_) => "ready",
-            Self::Draining(_) => "draining",
-            Self::Missing(_) => "missing",
-            Self::Gone(_) => "gone",
-        }
-    }
-}
+use crate::mesh::{DirectoryEvent, EndpointRecord, EndpointState, HistoryEra, HistoryPosition};
 
 /// The changes to a directory since an earlier generation, or its full content.
 #[derive(Debug)]
@@ -73,6 +39,10 @@
     tombstones: Tombstones,
     change_log: ChangeLog,
     keep_missing_until: ClockTime,
+    /// Era of the records that are applied.
+    era: HistoryEra,
+    /// Time until which lists may be those of a copy from which the registry was restored.
+    restored_until: ClockTime,
     position: HistoryPosition,
     /// Position that the endpoints reflect, at least `position`.
     listed_position: HistoryPosition,
@@ -91,6 +61,14 @@
         self.keep_missing_until = self.keep_missing_until.max(until);
     }
 
+    /// Begins an era of the registry, in which ready entries that are found missing before `until` are
+    /// kept, and endpoints that left in an earlier era stay removed until they report again.
+    pub fn begin_era(&mut self, era: HistoryEra, until: ClockTime) {
+        self.era = era;
+        self.restored_until = until;
+        self.keep_missing_until(until);
+    }
+
     /// Returns the position in the registry's history that the directory reflects.
     #[must_use]
     pub fn position(&self) -> HistoryPosition {
@@ -139,10 +117,11 @@
     pub fn upsert(&mut self, now: ClockTime, record: EndpointRecord) -> Option<DirectoryEvent> {
         let id = record.id.clone();
         let held = self.entries.get(&id);
-        let newest = held
-            .map(|held| &held.record)
-            .or_else(|| self.tombstones.get(&id));
-        if newest.is_some_and(|newest| record.is_older_than(newest)) {
+        let is_outdated = match held {
+            Some(held) => record.is_older_than(&held.record),
+            None => self.tombstones.rejects(&record, self.era),
+        };
+        if is_outdated {
             return None;
         }
         let unchanged = held.is_some_and(|held| {
@@ -175,6 +154,21 @@
         }
     }
 
+    /// Inserts or updates a record of a full list of the registry.
+    ///
+    /// Soon after a restore, the list may hold endpoints that have left since the copy was made. They
+    /// report no more, while an endpoint that is alive soon does so with a higher sequence number.
+    pub fn upsert_listed(
+        &mut self,
+        now: ClockTime,
+        record: EndpointRecord,
+    ) -> Option<DirectoryEvent> {
+        if now < self.restored_until && self.tombstones.replace(&record, self.era) {
+            return None;
+        }
+        self.upsert(now, record)
+    }
+
     /// Removes an endpoint whose registry entry was removed.
     ///
     /// During the reregistration window, a ready endpoint is only flagged as missing.
@@ -277,7 +271,7 @@
     /// Returns true if the endpoint was known and has been removed.
     #[must_use]
     pub fn is_gone(&self, id: &EndpointId) -> bool {
-        self.tombstones.get(id).is_some()
+        self.tombstones.contains(id)
     }
 
     /// Removes an endpoint that another node reports as removed, even during the reregistration
@@ -368,7 +362,7 @@
         self.change_log.record(id);
         if let Some(entry) = self.entries.remove(id) {
             self.release_address(&entry.record);
-            self.tombstones.insert(id, entry.record);
+            self.tombstones.insert(id, entry.record, self.era);
         }
     }
 
--- a/src/mesh/tombstones.rs
+++ b/src/mesh/tombstones.rs
@@ -2,42 +2,83 @@
 use std::rc::Rc;
 
 use crate::id::EndpointId;
-use crate::mesh::EndpointRecord;
+use crate::mesh::{EndpointRecord, HistoryEra};
 
 /// Number of removed endpoints that are remembered. An identifier has at most 64 bytes, so they
 /// take less than 1 MB. A request for an endpoint that is no longer remembered is rejected by the
 /// endpoint itself.
 const TOMBSTONE_LIMIT: usize = 4_096;
 
+/// The last record of a removed endpoint.
+#[derive(Debug)]
+struct Tombstone {
+    removal: u64,
+    /// Era of the registry in which the endpoint was removed.
+    era: HistoryEra,
+    record: Rc<EndpointRecord>,
+}
+
 /// The records of the endpoints that were removed last.
 ///
 /// A late report, or the older view of another node, must not restore such an endpoint.
 #[derive(Debug, Default)]
 pub(super) struct Tombstones {
-    records: HashMap<EndpointId, (u64, Rc<EndpointRecord>)>,
+    records: HashMap<EndpointId, Tombstone>,
     /// The removals in their order; those of endpoints that were restored since have no record.
     removals: VecDeque<(u64, EndpointId)>,
     next_removal: u64,
 }
 
 impl Tombstones {
-    /// Returns the last record of a removed endpoint.
-    pub(super) fn get(&self, id: &EndpointId) -> Option<&Rc<EndpointRecord>> {
-        self.records.get(id).map(|(_, record)| record)
+    /// Returns true if the endpoint was removed.
+    pub(super) fn contains(&self, id: &EndpointId) -> bool {
+        self.records.contains_key(id)
+    }
+
+    /// Returns true if a record that is received in `era` must not restore a removed endpoint.
+    ///
+    /// Within an era, a record that is received after the removal was published after it. In a later
+    /// era, the same record may be that of the copy from which the registry was restored.
+    pub(super) fn rejects(&self, record: &EndpointRecord, era: HistoryEra) -> bool {
+        self.records.get(&record.id).is_some_and(|tombstone| {
+            let is_newer = tombstone.record.is_older_than(record);
+            let is_older = record.is_older_than(&tombstone.record);
+            is_older || (!is_newer && tombstone.era < era)
+        })
+    }
+
+    /// Replaces the record of an endpoint that was removed before `era`, unless it is of another
+    /// incarnation. Returns true if the endpoint was removed.
+    pub(super) fn replace(&mut self, record: &EndpointRecord, era: HistoryEra) -> bool {
+        let Some(tombstone) = self.records.get_mut(&record.id) else {
+            return false;
+        };
+        if tombstone.era >= era || tombstone.record.born != record.born {
+            return false;
+        }
+        if tombstone.record.is_older_than(record) {
+            tombstone.record = Rc::new(record.clone());
+        }
+        true
     }
 
     /// Remembers a removed endpoint, and forgets the one that was removed first if there are too
     /// many.
-    pub(super) fn insert(&mut self, id: &EndpointId, record: Rc<EndpointRecord>) {
+    pub(super) fn insert(&mut self, id: &EndpointId, record: Rc<EndpointRecord>, era: HistoryEra) {
         let removal = self.next_removal;
         self.next_removal += 1;
-        self.records.insert(id.clone(), (removal, record));
+        let tombstone = Tombstone {
+            removal,
+            era,
+            record,
+        };
+        self.records.insert(id.clone(), tombstone);
         self.removals.push_back((removal, id.clone()));
         while self.removals.len() > TOMBSTONE_LIMIT {
             let Some((removal, id)) = self.removals.pop_front() else {
                 return;
             };
-            let is_last = self.records.get(&id).map(|(last, _)| *last) == Some(removal);
+            let is_last = self.records.get(&id).map(|last| last.removal) == Some(removal);
             if is_last {
                 self.records.remove(&id);
             }
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -115,10 +115,15 @@
     pub(crate) fn begin_era(&self, position: HistoryPosition, source: &'static str) -> bool {
         let mut directory = self.state.directory.borrow_mut();
         let previous = directory.listed_position();
-        if position.era <= previous.era || self.state.age().is_none() {
+        if position.era <= previous.era {
             return false;
         }
-        directory.keep_missing_until(self.state.clock.now() + REREGISTRATION_WINDOW);
+        if self.state.age().is_none() {
+            directory.begin_era(position.era, ClockTime(0));
+            return false;
+        }
+        let until = self.state.clock.now() + REREGISTRATION_WINDOW;
+        directory.begin_era(position.era, until);
         self.state.metrics.record_registry_restore(source);
         log::warn!(
             "event=registry_restored position={position} previous={previous} source={source} \
@@ -154,7 +159,11 @@
                 }
                 RegistryChange::Endpoint(record) => {
                     listed.insert(record.id.clone());
-                    events.extend(directory.upsert(now, record));
+                    events.extend(if read.is_snapshot {
+                        directory.upsert_listed(now, record)
+                    } else {
+                        directory.upsert(now, record)
+                    });
                 }
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
             }
--- a/tests/mesh_rules.rs
+++ b/tests/mesh_rules.rs
@@ -10,8 +10,8 @@
 use endivelanding::clock::ClockTime;
 use endivelanding::id::{EndpointId, RegionName, ServiceName, ZoneName};
 use endivelanding::mesh::{
-    ClientLimits, ConfigVersion, DirectoryEvent, EndpointRecord, EndpointState, MeshConfig,
-    RouteRule, ServiceDirectory, ServiceTarget,
+    ClientLimits, ConfigVersion, DirectoryEvent, EndpointRecord, EndpointState, HistoryEra,
+    MeshConfig, RouteRule, ServiceDirectory, ServiceTarget,
 };
 use endivelanding::sidecar::{TargetPicker, ViewTree};
 use endivelanding::size::ByteSize;
@@ -138,6 +138,48 @@
     assert!(directory.upsert(now, endpoint("i-1", 1, 10, 8)).is_some());
 }
 
+#[test]
+fn the_entry_of_a_copy_does_not_restore_an_endpoint_that_left_in_an_earlier_era() {
+    // (sequence of the entry, whether it is listed, whether the endpoint is in use afterwards)
+    let cases = [
+        (6, false, false),
+        (7, false, false),
+        (8, false, true),
+        (6, true, false),
+        (7, true, false),
+        (40, true, false),
+    ];
+    for (sequence, is_listed, is_used) in cases {
+        let mut directory = ServiceDirectory::new();
+        let now = ClockTime(1_000);
+        directory.begin_era(HistoryEra(1), ClockTime(0));
+        directory.upsert(now, endpoint("i-1", 1, 10, 7));
+        directory.remove(now, &name("i-1"));
+        directory.begin_era(HistoryEra(2), ClockTime(3_500));
+        let record = endpoint("i-1", 1, 10, sequence);
+        if is_listed {
+            directory.upsert_listed(now, record);
+        } else {
+            directory.upsert(now, record);
+        }
+        let used = !ready_endpoints(&directory).is_empty();
+        assert_eq!(used, is_used, "sequence {sequence}, listed: {is_listed}");
+        // The endpoint is alive if it reports once more, and so is its next incarnation.
+        directory.upsert(now, endpoint("i-1", 1, 10, 41));
+        assert_eq!(ready_endpoints(&directory), ["i-1"]);
+    }
+    let mut directory = ServiceDirectory::new();
+    let now = ClockTime(1_000);
+    directory.upsert(now, endpoint("i-1", 1, 10, 7));
+    directory.remove(now, &name("i-1"));
+    directory.upsert(now, endpoint("i-1", 1, 10, 7));
+    assert_eq!(ready_endpoints(&directory), ["i-1"], "of the same era");
+    directory.remove(now, &name("i-1"));
+    directory.begin_era(HistoryEra(2), ClockTime(3_500));
+    directory.upsert_listed(now, endpoint("i-1", 1, 20, 1));
+    assert_eq!(ready_endpoints(&directory), ["i-1"], "of a later start");
+}
+
 #[test]
 fn only_the_latest_incarnation_at_an_address_is_used() {
     let mut directory = ServiceDirectory::new();
