--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -6,7 +6,7 @@
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
 use crate::id::EndpointId;
-use crate::mesh::{DirectoryEvent, MeshConfig, RegistryChange, RegistryRead};
+use crate::mesh::{DirectoryEvent, HistoryPosition, MeshConfig, RegistryChange, RegistryRead};
 use crate::sidecar::compressed_config::CompressedConfig;
 use crate::sidecar::config_origin::ConfigOrigin;
 use crate::sidecar::dispatcher::Dispatcher;
@@ -74,6 +74,7 @@
     /// Merges the endpoints of another node's view into the directory.
     pub(crate) fn merge_view(&self, reply: ViewReply) {
         let now = self.state.clock.now();
+        let is_new_era = self.begin_era(reply.listed_position, "node");
         let mut events = Vec::new();
         {
             let mut directory = self.state.directory.borrow_mut();
@@ -99,7 +100,11 @@
                 reply.removed
             };
             for id in removed {
-                events.extend(directory.remove_immediately(&id));
+                events.extend(if is_new_era {
+                    directory.remove(now, &id)
+                } else {
+                    directory.remove_immediately(&id)
+                });
             }
             if reply.is_snapshot {
                 directory.record_full_listing(reply.listed_position);
@@ -124,13 +129,40 @@
         }
     }
 
+    /// Prepares the directory for the endpoints at a position. If the registry was restored, this
+    /// starts the window in which endpoints whose entries were lost register again.
+    ///
+    /// `source` names what told of the position. Returns true if the position belongs to a later
+    /// era than the directory.
+    pub(crate) fn begin_era(&self, position: HistoryPosition, source: &'static str) -> bool {
+        let mut directory = self.state.directory.borrow_mut();
+        let previous = directory.listed_position();
+        if position.era <= previous.era {
+            return false;
+        }
+        if self.state.age().is_none() {
+            directory.begin_era(position.era, ClockTime(0));
+            return false;
+        }
+        let until = self.state.clock.now() + REREGISTRATION_WINDOW;
+        directory.begin_era(position.era, until);
+        self.state.metrics.record_registry_restore(source);
+        log::warn!(
+            "event=registry_restored position={position} previous={previous} source={source} \
+             cause=\"era {} follows era {}\"",
+            position.era,
+            previous.era
+        );
+        true
+    }
+
     /// Records that the configuration and the endpoints reflect the registry up to a position.
-    pub(crate) fn advance(&self, position: u64) {
+    pub(crate) fn advance(&self, position: HistoryPosition) {
         self.state.directory.borrow_mut().advance(position);
     }
 
     /// Records that the endpoints were replaced by a full list that reflects a position.
-    pub(crate) fn record_full_listing(&self, position: u64) {
+    pub(crate) fn record_full_listing(&self, position: HistoryPosition) {
         let mut directory = self.state.directory.borrow_mut();
         directory.record_full_listing(position);
     }
@@ -149,7 +181,11 @@
                 }
                 RegistryChange::Endpoint(record) => {
                     listed.insert(record.id.clone());
-                    events.extend(directory.upsert(now, record));
+                    events.extend(if read.is_snapshot {
+                        directory.upsert_listed(now, record)
+                    } else {
+                        directory.upsert(now, record)
+                    });
                 }
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
             }
--- a/src/sidecar/view_summary.rs
+++ b/src/sidecar/view_summary.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
 use crate::clock::ClockTime;
-use crate::mesh::ConfigVersion;
+use crate::mesh::{ConfigVersion, HistoryPosition};
 use crate::sidecar::view_origin::ViewOrigin;
 
 /// What a node knew when it refused a request, for the log.
@@ -10,9 +10,9 @@
     pub(crate) version: Option<ConfigVersion>,
     pub(crate) route_count: usize,
     /// Position in the registry's history that the configuration reflects.
-    pub(crate) position: u64,
+    pub(crate) position: HistoryPosition,
     /// Position that the endpoints reflect.
-    pub(crate) listed_position: u64,
+    pub(crate) listed_position: HistoryPosition,
     /// Age of the view; `None` if it has never been synchronized.
     pub(crate) age: Option<ClockTime>,
     /// Source of the last refresh.
