Send no refused identifier again on the same connection

Callers saw: a client that sent a request once more with the same identifier after a refusal got 503 for the second request too, although the endpoint ran it, if the endpoint wrote the first refusal once more on the kept connection.

Cause: the copy bears the right identifier, and the second request was sent on the connection of the first one, so the copy was taken as its refusal.

Ruled out: the node itself sends a request to an endpoint that has refused it no second time (`DispatchState` excludes it), and clients are said to give each attempt its own identifier; so this takes a client that doesn't. Copies of other responses need no record: they state of no request that it has not run.

Why this works: a connection records which requests were refused on it and carries none of them again, so that a refusal with the identifier of the request is its own.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -34,6 +34,7 @@
 mod platform_adapter;
 mod reader_state;
 mod refresh_plan;
+mod refused_requests;
 mod registry_reads;
 mod reload_signal;
 mod reload_task;
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -124,7 +124,9 @@
         let exchange = self.exchange(&mut connection, message, header);
         match time::timeout(left.to_duration(), exchange).await {
             Ok(Ok(response)) => {
-                if let Some(limit) = response.idle_limit {
+                let is_reusable =
+                    !self.is_refusal(&response) || connection.refused.record(&header.request_id);
+                if let Some(limit) = response.idle_limit.filter(|_| is_reusable) {
                     let now = self.clock.now();
                     self.idle.borrow_mut().put(connection, now, limit);
                 }
@@ -297,6 +299,11 @@
         }
     }
 
+    /// Returns whether the endpoint states that it has not run the request.
+    fn is_refusal(&self, response: &EndpointResponse) -> bool {
+        response.headers.contains_key(&self.names.not_run) || response.status.as_u16() == 421
+    }
+
     fn classify(
         &self,
         response: EndpointResponse,
@@ -308,7 +315,7 @@
             let name = name.and_then(|value| value.to_str().ok());
             *self.responding_endpoint.borrow_mut() = name.map(str::to_owned);
         }
-        if response.headers.contains_key(&self.names.not_run) || status == 421 {
+        if self.is_refusal(&response) {
             let code = match status {
                 421 => ResultCode::NoEndpoint,
                 400 => ResultCode::MalformedRequest,
--- a/src/sidecar/endpoint_connection.rs
+++ b/src/sidecar/endpoint_connection.rs
@@ -1,10 +1,12 @@
 use crate::caller::WireStream;
+use crate::sidecar::refused_requests::RefusedRequests;
 
 /// Connection to the endpoint.
 pub(crate) struct EndpointConnection {
     pub(crate) stream: WireStream,
     /// Whether the connection has carried an earlier request, to which late bytes may belong.
     pub(crate) is_reused: bool,
+    pub(crate) refused: RefusedRequests,
 }
 
 impl EndpointConnection {
@@ -12,6 +14,7 @@
         Self {
             stream,
             is_reused: false,
+            refused: RefusedRequests::default(),
         }
     }
 }
--- a/src/sidecar/idle_connections.rs
+++ b/src/sidecar/idle_connections.rs
@@ -40,7 +40,10 @@
             } else {
                 idle.limit.min(NON_IDEMPOTENT_IDLE_LIMIT)
             };
-            if now - idle.since < limit && connection.stream.is_idle() {
+            if now - idle.since < limit
+                && !connection.refused.contains(&header.request_id)
+                && connection.stream.is_idle()
+            {
                 connection.is_reused = true;
                 return Some(connection);
             }
