Break work off only in the last sixth of the grace time

Callers saw: a planned stop of a node answered 504 at four fifths of its grace time for work at which the endpoint was still busy.

The node answered all requests 200 ms before the last sixth of the grace time began, so that the process ended with the beginning of that sixth. Only within it may work be broken off.

Ruled out: the deadline and the timeout of the route (20 s in the test).

Why this works. StopSchedule holds the times of a stop.

--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -9,7 +9,7 @@
 use crate::error::Result;
 use crate::mesh::{ConfigHistory, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
-use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings};
+use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings, StopSchedule};
 
 /// The state of the node and its view of the mesh, owned by a single event loop.
 pub(crate) struct NodeState {
@@ -21,9 +21,8 @@
     pub(crate) history: RefCell<ConfigHistory>,
     /// Whether the view has been synchronized at least once.
     loaded: Cell<bool>,
-    shutting_down: Cell<bool>,
-    /// Time by which a stopping node answers all requests; far in the future before that.
-    answer_by: Cell<ClockTime>,
+    /// Times of the planned stop, while the node stops.
+    stop: Cell<Option<StopSchedule>>,
     /// Time up to which the view is known to match the registry.
     read_at: Cell<ClockTime>,
     refresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
@@ -47,8 +46,7 @@
             config: RefCell::default(),
             history: RefCell::default(),
             loaded: Cell::new(false),
-            shutting_down: Cell::new(false),
-            answer_by: Cell::new(ClockTime(u64::MAX)),
+            stop: Cell::new(None),
             read_at: Cell::new(ClockTime(0)),
             refresh_waiters: RefCell::default(),
             fresh_peers: RefCell::default(),
@@ -132,23 +130,22 @@
         let _ = receiver.await;
     }
 
-    /// Records that the node stops and answers all requests by `answer_by`.
-    pub(crate) fn begin_shutdown(&self, answer_by: ClockTime) {
-        self.shutting_down.set(true);
-        self.answer_by.set(answer_by);
+    /// Records that the node stops.
+    pub(crate) fn begin_shutdown(&self, schedule: StopSchedule) {
+        self.stop.set(Some(schedule));
     }
 
-    /// Returns the time by which all requests are answered.
-    pub(crate) fn answer_by(&self) -> ClockTime {
-        self.answer_by.get()
+    /// Returns the times of the planned stop, or `None` unless the node stops.
+    pub(crate) fn stop_schedule(&self) -> Option<StopSchedule> {
+        self.stop.get()
     }
 
     pub(crate) fn is_shutting_down(&self) -> bool {
-        self.shutting_down.get()
+        self.stop.get().is_some()
     }
 
     /// Returns true if the node accepts new clients.
     pub(crate) fn is_ready(&self) -> bool {
-        self.loaded.get() && !self.shutting_down.get() && self.config.borrow().is_some()
+        self.loaded.get() && !self.is_shutting_down() && self.config.borrow().is_some()
     }
 }
--- a/src/sidecar/pending_request.rs
+++ b/src/sidecar/pending_request.rs
@@ -54,7 +54,9 @@
             reservation,
         } = self;
         // A stopping node refuses what cannot end in time, instead of giving it up while it runs.
-        request.deadline = request.deadline.min(dispatcher.state.answer_by());
+        if let Some(schedule) = dispatcher.state.stop_schedule() {
+            request.deadline = request.deadline.min(schedule.answers_by);
+        }
         let mut log = CancelLog(Some(&request.id));
         let response = dispatcher.dispatch(&request).await;
         log.0 = None;
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -34,7 +34,7 @@
 use crate::sidecar::slot_semaphore::SlotSemaphore;
 use crate::sidecar::view_client::ViewClient;
 use crate::sidecar::view_service::ViewService;
-use crate::sidecar::{PlatformAdapter, SidecarSettings, TargetPicker};
+use crate::sidecar::{PlatformAdapter, SidecarSettings, StopSchedule, TargetPicker};
 use crate::size::ByteSize;
 
 /// Slots of the local endpoint until the registry provides its capacity.
@@ -64,22 +64,11 @@
 /// Time that the clock of a starting node shows. A view read by another node earlier than that
 /// would seem to be as old as the node.
 const MAX_VIEW_AGE: ClockTime = ClockTime(86_400_000);
-/// Interval of the platform's readiness checks.
-const READY_CHECK_INTERVAL: ClockTime = ClockTime(1_000);
-/// Failed readiness checks after which the platform routes no more clients to the node.
-const READY_FAILURE_LIMIT: u64 = 2;
-/// Time for the last of these checks to arrive.
-const READY_CHECK_MARGIN: ClockTime = ClockTime(500);
 /// Interval at which a stopping node checks whether the endpoint still has outstanding requests.
 const OUTSTANDING_POLL_INTERVAL: ClockTime = ClockTime(20);
 /// Time for other nodes to receive the last responses. A connection to an unreachable or stopped
 /// node does not end by itself.
 const PEER_SHUTDOWN_TIMEOUT: ClockTime = ClockTime(300);
-/// Time for clients to receive the responses to requests that a stopping node gives up.
-const ANSWER_TIME: ClockTime = ClockTime(200);
-/// Divisor of the grace time that gives the length of its last part, in which remaining work is
-/// aborted and the process exits. The platform expects no responses within the last sixth.
-const ABORT_TIME_DIVISOR: u64 = 6;
 
 /// A running node with its tasks.
 pub(crate) struct RunningNode {
@@ -207,28 +196,24 @@
     /// joins all tasks.
     pub(crate) async fn stop(self) {
         let clock = self.state.clock;
-        let started_at = clock.now();
+        let schedule = StopSchedule::new(clock.now(), self.state.bounds().grace);
         log::info!("event=stop_begun node={}", self.settings.name);
-        let grace = self.state.bounds().grace;
-        let end = started_at + grace - ClockTime(grace.0 / ABORT_TIME_DIVISOR);
-        self.state.begin_shutdown(end - ANSWER_TIME);
-        // The platform routes clients to this node until its readiness checks have failed.
-        let detection =
-            ClockTime(READY_CHECK_INTERVAL.0 * READY_FAILURE_LIMIT) + READY_CHECK_MARGIN;
-        let drain_time = detection.min(ClockTime((end - started_at).0 / 2));
-        time::sleep(drain_time.to_duration()).await;
+        self.state.begin_shutdown(schedule);
+        time::sleep((schedule.accepts_until - clock.now()).to_duration()).await;
         drop(self.stop_clients);
         self.inbound.closed.set(true);
         let mut clients = self.clients;
-        let remaining = end - ANSWER_TIME - clock.now();
+        let remaining = schedule.answers_by - clock.now();
         let clients_answered = time::timeout(remaining.to_duration(), &mut clients).await;
         let mut clients_answered = clients_answered.is_ok();
         if !clients_answered {
             log::info!("event=requests_given_up node={}", self.settings.name);
             drop(self.abort_requests);
-            let answered = time::timeout(ANSWER_TIME.to_duration(), clients).await;
+            let remaining = schedule.ends_at - clock.now();
+            let answered = time::timeout(remaining.to_duration(), clients).await;
             clients_answered = answered.is_ok();
         }
+        let end = schedule.ends_at;
         while self.inbound.slots.load().outstanding > 0 && clock.now() < end {
             time::sleep(OUTSTANDING_POLL_INTERVAL.to_duration()).await;
         }
