Refuse late requests that a planned stop would have to cut

A stopping node shortened the deadline of a late request to the time by which it answers, and passed the request on. With a free slot nothing compared that time with the work: the endpoint was stopped in the middle of it. A request whose body arrives after the listener has closed gets that far.

Ruled out: "no answer". Here the client got 504, which under LOST is the same as a cut, because the endpoint was at work.

Why this works. Only the deadline bounds the time of a request for certain, so work that may not be repeated starts only if its deadline lies before the time by which the node answers. A read may start on its expected time as long as the platform still routes clients to this node, where a refused client would come back to it.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -71,7 +71,7 @@
 pub use service_retry_budget::{RetryAllowance, ServiceRetryBudget};
 pub use sidecar_settings::SidecarSettings;
 pub use slot_queue::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
-pub use stop_schedule::StopSchedule;
+pub use stop_schedule::{LateRequest, StopSchedule};
 pub use target_picker::TargetPicker;
 pub use view_time::earliest_read_time;
 pub use view_tree::ViewTree;
--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -322,6 +322,7 @@
             return Err(ClientResponse::local(ResultCode::NoRoute, None));
         };
         let remaining_time = head.remaining_time.unwrap_or(DEFAULT_REMAINING_TIME);
+        let client_deadline = arrived + remaining_time.min(rule.timeout);
         let service = self
             .context
             .dispatcher
@@ -336,7 +337,8 @@
             headers: head.headers,
             body,
             arrived,
-            deadline: arrived + remaining_time.min(rule.timeout),
+            client_deadline,
+            deadline: client_deadline,
             rule: Arc::clone(rule),
             service,
             version: config.version(),
--- a/src/sidecar/dispatch_state.rs
+++ b/src/sidecar/dispatch_state.rs
@@ -35,13 +35,17 @@
 }
 
 impl DispatchState {
+    /// Returns whether no endpoint may have received the request.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.attempts == 0 && self.failure.is_none()
+    }
+
     /// Returns the response to a request that is given up for the reason `code`.
     ///
     /// Only a request that no endpoint may have received is refused, since a refusal states that it
     /// has not run.
     pub(crate) fn abandoned(&self, code: ResultCode) -> ClientResponse {
-        let is_unsent = self.attempts == 0 && self.failure.is_none();
-        if code == ResultCode::NodeLeaving && is_unsent {
+        if code == ResultCode::NodeLeaving && self.is_unsent() {
             return ClientResponse::local(code, Some(ClockTime(0)));
         }
         ClientResponse::local(ResultCode::DeadlinePassed, None)
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -9,7 +9,6 @@
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::mesh::EndpointRecord;
-use crate::sidecar::TargetPicker;
 use crate::sidecar::attempt_outcome::AttemptOutcome;
 use crate::sidecar::attempt_sender::AttemptSender;
 use crate::sidecar::client_response::ClientResponse;
@@ -18,6 +17,7 @@
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::outbound_request::OutboundRequest;
 use crate::sidecar::retry_budgets::RetryBudgets;
+use crate::sidecar::{LateRequest, TargetPicker};
 
 /// Fraction of the retry budget available to hedges. The rest is reserved for retries after
 /// failures.
@@ -55,9 +55,25 @@
         response
     }
 
+    /// Returns whether a request that starts now can be answered before a stopping node ends.
+    fn ends_before_stop(&self, request: &OutboundRequest, now: ClockTime) -> bool {
+        let Some(schedule) = self.state.stop_schedule() else {
+            return true;
+        };
+        let late_request = LateRequest {
+            deadline: request.client_deadline,
+            expected: self.balancer.tail_processing(request),
+            is_idempotent: request.rule.idempotent,
+        };
+        schedule.admits(now, &late_request)
+    }
+
     async fn run(&self, request: &OutboundRequest, progress: &mut DispatchState) -> ClientResponse {
         loop {
             let now = self.state.clock.now();
+            if progress.is_unsent() && !self.ends_before_stop(request, now) {
+                return progress.abandoned(ResultCode::NodeLeaving);
+            }
             if now >= request.deadline {
                 progress.last_refusal = Some(ResultCode::DeadlineTooShort);
                 return self.refusal(request, progress);
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -226,6 +226,11 @@
             .unwrap_or_else(|| DEFAULT_PROCESSING_MS.min(request.rule.objective.as_f64() / 2.0))
     }
 
+    /// Returns the time that must remain before the deadline of a request when it starts.
+    pub(crate) fn tail_processing(&self, request: &OutboundRequest) -> ClockTime {
+        ClockTime((self.processing_ms(request) * TAIL_FACTOR) as u64)
+    }
+
     /// Returns the longest queue wait after which the request can still meet its objective.
     ///
     /// Longer queues do not increase throughput; they only make every request late. A request that
@@ -237,7 +242,7 @@
         let objective = request.rule.objective.as_f64();
         let elapsed = (now - request.arrived).as_f64();
         let on_time = (objective - elapsed - processing_ms).max(objective * LATE_WAIT_RATIO);
-        let left = (request.deadline - now).as_f64() - processing_ms * TAIL_FACTOR;
+        let left = (request.deadline - now).as_f64() - self.tail_processing(request).as_f64();
         let max_wait = on_time * self.short_request_factor(id, processing_ms);
         ClockTime(max_wait.min(left).max(0.0) as u64)
     }
--- a/src/sidecar/outbound_request.rs
+++ b/src/sidecar/outbound_request.rs
@@ -19,6 +19,8 @@
     /// Arrival time of the request head.
     pub(crate) arrived: ClockTime,
     /// Earlier of the client's deadline and the route's timeout.
+    pub(crate) client_deadline: ClockTime,
+    /// Time by which the request is answered, which a stopping node brings forward.
     pub(crate) deadline: ClockTime,
     pub(crate) rule: Arc<RouteRule>,
     /// Target service picked from the rule.
--- a/src/sidecar/pending_request.rs
+++ b/src/sidecar/pending_request.rs
@@ -53,9 +53,8 @@
             is_head,
             reservation,
         } = self;
-        // A stopping node refuses what cannot end in time, instead of giving it up while it runs.
         if let Some(schedule) = dispatcher.state.stop_schedule() {
-            request.deadline = request.deadline.min(schedule.answers_by);
+            request.deadline = request.client_deadline.min(schedule.answers_by);
         }
         let mut log = CancelLog(Some(&request.id));
         let response = dispatcher.dispatch(&request).await;
--- a/src/sidecar/stop_schedule.rs
+++ b/src/sidecar/stop_schedule.rs
@@ -25,6 +25,17 @@
     pub ends_at: ClockTime,
 }
 
+/// A request that is about to start while the node stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LateRequest {
+    /// Time after which the caller no longer waits for the response.
+    pub deadline: ClockTime,
+    /// Expected time until the response, with a margin.
+    pub expected: ClockTime,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+}
+
 impl StopSchedule {
     /// Creates the schedule of a stop that began at `started_at` and must end within `grace`.
     #[must_use]
@@ -39,4 +50,15 @@
             ends_at: started_at + grace - ClockTime(last_part.0 / 4),
         }
     }
+
+    /// Returns whether a request that starts now can be answered before the process ends.
+    ///
+    /// Only the deadline bounds the time of a request for certain. The expected time suffices for a
+    /// request that may run again, as long as a refused client would be routed back to this node.
+    #[must_use]
+    pub fn admits(&self, now: ClockTime, request: &LateRequest) -> bool {
+        let is_bounded = now < self.answers_by && request.deadline <= self.answers_by;
+        let is_expected = now < self.accepts_until && now + request.expected <= self.answers_by;
+        is_bounded || (request.is_idempotent && is_expected)
+    }
 }
