Refuse forwarded work that outlasts the node beside its endpoint

Callers saw: a node was stopped while its endpoint ran on; other nodes answered 502 for work that may not be repeated and that the endpoint had run.

A stopping node accepted forwarded requests for the first 2.5 s whatever their deadline, and closed the connections between nodes at the end of its grace time while the endpoint was at work. It also waited for that work up to the very end, so that no time was left to send the last results.

Ruled out: the rule LOST counts only the stop of the machine that took the request from the client, so this broke no rule by itself; it costs the caller its answer, and the work is wasted.

Evidence. planned_stop::a_stopping_node_accepts_no_forwarded_work_that_ outlasts_it: "forwarded-0: status 502 after 1 runs" before, in 2 of 2 runs; passes after, with a second endpoint (all served there, one run each) and without one (all refused, no run).

Why this works. The rule of the entry, StopSchedule::admits, holds for forwarded requests too, and their time is limited to that of the stop. The refusal says not run, so the entry node asks another endpoint at once. Work is awaited until the time by which all requests are answered; the rest of the time is for the results.

Conclusion: shown and mended.

--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -104,7 +104,7 @@
         // is deducted.
         let read = header.remaining - (clock.now() - start);
         header.remaining = inbound.remaining(&header).min(read);
-        if inbound.closed.get() {
+        if !inbound.admits_forwarded(&mut header) {
             return self.write_response(&inbound.leaving_response()).await;
         }
         if header.idempotent {
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -16,7 +16,7 @@
 };
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::slot_semaphore::{AcquireError, SlotSemaphore};
-use crate::sidecar::{RemoteTime, SlotUrgency};
+use crate::sidecar::{LateRequest, RemoteTime, SlotUrgency};
 
 /// Retention time of a fence. It exceeds the time that any forwarded request has left, so a fenced
 /// request cannot arrive after its fence has expired.
@@ -218,6 +218,22 @@
         header.remaining - age
     }
 
+    /// Limits the time of a forwarded request to that of a planned stop; returns false if the
+    /// request is refused because its result may not be ready before the process ends.
+    pub(crate) fn admits_forwarded(&self, header: &mut ForwardRequestHeader) -> bool {
+        let Some(schedule) = self.state.stop_schedule() else {
+            return true;
+        };
+        let now = self.state.clock.now();
+        let late_request = LateRequest {
+            deadline: now + header.remaining,
+            expected: header.work,
+            is_idempotent: header.idempotent,
+        };
+        header.remaining = header.remaining.min(schedule.answers_by - now);
+        !self.closed.get() && schedule.admits(now, &late_request)
+    }
+
     /// Returns the refusal sent while the node is shutting down.
     pub(crate) fn leaving_response(&self) -> ForwardResponse {
         let now = self.state.clock.now();
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -213,10 +213,10 @@
             let answered = time::timeout(remaining.to_duration(), clients).await;
             clients_answered = answered.is_ok();
         }
-        let end = schedule.ends_at;
-        while self.inbound.slots.load().outstanding > 0 && clock.now() < end {
+        while self.inbound.slots.load().outstanding > 0 && clock.now() < schedule.answers_by {
             time::sleep(OUTSTANDING_POLL_INTERVAL.to_duration()).await;
         }
+        let end = schedule.ends_at;
         let peers_cut = self
             .peers
             .shutdown(PEER_SHUTDOWN_TIMEOUT.min(end - clock.now()))
