Refuse the requests that a stopping node has read and does not run

Callers saw: in a planned stop in calm, requests on kept connections were read and cut with no answer.

At a stop the requests behind the one that runs were dropped, and those that arrived while it ran were read ahead and never taken from the buffer. The connection then closed, often long after they were read. A client may send a request again only if the node has not read it, or after a promise; a write that was read and dropped is neither, and a request that was read and is cut later than loss-slack after it was sent counts as LOST.

Ruled out: requests that cross the close. They are not read before the last answer is written, and are still dropped.

The random connections of pipeline_rules now ask for a response to every request that was received.

Why this works. While the node stops, a request that arrives behind another is still taken, and refused in its turn as not run with Retry-After; the connection closes with the last answer once nothing runs.

--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -104,8 +104,10 @@
             }
             self.start_requests();
             if self.is_stopping() && !self.pipeline.is_empty() {
-                self.pipeline.discard_waiting();
-                self.pipeline.close();
+                self.pipeline.refuse_waiting(PendingRequest::refuse);
+                if self.pipeline.is_finished() {
+                    self.pipeline.close();
+                }
             }
             if let Some(response) = self.pipeline.take_response() {
                 let closes = self.pipeline.is_closed() && self.pipeline.is_empty();
@@ -141,9 +143,6 @@
     async fn receive_requests(&mut self) -> Result<(), ResultCode> {
         let context = Rc::clone(&self.context);
         while self.pipeline.accepts_requests() {
-            if self.is_stopping() && !self.pipeline.is_empty() {
-                return Ok(());
-            }
             let limits = client_limits(context.state.config().as_deref());
             let limits = ReceiveLimits {
                 client: &limits,
--- a/src/sidecar/pending_request.rs
+++ b/src/sidecar/pending_request.rs
@@ -1,5 +1,7 @@
 use std::rc::Rc;
 
+use crate::clock::ClockTime;
+use crate::error::ResultCode;
 use crate::sidecar::PipelineTicket;
 use crate::sidecar::ahead_budget::AheadPermit;
 use crate::sidecar::body_budget::BodyReservation;
@@ -41,6 +43,16 @@
 }
 
 impl PendingRequest {
+    /// Returns the refusal sent while the node stops; the client sends the request to another node.
+    pub(crate) fn refuse(&self) -> PendingResponse {
+        log::info!("event=stop_refused request={}", self.request.id);
+        PendingResponse {
+            response: ClientResponse::local(ResultCode::NodeLeaving, Some(ClockTime(0))),
+            is_head: self.is_head,
+            permit: None,
+        }
+    }
+
     /// Runs the request. Dropping the future cancels it.
     pub(crate) async fn run(
         self,
--- a/src/sidecar/request_pipeline.rs
+++ b/src/sidecar/request_pipeline.rs
@@ -123,15 +123,23 @@
         self.is_closed = true;
     }
 
-    /// Removes the requests that have not started; returns their number.
-    ///
-    /// A client treats requests behind the response that closes the connection as not read.
-    pub fn discard_waiting(&mut self) -> usize {
-        let count = self.entries.len();
-        self.entries
-            .retain(|entry| !matches!(entry.state, EntryState::Waiting(_)));
-        self.request_bytes = self.entries.iter().map(|entry| entry.size).sum();
-        count - self.entries.len()
+    /// Returns whether no request waits or runs.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        let mut entries = self.entries.iter();
+        entries.all(|entry| matches!(entry.state, EntryState::Finished(..)))
+    }
+
+    /// Responds to the requests that have not started with `refuse`, whose responses have no body.
+    pub fn refuse_waiting<Refuse>(&mut self, mut refuse: Refuse)
+    where
+        Refuse: FnMut(&Request) -> Response,
+    {
+        for entry in &mut self.entries {
+            if let EntryState::Waiting(request) = &entry.state {
+                entry.state = EntryState::Finished(refuse(request), 0);
+            }
+        }
     }
 
     /// Starts the next request whose turn has come.
--- a/tests/pipeline_rules.rs
+++ b/tests/pipeline_rules.rs
@@ -97,21 +97,30 @@
 }
 
 #[test]
-fn a_stop_finishes_only_what_has_started() {
+fn a_stop_runs_only_what_has_started_and_refuses_the_rest() {
     let mut pipeline = Pipeline::new(LIMITS);
     for request in [read("a"), read("b"), write("w"), read("c")] {
         pipeline.push(request);
     }
     let started = start_all(&mut pipeline);
     assert_eq!(names(&started), ["a", "b"]);
-    assert_eq!(pipeline.discard_waiting(), 2);
-    pipeline.close();
-    assert!(!pipeline.accepts_requests());
+    let mut refused = Vec::new();
+    pipeline.refuse_waiting(|request| {
+        refused.push(*request);
+        "refused"
+    });
+    assert_eq!(refused, ["w", "c"]);
+    assert!(pipeline.start_next(true).is_none());
     pipeline.finish(started[1].ticket, "b", 1);
+    assert!(!pipeline.is_finished());
     pipeline.finish(started[0].ticket, "a", 1);
-    assert_eq!(pipeline.take_response(), Some("a"));
-    assert!(!pipeline.is_empty(), "b is the one that closes");
-    assert_eq!(pipeline.take_response(), Some("b"));
+    assert!(pipeline.is_finished());
+    pipeline.close();
+    assert!(!pipeline.accepts_requests());
+    for response in ["a", "b", "refused", "refused"] {
+        assert!(!pipeline.is_empty(), "the last response closes");
+        assert_eq!(pipeline.take_response(), Some(response));
+    }
     assert!(pipeline.is_empty() && pipeline.is_closed());
 }
 
@@ -200,7 +209,7 @@
     })]
 
     /// Each response is sent once and in order, work that must run once starts alone, and every
-    /// request that has started is responded to.
+    /// request that was received is responded to.
     #[test]
     fn random_connections_keep_the_rules(steps in prop::collection::vec(step(), 1..120)) {
         let mut pipeline: RequestPipeline<usize, usize> = RequestPipeline::new(LIMITS);
@@ -244,13 +253,13 @@
                 Step::Send => sent.extend(pipeline.take_response()),
                 Step::Stop => {
                     stopped = true;
-                    pipeline.discard_waiting();
+                    pipeline.refuse_waiting(|number| *number);
                     pipeline.close();
                 }
                 _ => {}
             }
         }
-        pipeline.discard_waiting();
+        pipeline.refuse_waiting(|number| *number);
         for request in running {
             finish(&mut pipeline, request);
         }
@@ -260,5 +269,6 @@
         for number in &started {
             assert!(sent.contains(number), "request {number} has no response");
         }
+        assert!(sent.into_iter().eq(0..received.len()), "a request has no response");
     }
 }
