Take the calls of an endpoint while its node stops

Callers saw: work that was accepted before a planned stop failed with 500 when its endpoint made a call late in the stop.

The listener for clients closed 2.5 s after SIGTERM, but work of the endpoint beside the node goes on until the last sixth of the grace time. The endpoint sends its calls through this node and got "connection refused".

Ruled out: calls over connections that were open before; these are rare, because each response of a stopping node closes its connection.

Why this works. The listener and idle connections stay open while the endpoint has work.

--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -200,8 +200,12 @@
         log::info!("event=stop_begun node={}", self.settings.name);
         self.state.begin_shutdown(schedule);
         time::sleep((schedule.accepts_until - clock.now()).to_duration()).await;
-        drop(self.stop_clients);
         self.inbound.closed.set(true);
+        // The endpoint sends its calls through this node while it works.
+        while self.inbound.slots.load().outstanding > 0 && clock.now() < schedule.answers_by {
+            time::sleep(OUTSTANDING_POLL_INTERVAL.to_duration()).await;
+        }
+        drop(self.stop_clients);
         let mut clients = self.clients;
         let remaining = schedule.answers_by - clock.now();
         let clients_answered = time::timeout(remaining.to_duration(), &mut clients).await;
