--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -11,7 +11,7 @@
 use crate::metrics::SidecarMetrics;
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_summary::ViewSummary;
-use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings};
+use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings, StopSchedule};
 
 /// The state of the node and its view of the mesh, owned by a single event loop.
 pub(crate) struct NodeState {
@@ -23,9 +23,8 @@
     pub(crate) history: RefCell<ConfigHistory>,
     /// Whether the view has been synchronized at least once.
     loaded: Cell<bool>,
-    shutting_down: Cell<bool>,
-    /// Time by which a stopping node answers all requests; far in the future before that.
-    answer_by: Cell<ClockTime>,
+    /// Times of the planned stop, while the node stops.
+    stop: Cell<Option<StopSchedule>>,
     /// Era of the registry's history and time up to which the view is known to match it.
     read_mark: Cell<(HistoryEra, ClockTime)>,
     /// Source from which `read_mark` was learned.
@@ -51,8 +50,7 @@
             config: RefCell::default(),
             history: RefCell::default(),
             loaded: Cell::new(false),
-            shutting_down: Cell::new(false),
-            answer_by: Cell::new(ClockTime(u64::MAX)),
+            stop: Cell::new(None),
             read_mark: Cell::default(),
             origin: Cell::default(),
             refresh_waiters: RefCell::default(),
@@ -168,23 +166,22 @@
         let _ = receiver.await;
     }
 
-    /// Records that the node stops and answers all requests by `answer_by`.
-    pub(crate) fn begin_shutdown(&self, answer_by: ClockTime) {
-        self.shutting_down.set(true);
-        self.answer_by.set(answer_by);
+    /// Records that the node stops.
+    pub(crate) fn begin_shutdown(&self, schedule: StopSchedule) {
+        self.stop.set(Some(schedule));
     }
 
-    /// Returns the time by which all requests are answered.
-    pub(crate) fn answer_by(&self) -> ClockTime {
-        self.answer_by.get()
+    /// Returns the times of the planned stop, or `None` unless the node stops.
+    pub(crate) fn stop_schedule(&self) -> Option<StopSchedule> {
+        self.stop.get()
     }
 
     pub(crate) fn is_shutting_down(&self) -> bool {
-        self.shutting_down.get()
+        self.stop.get().is_some()
     }
 
     /// Returns true if the node accepts new clients.
     pub(crate) fn is_ready(&self) -> bool {
-        self.loaded.get() && !self.shutting_down.get() && self.config.borrow().is_some()
+        self.loaded.get() && !self.is_shutting_down() && self.config.borrow().is_some()
     }
 }
--- a/src/sidecar/route_match.rs
+++ b/src/sidecar/route_match.rs
@@ -52,6 +52,7 @@
         });
     };
     let remaining_time = head.remaining_time.unwrap_or(DEFAULT_REMAINING_TIME);
+    let client_deadline = arrived + remaining_time.min(rule.timeout);
     let service = context.dispatcher.picker.borrow_mut().pick(rule).clone();
     Ok(OutboundRequest {
         id: head.id.unwrap_or_default(),
@@ -60,7 +61,8 @@
         headers: head.headers,
         body,
         arrived,
-        deadline: arrived + remaining_time.min(rule.timeout),
+        client_deadline,
+        deadline: client_deadline,
         rule: Arc::clone(rule),
         service,
         version: config.version(),
