Believe a refusal only with the identifier of the request

Work that may not be repeated could run twice if what answers at the address of an endpoint writes a refusal without identifier on a new connection and runs the request.

A marked refusal or a 421 on a new connection was believed without identifier, whereas a 3xx or 4xx needs identifier and proof.

Evidence. answer_rules::a_refusal_counts_only_with_the_identifier_… failed before with "503, left: NotRun(Overloaded), right: Unknown(AnswerMalformed)"; repeated_refusals::* with "s2-/a/write/x: HttpResponse { status: 503", left: 503, right: 502.

Why this works. Endpoints echo the identifier, so a refusal without it proves nothing: the outcome is unknown, 502 for work that may not be repeated and another endpoint for idempotent work. Only the refusal of a request that has no identifier is believed without one.

Conclusion: fixed.

--- a/src/sidecar/endpoint_answer.rs
+++ b/src/sidecar/endpoint_answer.rs
@@ -40,12 +40,18 @@
     /// with or without an identifier.
     ///
     /// An endpoint refuses a request without an identifier with 400. Any other refusal says nothing
-    /// about the request, whatever its status.
+    /// about the request, whatever its status. A refusal counts only with the identifier of the
+    /// request, since another endpoint could then run the request too.
+    ///
     /// A server error without proof is final too: it promises nothing, and the client may retry what
     /// is idempotent.
     #[must_use]
     pub fn verdict(&self, idempotent: bool, is_identified: bool) -> AnswerVerdict {
+        let is_refusal = self.states_not_run || self.status == 421;
         match self.status {
+            _ if is_refusal && is_identified && !self.has_request_id => {
+                AnswerVerdict::Unknown(ResultCode::AnswerMalformed)
+            }
             421 => AnswerVerdict::NotRun(ResultCode::NoEndpoint),
             400 if self.states_not_run && !is_identified => {
                 AnswerVerdict::NotRun(ResultCode::MalformedRequest)
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -323,13 +323,14 @@
             is_encoded: response.headers.contains_key(header::CONTENT_ENCODING),
         };
         self.record_status(&answer, header);
-        if status == 421 {
+        let is_identified = !header.request_id.is_empty();
+        let verdict = answer.verdict(header.idempotent, is_identified);
+        if verdict == AnswerVerdict::NotRun(ResultCode::NoEndpoint) {
             let name = response.headers.get(&self.names.responding_endpoint);
             let name = name.and_then(|value| value.to_str().ok());
             *self.responding_endpoint.borrow_mut() = name.map(str::to_owned);
         }
-        let is_identified = !header.request_id.is_empty();
-        match answer.verdict(header.idempotent, is_identified) {
+        match verdict {
             AnswerVerdict::NotRun(code) => (not_run(code, status != 421), Bytes::new()),
             AnswerVerdict::Unknown(code) => (ForwardOutcome::Unknown { code }, Bytes::new()),
             AnswerVerdict::Final => {
--- a/tests/answer_rules.rs
+++ b/tests/answer_rules.rs
@@ -64,3 +64,21 @@
         }
     }
 }
+
+#[test]
+fn a_refusal_counts_only_with_the_identifier_of_the_request() {
+    for (status, states_not_run) in [(503, true), (429, true), (400, true), (421, false)] {
+        let refusal = EndpointAnswer {
+            status,
+            states_not_run,
+            has_request_id: false,
+            ..PROVEN
+        };
+        for idempotent in [false, true] {
+            let unknown = AnswerVerdict::Unknown(ResultCode::AnswerMalformed);
+            assert_eq!(refusal.verdict(idempotent, true), unknown, "{status}");
+            let unidentified = refusal.verdict(idempotent, false);
+            assert!(matches!(unidentified, AnswerVerdict::NotRun(_)), "{status}");
+        }
+    }
+}
