Pass changes on also if the time of the view does not rise

A change could therefore be installed without raising the time up to which the view is known, and nodes that wait for a fresher view learned of it only when their wait was over; the node itself counted the reply as a failure and asked further sources.

The time of a view is a lower bound and was also the signal of a change. Class: one number with two meanings.

Why this works. Waiting nodes are woken by each reading and go on waiting only if neither era, time nor position has advanced; the same triple decides whether a reply was of use. The dates stay as they are.

--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -93,15 +93,15 @@
                 None => self.remaining_wait(),
             },
         };
-        let previous_mark = self.state.read_mark();
+        let previous = self.state.view_progress();
         let sent_at = self.state.clock.now();
         let metrics = &self.state.metrics;
         match self.views.fetch(address, &request).await {
             Ok(reply) => {
                 self.apply_reply(address, sent_at, reply);
-                // A reply that is no fresher counts as a failure, so that all sources are queried
+                // A reply that brings nothing new counts as a failure, so that all sources are queried
                 // next.
-                if self.state.read_mark() > previous_mark {
+                if self.state.view_progress() > previous {
                     metrics.record_view_query("fresher");
                     Ok(())
                 } else {
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::Result;
-use crate::mesh::{ConfigHistory, HistoryEra, MeshConfig, ServiceDirectory};
+use crate::mesh::{ConfigHistory, HistoryEra, HistoryPosition, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_summary::ViewSummary;
@@ -105,20 +105,26 @@
 
     /// Records that the view matches the registry as of `read_at`, and wakes the waiting tasks.
     ///
-    /// A reading of an earlier era is never fresher than one of a later era.
+    /// A reading of an earlier era is never fresher than one of a later era. Changes are passed on
+    /// also if `read_at`, which is a lower bound, does not rise.
     pub(crate) fn mark_fresh(&self, era: HistoryEra, read_at: ClockTime, origin: ViewOrigin) {
         self.loaded.set(true);
-        if (era, read_at) <= self.read_mark.get() {
-            return;
+        if (era, read_at) > self.read_mark.get() {
+            self.read_mark.set((era, read_at));
+            self.origin.set(Some(origin));
         }
-        self.read_mark.set((era, read_at));
-        self.origin.set(Some(origin));
         for waiter in self.refresh_waiters.take() {
             // Sending fails if the waiting task was dropped.
             let _ = waiter.send(());
         }
     }
 
+    /// Returns how far the view has come: its last reading of the registry, and its position.
+    pub(crate) fn view_progress(&self) -> (HistoryEra, ClockTime, HistoryPosition) {
+        let (era, read_at) = self.read_mark.get();
+        (era, read_at, self.directory.borrow().position())
+    }
+
     /// Returns the age of the view, or `None` if it has never been synchronized.
     pub(crate) fn age(&self) -> Option<ClockTime> {
         let age = self.clock.now() - self.read_at();
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -36,8 +36,8 @@
     /// requested wait is over.
     pub(crate) async fn handle(&self, request: &ViewRequest) -> ViewReply {
         let now = self.state.clock.now();
-        let initial_mark = self.state.read_mark();
-        let era = initial_mark.0;
+        let initial = self.state.view_progress();
+        let era = initial.0;
         if request.position.era >= era {
             let sender_read_at = now - request.age;
             let mut fresh_peers = self.state.fresh_peers.borrow_mut();
@@ -53,7 +53,7 @@
             Ordering::Greater => false,
         };
         if !is_fresher {
-            while self.state.read_mark() == initial_mark {
+            while self.state.view_progress() == initial {
                 let remaining = until - self.state.clock.now();
                 let timer = pin!(time::sleep(remaining.to_duration()));
                 let refreshed = pin!(self.state.wait_for_refresh());
