--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -93,7 +93,7 @@
             registry_reads: counter("endive_registry_reads", "Reads of the registry by result"),
             registry_restores: counter(
                 "endive_registry_restores",
-                "Restores of the registry by the source that told of them",
+                "Restores of the registry by source",
             ),
             view_queries: counter(
                 "endive_view_questions",
@@ -175,7 +175,7 @@
         self.registry_reads.add(1, &labels);
     }
 
-    /// Counts a restore of the registry by the source that told of it.
+    /// Counts a restore of the registry by its source.
     pub fn record_registry_restore(&self, source: &'static str) {
         let labels = [KeyValue::new("source", source)];
         self.registry_restores.add(1, &labels);
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -132,7 +132,7 @@
     /// Prepares the directory for the endpoints at a position. If the registry was restored, this
     /// starts the window in which endpoints whose entries were lost register again.
     ///
-    /// `source` names what told of the position. Returns true if the position belongs to a later
+    /// `source` is the sender of the position. Returns true if the position belongs to a later
     /// era than the directory.
     pub(crate) fn begin_era(&self, position: HistoryPosition, source: &'static str) -> bool {
         let mut directory = self.state.directory.borrow_mut();
--- a/src/sidecar/refused_requests.rs
+++ b/src/sidecar/refused_requests.rs
@@ -7,8 +7,8 @@
 
 /// Record of the requests that were refused on one connection.
 ///
-/// A late copy of a refusal bears the identifier of its request, so only a request with another
-/// identifier can be told from it.
+/// A late copy of a refusal carries the identifier of its request, so only a request with another
+/// identifier can be distinguished from it.
 #[derive(Debug, Default)]
 pub(crate) struct RefusedRequests {
     /// Hashes of the identifiers. Equal hashes of two identifiers only cost a new connection.
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -24,7 +24,8 @@
                 break;
             }
             metrics.record_registry_read("history_gone");
-            let position = self.position.get().unwrap_or_default();
+            let listed = self.state.directory.borrow().listed_position();
+            let position = self.position.get().unwrap_or(listed);
             log::info!("event=registry_history_gone position={position} cause=\"{error}\"");
             self.forget_position();
             // A full read needs no history; it fails so only if the registry is restored meanwhile.
