Simulate a restore of the registry in fleets of 16 to 5,500 nodes

The simulated fleet has an era: a view is read at (era, time), and one of an earlier era is no fresher. After a restore a node whose position is of the lost history pays for the watch that is refused, all pages and the configuration.

Checks: every node has a view of the new era within the propagation bound after the registry is back, with part of 195 nodes turned away too; the reads of any second stay within the rate; in a fleet that is not turned away fewer than a quarter of the nodes ask the registry.

--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -1,11 +1,11 @@
 //! A simulated fleet whose nodes refresh their views, in virtual time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, Ipv4Addr};
 
 use endivelanding::clock::ClockTime;
 use endivelanding::id::{RegionName, ZoneName};
-use endivelanding::mesh::{EndpointRecord, EndpointState, ServiceDirectory};
+use endivelanding::mesh::{EndpointRecord, EndpointState, HistoryEra, ServiceDirectory};
 use endivelanding::sidecar::{
     FreshPeers, ReaderState, RefreshPlan, RefreshState, ViewSource, ViewTree, plan_refresh,
     refresh_limit,
@@ -31,7 +31,10 @@
     pub is_standby: bool,
     pub is_turned_away: bool,
     reader: ReaderState,
-    read_at: ClockTime,
+    /// Era and time of the reading of the registry that the view reflects.
+    read_mark: (HistoryEra, ClockTime),
+    /// Whether the node can read the changes since its position instead of everything.
+    has_position: bool,
     peers: FreshPeers,
     plan: RefreshPlan,
     planned_at: ClockTime,
@@ -42,9 +45,19 @@
 pub struct FleetResult {
     pub worst_age: ClockTime,
     pub registry_reads: u64,
+    /// Maximum number of reads of the registry within a second.
+    pub peak_reads: u64,
+    /// Number of nodes that have asked the registry while it was not away.
+    pub reading_nodes: usize,
+    /// Longest time from the return of the registry until a node had a view of its latest era.
+    pub worst_era_delay: ClockTime,
 }
 
 const STEP: ClockTime = ClockTime(10);
+/// Number of steps within a second.
+const SECOND_STEP_COUNT: usize = 100;
+/// Number of endpoints on one page of the list.
+const PAGE_SIZE: usize = 500;
 
 /// A fleet in two regions whose store turns some nodes away. A node reads another one's view at once
 /// if it is fresher. A node that is asked learns how fresh the other one is, and in a fleet with
@@ -56,6 +69,9 @@
     pub random: StdRng,
     now: ClockTime,
     registry_rate: f64,
+    era: HistoryEra,
+    /// Time at which the registry is back, after it was away.
+    back_at: ClockTime,
 }
 
 impl SimulatedFleet {
@@ -100,7 +116,8 @@
                     is_standby: tree.readers()[1] == address,
                     is_turned_away: false,
                     reader: ReaderState::new(),
-                    read_at: ClockTime(10_000),
+                    read_mark: (HistoryEra(1), ClockTime(10_000)),
+                    has_position: true,
                     peers: FreshPeers::new(),
                     plan: RefreshPlan::new(),
                     planned_at: ClockTime(0),
@@ -118,29 +135,52 @@
             random: StdRng::seed_from_u64(seed),
             now: ClockTime(10_000),
             registry_rate,
+            era: HistoryEra(1),
+            back_at: ClockTime(0),
         }
     }
 
+    /// Restores the registry from a copy, `count` times in a row; it is back after `away`.
+    pub fn restore(&mut self, away: ClockTime, count: u64) {
+        self.era.0 += count;
+        self.back_at = self.now + away;
+    }
+
     /// Plays 12 s and returns what happened after the first second.
     pub fn run(&mut self) -> FleetResult {
         let mut result = FleetResult::default();
         let end = self.now + ClockTime(12_000);
+        let mut reads: Vec<u64> = Vec::new();
+        let mut readers = HashSet::new();
         for index in 0..self.nodes.len() {
             self.plan(index);
         }
         while self.now < end {
             self.now = self.now + STEP;
+            reads.push(0);
             for index in 0..self.nodes.len() {
                 if self.has_traffic {
                     let other = self.random.random_range(0..self.nodes.len());
-                    let (address, read_at) = (self.nodes[other].address, self.nodes[other].read_at);
-                    self.nodes[index].peers.record(address, read_at);
+                    let (address, mark) = (self.nodes[other].address, self.nodes[other].read_mark);
+                    self.nodes[index].peers.record(address, mark.1);
+                }
+                let count = self.step(index);
+                if count > 0 && self.now >= self.back_at {
+                    readers.insert(index);
+                }
+                result.registry_reads += count;
+                *reads.last_mut().expect("a step") += count;
+                let (era, read_at) = self.nodes[index].read_mark;
+                result.worst_age = result.worst_age.max(self.now - read_at);
+                if era != self.era {
+                    let delay = self.now - self.back_at;
+                    result.worst_era_delay = result.worst_era_delay.max(delay);
                 }
-                result.registry_reads += self.step(index);
-                let age = self.now - self.nodes[index].read_at;
-                result.worst_age = result.worst_age.max(age);
             }
         }
+        let seconds = reads.windows(SECOND_STEP_COUNT);
+        result.peak_reads = seconds.map(|reads| reads.iter().sum()).max().unwrap_or(0);
+        result.reading_nodes = readers.len();
         result
     }
 
@@ -151,14 +191,14 @@
         let node = &mut self.nodes[index];
         let reads_registry = node.reader.reads_registry(self.now, node.is_reader);
         node.plan = plan_refresh(&RefreshState {
-            age: Some(self.now - node.read_at),
+            age: Some(self.now - node.read_mark.1),
             interval: INTERVAL,
             reads_registry,
             is_standby: node.is_standby,
             lacks_config: false,
             parents: &node.parents,
             introduced: &[],
-            limit: refresh_limit(INTERVAL, self.now - node.read_at),
+            limit: refresh_limit(INTERVAL, self.now - node.read_mark.1),
             fleet_size,
             registry_rate: self.registry_rate,
             region_size: node.region.len() + 1,
@@ -191,11 +231,29 @@
     }
 
     /// Asks a node, which learns how fresh the asking one is; returns how fresh its view is.
-    fn ask(&mut self, index: usize, address: IpAddr) -> ClockTime {
-        let (sender, read_at) = (self.nodes[index].address, self.nodes[index].read_at);
+    fn ask(&mut self, index: usize, address: IpAddr) -> (HistoryEra, ClockTime) {
+        let (sender, mark) = (self.nodes[index].address, self.nodes[index].read_mark);
         let asked = &mut self.nodes[self.index[&address]];
-        asked.peers.record(sender, read_at);
-        asked.read_at
+        if mark.0 >= asked.read_mark.0 {
+            asked.peers.record(sender, mark.1);
+        }
+        let asked_mark = asked.read_mark;
+        if asked_mark.0 < mark.0 {
+            self.nodes[index].peers.remove(address);
+        }
+        asked_mark
+    }
+
+    /// Returns the number of calls of a successful read: of the changes, or of the whole list and the
+    /// configuration.
+    fn read_cost(&self, index: usize) -> u64 {
+        let node = &self.nodes[index];
+        let pages = self.nodes.len().div_ceil(PAGE_SIZE) as u64;
+        match (node.has_position, node.read_mark.0 == self.era) {
+            (true, true) => 1,
+            (true, false) => 1 + pages + 1,
+            (false, _) => pages + 1,
+        }
     }
 
     /// Asks the sources whose time has come; returns the number of reads of the registry.
@@ -215,15 +273,21 @@
             .collect();
         let mut reads = 0;
         for source in due {
-            let read_at = match source {
+            let mark = match source {
                 ViewSource::Registry => {
-                    reads += 1;
+                    let is_away = self.now < self.back_at;
+                    let is_failing = self.nodes[index].is_turned_away || is_away;
+                    reads += match is_failing {
+                        true => 1,
+                        false => self.read_cost(index),
+                    };
                     let is_standby = self.nodes[index].is_standby;
                     let chance = self.random.random_range(0.0..1.0);
                     let chance = if is_standby { 0.0 } else { chance };
                     let region_size = self.nodes.len() / 2;
                     let node = &mut self.nodes[index];
-                    if node.is_turned_away {
+                    if is_failing {
+                        node.has_position = false;
                         node.reader.record_failure(self.now, INTERVAL);
                         node.plan
                             .retain(|planned| planned.source != ViewSource::Registry);
@@ -235,25 +299,26 @@
                         node.reader
                             .record_backup_read(self.now, INTERVAL, region_size, chance);
                     }
-                    self.now
+                    (self.era, self.now)
                 }
                 ViewSource::Node(address) => self.ask(index, address),
                 ViewSource::RandomNode | ViewSource::RandomFarNode => continue,
                 ViewSource::FreshestNode => {
                     let node = &self.nodes[index];
-                    let freshest = node.peers.fresher_than(node.read_at).next();
+                    let freshest = node.peers.fresher_than(node.read_mark.1).next();
                     match freshest {
                         Some(address) => self.ask(index, address),
                         None => continue,
                     }
                 }
             };
-            if read_at > self.nodes[index].read_at {
+            if mark > self.nodes[index].read_mark {
                 if let ViewSource::Node(address) = source {
                     let parents = &mut self.nodes[index].parents;
                     parents.sort_by_key(|parent| *parent != address);
                 }
-                self.nodes[index].read_at = read_at;
+                self.nodes[index].read_mark = mark;
+                self.nodes[index].has_position = true;
                 self.plan(index);
                 return reads;
             }
@@ -263,7 +328,7 @@
         plan.retain(|planned| {
             planned.source != ViewSource::FreshestNode || planned.delay > elapsed
         });
-        let limit = refresh_limit(INTERVAL, self.now - self.nodes[index].read_at);
+        let limit = refresh_limit(INTERVAL, self.now - self.nodes[index].read_mark.1);
         if self.nodes[index].plan.is_empty() || elapsed >= limit {
             self.plan(index);
         }
