Simulate restores of the registry between any two messages of nodes

Nodes of the simulation follow the registry and each other one message at a time: a full list, its configuration, a watch and a view are requested, answered and applied in separate steps, so other messages and restores come in between. A restore goes back to a copy, loses up to twelve changes and gives their revisions out again; what lives, and the configuration, is written again later. Some restores come in a row, and nodes restart without memory.

Checks: a node at the latest position lists what the registry lists (an endpoint that has left may be absent although the copy lists it; an entry flagged missing may stay) and has its configuration; an incarnation that has left and that a node has removed is not used again, unless a record of a higher sequence shows that it has reported since; all nodes agree with the registry at the end.

The comparison of the former test is part of the first of three tests, with the same check and more steps.

--- a/tests/directory_simulation.rs
+++ b/tests/directory_simulation.rs
@@ -2,156 +2,265 @@
 
 #[path = "support/mesh_records.rs"]
 mod mesh_records;
+#[path = "support/simulated_follower.rs"]
+mod simulated_follower;
+#[path = "support/simulated_registry.rs"]
+mod simulated_registry;
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 use endivelanding::clock::ClockTime;
 use endivelanding::id::EndpointId;
-use endivelanding::mesh::{HistoryPosition, ServiceDirectory};
-use mesh_records::{endpoint, name};
+use endivelanding::mesh::{EndpointRecord, EndpointState, HistoryEra};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use simulated_follower::{REREGISTRATION_WINDOW, SimulatedFollower};
+use simulated_registry::SimulatedRegistry;
 
-/// The published endpoints of a simulated registry, and the changes that led to them.
-#[derive(Default)]
-struct SimulatedRegistry {
-    /// The position of a change is its index plus one.
-    changes: Vec<(u8, bool)>,
-    listed: HashSet<u8>,
+const SEED_COUNT: u64 = 200;
+const NODE_COUNT: usize = 5;
+const STEP_COUNT: u32 = 1_500;
+/// Longest time between two steps, in milliseconds.
+const MAX_STEP_MS: u64 = 40;
+
+/// Nodes that follow a registry and each other in random order.
+struct DirectorySimulation {
+    random: StdRng,
+    now: ClockTime,
+    registry: SimulatedRegistry,
+    nodes: Vec<SimulatedFollower>,
+    next_process: u64,
+    /// Incarnations that have left and that each node has removed, with their last known sequence.
+    removed: Vec<HashMap<(EndpointId, u64), u64>>,
+    /// Number of comparisons with the list of the registry, and of those after a restore.
+    compared: usize,
+    compared_restored: usize,
+    description: String,
 }
 
-impl SimulatedRegistry {
-    fn change(&mut self, random: &mut StdRng) {
-        let index = random.random_range(0..20);
-        let is_added = self.listed.insert(index);
-        if !is_added {
-            self.listed.remove(&index);
+impl DirectorySimulation {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            now: ClockTime(10_000),
+            registry: SimulatedRegistry::default(),
+            nodes: (0..NODE_COUNT as u64).map(SimulatedFollower::new).collect(),
+            next_process: NODE_COUNT as u64,
+            removed: vec![HashMap::new(); NODE_COUNT],
+            compared: 0,
+            compared_restored: 0,
+            description: format!("seed {seed}"),
         }
-        self.changes.push((index, is_added));
     }
 
-    fn position(&self) -> HistoryPosition {
-        HistoryPosition {
-            revision: self.changes.len() as u64,
-            ..HistoryPosition::default()
+    fn step(&mut self, has_restores: bool) {
+        self.now = self.now + ClockTime(self.random.random_range(0..MAX_STEP_MS));
+        let index = self.random.random_range(0..NODE_COUNT);
+        match self.random.random_range(0..100) {
+            0..10 => self.registry.change(&mut self.random),
+            10..15 => {
+                self.registry.write_again(&mut self.random);
+            }
+            15 if has_restores => {
+                for _ in 0..self.random.random_range(1..3) {
+                    self.registry.restore(&mut self.random);
+                }
+            }
+            16 => {
+                self.nodes[index] = SimulatedFollower::new(self.next_process);
+                self.next_process += 1;
+                self.removed[index].clear();
+            }
+            _ => self.step_node(index),
         }
+        self.check(index);
     }
 
-    /// Applies the changes after the position of the directory, as a watch reports them.
-    fn watch(&self, directory: &mut ServiceDirectory) {
-        let start = directory.position().revision;
-        for (offset, (index, is_added)) in self.changes[start as usize..].iter().enumerate() {
-            apply(directory, *index, start + offset as u64 + 1, *is_added);
+    fn step_node(&mut self, index: usize) {
+        let number = self.random.random_range(0..NODE_COUNT);
+        match self.random.random_range(0..10) {
+            0..3 => self.nodes[index].step_registry(self.now, &self.registry),
+            3..5 if number != index => self.nodes[index].request_view(number),
+            _ => {
+                let mut node = std::mem::replace(&mut self.nodes[index], SimulatedFollower::new(0));
+                if let Some(query) = node.take_query(number) {
+                    node.step_query(self.now, &self.nodes[query.source], query);
+                }
+                self.nodes[index] = node;
+            }
         }
-        directory.advance(self.position());
+        self.nodes[index].directory.expire(self.now);
     }
 
-    /// Reads all endpoints. The configuration is received from a node at an earlier position.
-    fn read_all(&self, directory: &mut ServiceDirectory, random: &mut StdRng) {
-        let listed: HashSet<EndpointId> = self.listed.iter().map(|index| id(*index)).collect();
-        directory.retain(ClockTime(0), &listed);
-        for index in &self.listed {
-            let change = self.changes.iter().rposition(|(other, _)| other == index);
-            let born = change.expect("a listed endpoint was added") as u64 + 1;
-            directory.upsert(ClockTime(0), endpoint(id(*index).as_str(), *index, born, 1));
+    fn check(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        let directory = &node.directory;
+        let head = self.registry.position();
+        let context = format!("{}, node {index}, head {head}", self.description);
+        for record in directory.records() {
+            let is_used = record.state == EndpointState::Ready;
+            let removed = self.removed[index].get(&(record.id.clone(), record.born));
+            let was_removed = removed.is_some_and(|sequence| record.sequence <= *sequence);
+            assert!(
+                !(is_used && was_removed) || self.registry.is_living(record),
+                "{context}: {record:?} left, was removed and is used again"
+            );
+        }
+        if directory.position() == head {
+            let version = self.registry.version();
+            assert!(
+                node.version >= version,
+                "{context}: configuration {} instead of {version}",
+                node.version
+            );
+        }
+        if directory.listed_position() != head {
+            return;
         }
-        directory.record_full_listing(self.position());
-        let revisions = directory.position().revision..=self.position().revision;
-        directory.advance(HistoryPosition {
-            revision: random.random_range(revisions),
-            ..HistoryPosition::default()
-        });
+        self.compared += 1;
+        self.compared_restored += usize::from(head.era > HistoryEra(0));
+        let mut present: BTreeMap<EndpointId, bool> = directory
+            .delta(None)
+            .present
+            .into_iter()
+            .map(|(record, is_missing)| (record.id.clone(), is_missing))
+            .collect();
+        for record in self.registry.listed() {
+            // The copy may list an endpoint that left later, or an earlier state of one.
+            let is_known_newer = directory
+                .record(&record.id)
+                .is_some_and(|known| record.is_older_than(known));
+            let is_listed = match present.remove(&record.id) {
+                None => false,
+                Some(is_missing) => !is_missing || is_known_newer,
+            };
+            let is_listed = is_listed || !self.registry.is_living(record);
+            assert!(is_listed, "{context}: {record:?} is not listed");
+        }
+        present.retain(|_, is_missing| !*is_missing);
+        assert!(present.is_empty(), "{context}: {present:?} is listed");
     }
-}
 
-fn id(index: u8) -> EndpointId {
-    name(&format!("i-{index}"))
-}
-
-fn apply(directory: &mut ServiceDirectory, index: u8, position: u64, is_added: bool) {
-    if is_added {
-        directory.upsert(
-            ClockTime(0),
-            endpoint(id(index).as_str(), index, position, 1),
-        );
-    } else {
-        directory.remove(ClockTime(0), &id(index));
+    /// Records the incarnations that have left and that the nodes have removed.
+    fn record_removed(&mut self, known: &[Vec<EndpointRecord>]) {
+        for (index, known) in known.iter().enumerate() {
+            let directory = &self.nodes[index].directory;
+            for record in known {
+                let is_listed = directory
+                    .record(&record.id)
+                    .is_some_and(|listed| listed.born == record.born);
+                if !is_listed && directory.is_gone(&record.id) && !self.registry.is_living(record) {
+                    let incarnation = (record.id.clone(), record.born);
+                    self.removed[index].insert(incarnation, record.sequence);
+                }
+            }
+        }
     }
-}
 
-/// Applies the changes that one directory has and the other one lacks. `cursor` is the last state of
-/// the source that was received.
-fn follow(directory: &mut ServiceDirectory, source: &ServiceDirectory, cursor: &mut Option<u64>) {
-    let is_older = source.position() < directory.position()
-        || source.listed_position() < directory.listed_position();
-    if is_older {
-        return;
-    }
-    let since = source.generation_at(directory.listed_position());
-    let delta = source.delta(since.max(*cursor));
-    *cursor = Some(source.generation());
-    let mut listed = HashSet::new();
-    for (record, _) in delta.present {
-        listed.insert(record.id.clone());
-        directory.upsert(ClockTime(0), record.as_ref().clone());
-    }
-    if delta.is_snapshot {
-        directory.retain(ClockTime(0), &listed);
+    fn known(&self) -> Vec<Vec<EndpointRecord>> {
+        let nodes = self.nodes.iter();
+        nodes
+            .map(|node| {
+                let records = node.directory.records();
+                records.map(|record| record.as_ref().clone()).collect()
+            })
+            .collect()
     }
-    for removed in delta.removed {
-        directory.remove_immediately(&removed);
+
+    fn play(&mut self, has_restores: bool) {
+        for _ in 0..STEP_COUNT {
+            let known = self.known();
+            self.step(has_restores);
+            self.record_removed(&known);
+        }
     }
-    if delta.is_snapshot {
-        directory.record_full_listing(source.listed_position());
+
+    /// Writes everything again, lets all nodes synchronize until every window is over, and checks
+    /// that they list the endpoints of the registry.
+    fn check_convergence(&mut self) {
+        while self.registry.write_again(&mut self.random) {}
+        let end = self.now + ClockTime(REREGISTRATION_WINDOW.0 * 3);
+        while self.now < end {
+            self.now = self.now + ClockTime(self.random.random_range(0..MAX_STEP_MS));
+            let index = self.random.random_range(0..NODE_COUNT);
+            let known = self.known();
+            self.step_node(index);
+            self.record_removed(&known);
+            self.check(index);
+        }
+        let expected: Vec<&EndpointRecord> = self.registry.listed().collect();
+        // A record that differs only in its sequence is no change that nodes pass on.
+        let is_expected = |record: &EndpointRecord| {
+            expected.iter().any(|other| {
+                let sequence = record.sequence;
+                *record
+                    == EndpointRecord {
+                        sequence,
+                        ..(*other).clone()
+                    }
+            })
+        };
+        for (index, node) in self.nodes.iter().enumerate() {
+            let present = node.directory.delta(None).present;
+            for (record, is_missing) in &present {
+                assert!(
+                    !is_missing && is_expected(record),
+                    "{}, node {index}: {record:?} is listed, missing: {is_missing}",
+                    self.description
+                );
+            }
+            for record in &expected {
+                let known = node.directory.record(&record.id);
+                assert!(
+                    known.is_some(),
+                    "{}, node {index}: {record:?} is not listed",
+                    self.description
+                );
+            }
+            assert_eq!(
+                node.version,
+                self.registry.version(),
+                "{}, node {index}",
+                self.description
+            );
+        }
     }
-    directory.record_listing(source.listed_position());
-    directory.advance(source.position());
 }
 
-/// Plays directories that follow the registry and each other in random order: those that reflect the
-/// same position must list the same endpoints.
+/// Plays nodes that follow the registry and each other in random order: those that reflect the
+/// latest position must list the same endpoints.
 #[test]
 fn directories_at_one_position_list_the_same_endpoints() {
     let mut compared = 0;
-    for seed in 0..200 {
-        let mut random = StdRng::seed_from_u64(seed);
-        let mut registry = SimulatedRegistry::default();
-        let mut directories: Vec<ServiceDirectory> =
-            (0..5).map(|_| ServiceDirectory::new()).collect();
-        let mut cursors: HashMap<(usize, usize), Option<u64>> = HashMap::new();
-        for _ in 0..300 {
-            let index = random.random_range(0..directories.len());
-            match random.random_range(0..10) {
-                0..4 => registry.change(&mut random),
-                4 => registry.watch(&mut directories[index]),
-                5 => registry.read_all(&mut directories[index], &mut random),
-                6 => {
-                    directories[index] = ServiceDirectory::new();
-                    cursors.retain(|(first, second), _| *first != index && *second != index);
-                }
-                _ => {
-                    let mut directory = std::mem::take(&mut directories[index]);
-                    let source = random.random_range(0..directories.len());
-                    if source != index {
-                        let cursor = cursors.entry((index, source)).or_default();
-                        follow(&mut directory, &directories[source], cursor);
-                    }
-                    directories[index] = directory;
-                }
-            }
-            let directory = &directories[index];
-            let head = registry.position();
-            if directory.listed_position() == head {
-                let expected: BTreeSet<EndpointId> =
-                    registry.listed.iter().map(|index| id(*index)).collect();
-                let listed: BTreeSet<EndpointId> = directory
-                    .records()
-                    .map(|record| record.id.clone())
-                    .collect();
-                assert_eq!(listed, expected, "seed {seed}, position {head}");
-                compared += 1;
-            }
-        }
+    for seed in 0..SEED_COUNT {
+        let mut simulation = DirectorySimulation::new(seed);
+        simulation.play(false);
+        simulation.check_convergence();
+        compared += simulation.compared;
+    }
+    assert!(compared > 10_000, "{compared}");
+}
+
+/// Plays the same with restores of the registry between any two messages.
+#[test]
+fn directories_agree_after_the_registry_is_restored_from_a_copy() {
+    let mut compared = 0;
+    for seed in 0..SEED_COUNT {
+        let mut simulation = DirectorySimulation::new(seed);
+        simulation.play(true);
+        simulation.check_convergence();
+        compared += simulation.compared_restored;
+    }
+    assert!(compared > 10_000, "{compared}");
+}
+
+/// Plays nodes that read the list of endpoints in two pages, between which it changes.
+#[test]
+fn directories_agree_when_the_pages_of_a_list_are_no_snapshot() {
+    for seed in 0..SEED_COUNT {
+        let mut simulation = DirectorySimulation::new(seed);
+        simulation.registry.has_pages = true;
+        simulation.play(false);
+        simulation.check_convergence();
     }
-    assert!(compared > 1_000, "{compared}");
 }
