Use no endpoint again that left before a restore

Callers saw requests reach an endpoint that had left, after the store had come back from a copy that still held its entry; and a live endpoint that had written again before a list of the copy was read stayed unused until it wrote once more.

A record with the sequence of the removed one was refused only if it came in a later era than the removal. A node that learned the removal from another node of the new era took the copy's entry. A read of the registry that was answered before the view of another node arrived was applied over that later view.

Why this works. A removed endpoint returns only with a higher sequence or a later start, except within the read that removed it: a watch that repeats known changes may hold the removal of an earlier incarnation and then the record that the directory held. A read that reaches less far than the directory holds nothing that the directory lacks but configurations, so only these are applied.

Conclusion: an entry of the copy with a higher sequence than a node knew when the endpoint left cannot be told from a live endpoint; the node uses it until the entry expires.

--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -6,7 +6,7 @@
 use crate::id::{EndpointId, ServiceName};
 use crate::mesh::change_log::ChangeLog;
 use crate::mesh::tombstones::Tombstones;
-use crate::mesh::{DirectoryEvent, EndpointRecord, EndpointState, HistoryEra, HistoryPosition};
+use crate::mesh::{DirectoryEvent, EndpointRecord, EndpointState, HistoryPosition};
 
 /// The changes to a directory since an earlier generation, or its full content.
 #[derive(Debug)]
@@ -39,10 +39,6 @@
     tombstones: Tombstones,
     change_log: ChangeLog,
     keep_missing_until: ClockTime,
-    /// Era of the records that are applied.
-    era: HistoryEra,
-    /// Time until which lists may be those of a copy from which the registry was restored.
-    restored_until: ClockTime,
     position: HistoryPosition,
     /// Position that the endpoints reflect, at least `position`.
     listed_position: HistoryPosition,
@@ -61,14 +57,6 @@
         self.keep_missing_until = self.keep_missing_until.max(until);
     }
 
-    /// Begins an era of the registry, in which ready entries that are found missing before `until` are
-    /// kept, and endpoints that left in an earlier era stay removed until they report again.
-    pub fn begin_era(&mut self, era: HistoryEra, until: ClockTime) {
-        self.era = era;
-        self.restored_until = until;
-        self.keep_missing_until(until);
-    }
-
     /// Returns the position in the registry's history that the directory reflects.
     #[must_use]
     pub fn position(&self) -> HistoryPosition {
@@ -88,8 +76,9 @@
         self.listed_position
     }
 
-    /// Records that the endpoints reflect the registry up to a position.
+    /// Records that the endpoints reflect the registry up to a position, at the end of a read.
     pub fn record_listing(&mut self, position: HistoryPosition) {
+        self.tombstones.end_read();
         self.listed_position = self.listed_position.max(position);
         self.change_log.record_position(self.listed_position);
     }
@@ -119,7 +108,7 @@
         let held = self.entries.get(&id);
         let is_outdated = match held {
             Some(held) => record.is_older_than(&held.record),
-            None => self.tombstones.rejects(&record, self.era),
+            None => self.tombstones.rejects(&record),
         };
         if is_outdated {
             return None;
@@ -154,21 +143,6 @@
         }
     }
 
-    /// Inserts or updates a record of a full list of the registry.
-    ///
-    /// Soon after a restore, the list may hold endpoints that have left since the copy was made. They
-    /// report no more, while an endpoint that is alive soon does so with a higher sequence number.
-    pub fn upsert_listed(
-        &mut self,
-        now: ClockTime,
-        record: EndpointRecord,
-    ) -> Option<DirectoryEvent> {
-        if now < self.restored_until && self.tombstones.replace(&record, self.era) {
-            return None;
-        }
-        self.upsert(now, record)
-    }
-
     /// Removes an endpoint whose registry entry was removed.
     ///
     /// During the reregistration window, a ready endpoint is only flagged as missing.
@@ -211,6 +185,7 @@
         for id in &missing {
             self.evict(id);
         }
+        self.tombstones.end_read();
         missing.into_iter().map(DirectoryEvent::Gone).collect()
     }
 
@@ -362,7 +337,7 @@
         self.change_log.record(id);
         if let Some(entry) = self.entries.remove(id) {
             self.release_address(&entry.record);
-            self.tombstones.insert(id, entry.record, self.era);
+            self.tombstones.insert(id, entry.record);
         }
     }
 
--- a/src/mesh/tombstones.rs
+++ b/src/mesh/tombstones.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 
 use crate::id::EndpointId;
-use crate::mesh::{EndpointRecord, HistoryEra};
+use crate::mesh::EndpointRecord;
 
 /// Number of removed endpoints that are remembered. An identifier has at most 64 bytes, so they
 /// take less than 1 MB. A request for an endpoint that is no longer remembered is rejected by the
@@ -13,8 +13,8 @@
 #[derive(Debug)]
 struct Tombstone {
     removal: u64,
-    /// Era of the registry in which the endpoint was removed.
-    era: HistoryEra,
+    /// Number of the read that removed the endpoint.
+    read: u64,
     record: Rc<EndpointRecord>,
 }
 
@@ -27,6 +27,8 @@
     /// The removals in their order; those of endpoints that were restored since have no record.
     removals: VecDeque<(u64, EndpointId)>,
     next_removal: u64,
+    /// Number of the read that is being applied.
+    read: u64,
 }
 
 impl Tombstones {
@@ -35,41 +37,32 @@
         self.records.contains_key(id)
     }
 
-    /// Returns true if a record that is received in `era` must not restore a removed endpoint.
+    /// Returns true if a record must not restore a removed endpoint.
     ///
-    /// Within an era, a record that is received after the removal was published after it. In a later
-    /// era, the same record may be that of the copy from which the registry was restored.
-    pub(super) fn rejects(&self, record: &EndpointRecord, era: HistoryEra) -> bool {
+    /// A read that repeats known changes may contain a removal and then the same record that was known
+    /// before. In any other read, an equal record is an older view, or that of the copy from which the
+    /// registry was restored.
+    pub(super) fn rejects(&self, record: &EndpointRecord) -> bool {
         self.records.get(&record.id).is_some_and(|tombstone| {
             let is_newer = tombstone.record.is_older_than(record);
             let is_older = record.is_older_than(&tombstone.record);
-            is_older || (!is_newer && tombstone.era < era)
+            is_older || (!is_newer && tombstone.read != self.read)
         })
     }
 
-    /// Replaces the record of an endpoint that was removed before `era`, unless it is of another
-    /// incarnation. Returns true if the endpoint was removed.
-    pub(super) fn replace(&mut self, record: &EndpointRecord, era: HistoryEra) -> bool {
-        let Some(tombstone) = self.records.get_mut(&record.id) else {
-            return false;
-        };
-        if tombstone.era >= era || tombstone.record.born != record.born {
-            return false;
-        }
-        if tombstone.record.is_older_than(record) {
-            tombstone.record = Rc::new(record.clone());
-        }
-        true
+    /// Ends the read that is being applied.
+    pub(super) fn end_read(&mut self) {
+        self.read += 1;
     }
 
     /// Remembers a removed endpoint, and forgets the one that was removed first if there are too
     /// many.
-    pub(super) fn insert(&mut self, id: &EndpointId, record: Rc<EndpointRecord>, era: HistoryEra) {
+    pub(super) fn insert(&mut self, id: &EndpointId, record: Rc<EndpointRecord>) {
         let removal = self.next_removal;
         self.next_removal += 1;
         let tombstone = Tombstone {
             removal,
-            era,
+            read: self.read,
             record,
         };
         self.records.insert(id.clone(), tombstone);
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -119,11 +119,9 @@
             return false;
         }
         if self.state.age().is_none() {
-            directory.begin_era(position.era, ClockTime(0));
             return false;
         }
-        let until = self.state.clock.now() + REREGISTRATION_WINDOW;
-        directory.begin_era(position.era, until);
+        directory.keep_missing_until(self.state.clock.now() + REREGISTRATION_WINDOW);
         self.state.metrics.record_registry_restore(source);
         log::warn!(
             "event=registry_restored position={position} previous={previous} source={source} \
@@ -146,8 +144,20 @@
     }
 
     /// Applies the changes returned by a registry read.
+    ///
+    /// Another node may have sent a view since the read was requested. If that view is of a later
+    /// position, only the configuration of the read is applied.
     pub(crate) fn apply(&self, read: RegistryRead) {
         let now = self.state.clock.now();
+        let known = self.state.directory.borrow().listed_position();
+        if read.position < known {
+            for change in read.changes {
+                if let RegistryChange::Config(config) = change {
+                    self.install(&config);
+                }
+            }
+            return;
+        }
         let mut events = Vec::new();
         let mut listed = HashSet::new();
         for change in read.changes {
@@ -159,11 +169,7 @@
                 }
                 RegistryChange::Endpoint(record) => {
                     listed.insert(record.id.clone());
-                    events.extend(if read.is_snapshot {
-                        directory.upsert_listed(now, record)
-                    } else {
-                        directory.upsert(now, record)
-                    });
+                    events.extend(directory.upsert(now, record));
                 }
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
             }
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -70,7 +70,7 @@
             self.check_era(read.position)?;
             self.end_registry_outage();
             let reached = read.position;
-            self.position.set(Some(reached));
+            self.position.set(self.position.get().max(Some(reached)));
             self.updater.apply(read);
             self.updater.advance(reached);
             self.state.mark_fresh(reached.era, self.state.clock.now());
@@ -90,6 +90,10 @@
         let read = source.all_endpoints(first).await?;
         self.check_era(read.position)?;
         self.end_registry_outage();
+        if read.position < self.state.directory.borrow().listed_position() {
+            // Another node has sent a later view since the list was requested.
+            return Ok(());
+        }
         self.updater.begin_era(read.position, "registry");
         let pending = PendingConfigRead {
             started_at,
