Send what was written again after a restore in deltas by position

Callers saw requests reach an endpoint that was draining or had left, or not reach a live one, through a node that had read the list of the copy and then followed a node that remembered the time before the restore.

Two directories at one position of a new era need not have equal content: one remembers a newer record than the copy lists, or a removal. When the endpoint writes the same again, or its entry is removed again, the first directory logged no change, so its delta by position left it out.

Why this works. Within the reregistration window each newer record counts as a change; an endpoint for which an older record came within the window counts once more with its next report; a removal of an unknown endpoint is a change for nodes that know it. Outside of windows heartbeats are no changes.

--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -25,6 +25,8 @@
     record: Rc<EndpointRecord>,
     warm_up_end: ClockTime,
     missing: bool,
+    /// Whether an older record was refused during the reregistration window.
+    is_ahead: bool,
 }
 
 /// The endpoints of all services as reported by the registry.
@@ -111,11 +113,16 @@
             None => self.tombstones.rejects(&record),
         };
         if is_outdated {
+            if let Some(held) = self.entries.get_mut(&id) {
+                held.is_ahead |= now < self.keep_missing_until;
+            }
             return None;
         }
         let unchanged = held.is_some_and(|held| {
             held.record.state == record.state && held.record.born == record.born && !held.missing
         });
+        let is_ahead = held.is_some_and(|held| held.is_ahead);
+        let is_newer = held.is_none_or(|held| held.record.is_older_than(&record));
         let is_resized = held.is_some_and(|held| held.record.capacity != record.capacity);
         let state = record.state;
         let warm_up_end = now + record.warm_up;
@@ -129,11 +136,14 @@
             record: Rc::new(record),
             warm_up_end,
             missing: false,
+            is_ahead: false,
         };
         self.claim_address(&entry.record);
         self.entries.insert(id.clone(), entry);
         self.tombstones.remove(&id);
-        if !unchanged || is_resized {
+        // Another directory at this position may hold the older record of a copy.
+        let is_written_again = is_newer && now < self.keep_missing_until || is_ahead;
+        if !unchanged || is_resized || is_written_again {
             self.change_log.record(&id);
         }
         match state {
@@ -145,8 +155,12 @@
 
     /// Removes an endpoint whose registry entry was removed.
     ///
-    /// During the reregistration window, a ready endpoint is only flagged as missing.
+    /// During the reregistration window, a ready endpoint is only flagged as missing. An unknown
+    /// endpoint is recorded as a change too: a node that follows this one may know it.
     pub fn remove(&mut self, now: ClockTime, id: &EndpointId) -> Option<DirectoryEvent> {
+        if !self.entries.contains_key(id) {
+            self.change_log.record(id);
+        }
         let entry = self.entries.get_mut(id)?;
         if now < self.keep_missing_until && entry.record.state == EndpointState::Ready {
             let was_missing = std::mem::replace(&mut entry.missing, true);
--- a/tests/mesh_rules.rs
+++ b/tests/mesh_rules.rs
@@ -237,6 +237,31 @@
     }
 }
 
+#[test]
+fn a_delta_lists_what_was_written_again_after_a_restore_and_no_heartbeat_after_the_window() {
+    let mut directory = ServiceDirectory::new();
+    let now = ClockTime(1_000);
+    let window_end = ClockTime(3_500);
+    directory.upsert(now, endpoint("i-1", 1, 10, 5));
+    directory.upsert(now, endpoint("i-2", 2, 10, 5));
+    directory.keep_missing_until(window_end);
+    // The copy lists an older record of one endpoint.
+    directory.upsert(now, endpoint("i-2", 2, 10, 3));
+    let changes_after = |directory: &mut ServiceDirectory, time, id: &str, host, sequence| {
+        let generation = directory.generation();
+        directory.upsert(time, endpoint(id, host, 10, sequence));
+        directory.generation() - generation
+    };
+    assert_eq!(changes_after(&mut directory, now, "i-1", 1, 6), 1);
+    assert_eq!(changes_after(&mut directory, window_end, "i-1", 1, 7), 0);
+    assert_eq!(changes_after(&mut directory, window_end, "i-2", 2, 6), 1);
+    assert_eq!(changes_after(&mut directory, window_end, "i-2", 2, 7), 0);
+    let generation = directory.generation();
+    directory.remove(window_end, &name("i-3"));
+    let delta = directory.delta(Some(generation));
+    assert_eq!(delta.removed, [name::<EndpointId>("i-3")]);
+}
+
 #[test]
 fn late_reports_of_many_removed_endpoints_restore_none_of_the_last_ones() {
     let mut directory = ServiceDirectory::new();
