Tell how far the later pages of a list of endpoints reach

Callers saw a node lack a live endpoint, or keep one that had left, until its next full read, where the list of endpoints has more than one page.

A list was entered as reached at the position of its first page, though later pages are newer. A node at that position then got a delta without what the later pages showed.

Why this works. Reads, directories and views carry the latest position of which they may reflect a change. Generations are entered at it; the watch still goes on from the first page. A view of an earlier position no longer takes newer endpoints away, after which a cursor of another node would miss them. Until the watch has passed the last page, an equal record restores a removed endpoint as within a read.

--- a/src/mesh/registry_read.rs
+++ b/src/mesh/registry_read.rs
@@ -19,6 +19,8 @@
 pub struct RegistryRead {
     /// Position in the registry history that the changes reach.
     pub position: HistoryPosition,
+    /// Position of the last page; `changes` may hold changes up to it.
+    pub last_position: HistoryPosition,
     /// Whether `changes` lists all endpoints, so that any other endpoint has been removed.
     pub is_snapshot: bool,
     /// Changes in the order of the history.
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -44,6 +44,8 @@
     position: HistoryPosition,
     /// Position that the endpoints reflect, at least `position`.
     listed_position: HistoryPosition,
+    /// Latest position of which the endpoints may reflect a change, at least `listed_position`.
+    seen_position: HistoryPosition,
 }
 
 impl ServiceDirectory {
@@ -80,9 +82,25 @@
 
     /// Records that the endpoints reflect the registry up to a position, at the end of a read.
     pub fn record_listing(&mut self, position: HistoryPosition) {
-        self.tombstones.end_read();
         self.listed_position = self.listed_position.max(position);
-        self.change_log.record_position(self.listed_position);
+        self.seen_position = self.seen_position.max(position);
+        // Until then, reads repeat changes that later pages of a list have shown.
+        if self.listed_position == self.seen_position {
+            self.tombstones.end_read();
+        }
+        self.change_log.record_position(self.seen_position);
+    }
+
+    /// Returns the latest position of which the endpoints may reflect a change. It is later than the
+    /// position that they reflect if the list was read in several pages.
+    #[must_use]
+    pub fn seen_position(&self) -> HistoryPosition {
+        self.seen_position
+    }
+
+    /// Records that the endpoints may reflect changes up to a position.
+    pub fn record_seen(&mut self, position: HistoryPosition) {
+        self.seen_position = self.seen_position.max(position);
     }
 
     /// Records that the endpoints were replaced by a full list that reflects a position.
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -90,6 +90,7 @@
                     directory.remove_immediately(&id)
                 });
             }
+            directory.record_seen(reply.seen_position);
             if reply.is_snapshot {
                 directory.record_full_listing(reply.listed_position);
             }
@@ -174,9 +175,12 @@
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
             }
         }
+        let mut directory = self.state.directory.borrow_mut();
         if read.is_snapshot {
-            events.extend(self.state.directory.borrow_mut().retain(now, &listed));
+            events.extend(directory.retain(now, &listed));
         }
+        directory.record_seen(read.last_position);
+        drop(directory);
         self.handle_events(events);
     }
 
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -166,7 +166,7 @@
         }
         let directory = self.state.directory.borrow();
         if reply.position < directory.position()
-            || reply.listed_position < directory.listed_position()
+            || reply.listed_position < directory.seen_position()
         {
             return;
         }
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -66,6 +66,8 @@
     pub(crate) position: HistoryPosition,
     /// Position that the endpoints reflect, which may be later.
     pub(crate) listed_position: HistoryPosition,
+    /// Latest position of which the endpoints may reflect a change.
+    pub(crate) seen_position: HistoryPosition,
     /// Time from the arrival of the request to the reply.
     pub(crate) held: ClockTime,
     /// Age of the view; `None` if it has never been synchronized.
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -95,6 +95,7 @@
             },
             position: directory.position(),
             listed_position,
+            seen_position: directory.seen_position(),
             held: self.state.clock.now() - received_at,
             age: self.state.age(),
             version: config.as_ref().map(|config| config.version()),
--- a/tests/support/simulated_follower.rs
+++ b/tests/support/simulated_follower.rs
@@ -31,6 +31,7 @@
     cursor: FollowerCursor,
     position: HistoryPosition,
     listed_position: HistoryPosition,
+    seen_position: HistoryPosition,
     read_at: Option<ClockTime>,
     version: u64,
     delta: DirectoryDelta,
@@ -97,9 +98,10 @@
                 let is_same_era = second
                     .as_ref()
                     .is_none_or(|second| second.position.era == first.position.era);
-                first
-                    .changes
-                    .extend(second.into_iter().flat_map(|second| second.changes));
+                if let Some(second) = second {
+                    first.last_position = second.position;
+                    first.changes.extend(second.changes);
+                }
                 let read = is_same_era.then_some(first);
                 self.response = Some(RegistryResponse::AllPages(started_at, read));
             }
@@ -175,6 +177,7 @@
             },
             position: self.directory.position(),
             listed_position,
+            seen_position: self.directory.seen_position(),
             read_at: self.read_mark.map(|(_, read_at)| read_at),
             version: self.version,
             delta: self.directory.delta(since),
@@ -200,7 +203,7 @@
             self.pending = None;
             self.mark_fresh(reply.position.era, pending.started_at.min(read_at));
         } else if reply.position >= self.directory.position()
-            && reply.listed_position >= self.directory.listed_position()
+            && reply.listed_position >= self.directory.seen_position()
         {
             let (cursor, position) = (reply.cursor, reply.position);
             self.merge(now, reply);
@@ -245,6 +248,7 @@
                 directory.remove_immediately(&id);
             }
         }
+        directory.record_seen(reply.seen_position);
         if reply.delta.is_snapshot {
             directory.record_full_listing(reply.listed_position);
         }
@@ -283,8 +287,10 @@
             started_at,
             position,
         });
+        let last_position = read.last_position;
         let listed = self.apply(now, read);
         self.directory.retain(now, &listed);
+        self.directory.record_seen(last_position);
         self.directory.record_full_listing(position);
     }
 
--- a/tests/support/simulated_registry.rs
+++ b/tests/support/simulated_registry.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone)]
 pub struct SimulatedRead {
     pub position: HistoryPosition,
+    /// Position of the last page.
+    pub last_position: HistoryPosition,
     pub changes: Vec<SimulatedChange>,
 }
 
@@ -149,6 +151,7 @@
         }
         Some(SimulatedRead {
             position: self.position(),
+            last_position: self.position(),
             changes: self.changes[position.revision as usize..].to_vec(),
         })
     }
@@ -172,6 +175,7 @@
         let listed = self.listed.range(indexes);
         SimulatedRead {
             position: self.position(),
+            last_position: self.position(),
             changes: listed
                 .map(|(_, record)| SimulatedChange::Endpoint(record.clone()))
                 .collect(),
