--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -6,7 +6,7 @@
 use crate::id::{EndpointId, ServiceName};
 use crate::mesh::change_log::ChangeLog;
 use crate::mesh::tombstones::Tombstones;
-use crate::mesh::{DirectoryEvent, EndpointRecord, EndpointState, HistoryEra, HistoryPosition};
+use crate::mesh::{DirectoryEvent, EndpointRecord, EndpointState, HistoryPosition};
 
 /// The changes to a directory since an earlier generation, or its full content.
 #[derive(Debug)]
@@ -25,6 +25,8 @@
     record: Rc<EndpointRecord>,
     warm_up_end: ClockTime,
     missing: bool,
+    /// Whether an older record was refused during the reregistration window.
+    is_ahead: bool,
 }
 
 /// The endpoints of all services as reported by the registry.
@@ -39,13 +41,11 @@
     tombstones: Tombstones,
     change_log: ChangeLog,
     keep_missing_until: ClockTime,
-    /// Era of the records that are applied.
-    era: HistoryEra,
-    /// Time until which lists may be those of a copy from which the registry was restored.
-    restored_until: ClockTime,
     position: HistoryPosition,
     /// Position that the endpoints reflect, at least `position`.
     listed_position: HistoryPosition,
+    /// Latest position of which the endpoints may reflect a change, at least `listed_position`.
+    seen_position: HistoryPosition,
 }
 
 impl ServiceDirectory {
@@ -61,14 +61,6 @@
         self.keep_missing_until = self.keep_missing_until.max(until);
     }
 
-    /// Begins an era of the registry, in which ready entries that are found missing before `until` are
-    /// kept, and endpoints that left in an earlier era stay removed until they report again.
-    pub fn begin_era(&mut self, era: HistoryEra, until: ClockTime) {
-        self.era = era;
-        self.restored_until = until;
-        self.keep_missing_until(until);
-    }
-
     /// Returns the position in the registry's history that the directory reflects.
     #[must_use]
     pub fn position(&self) -> HistoryPosition {
@@ -88,10 +80,27 @@
         self.listed_position
     }
 
-    /// Records that the endpoints reflect the registry up to a position.
+    /// Records that the endpoints reflect the registry up to a position, at the end of a read.
     pub fn record_listing(&mut self, position: HistoryPosition) {
         self.listed_position = self.listed_position.max(position);
-        self.change_log.record_position(self.listed_position);
+        self.seen_position = self.seen_position.max(position);
+        // Until then, reads repeat changes that later pages of a list have shown.
+        if self.listed_position == self.seen_position {
+            self.tombstones.end_read();
+        }
+        self.change_log.record_position(self.seen_position);
+    }
+
+    /// Returns the latest position of which the endpoints may reflect a change. It is later than the
+    /// position that they reflect if the list was read in several pages.
+    #[must_use]
+    pub fn seen_position(&self) -> HistoryPosition {
+        self.seen_position
+    }
+
+    /// Records that the endpoints may reflect changes up to a position.
+    pub fn record_seen(&mut self, position: HistoryPosition) {
+        self.seen_position = self.seen_position.max(position);
     }
 
     /// Records that the endpoints were replaced by a full list that reflects a position.
@@ -119,14 +128,19 @@
         let held = self.entries.get(&id);
         let is_outdated = match held {
             Some(held) => record.is_older_than(&held.record),
-            None => self.tombstones.rejects(&record, self.era),
+            None => self.tombstones.rejects(&record),
         };
         if is_outdated {
+            if let Some(held) = self.entries.get_mut(&id) {
+                held.is_ahead |= now < self.keep_missing_until;
+            }
             return None;
         }
         let unchanged = held.is_some_and(|held| {
             held.record.state == record.state && held.record.born == record.born && !held.missing
         });
+        let is_ahead = held.is_some_and(|held| held.is_ahead);
+        let is_newer = held.is_none_or(|held| held.record.is_older_than(&record));
         let is_resized = held.is_some_and(|held| held.record.capacity != record.capacity);
         let state = record.state;
         let warm_up_end = now + record.warm_up;
@@ -140,11 +154,14 @@
             record: Rc::new(record),
             warm_up_end,
             missing: false,
+            is_ahead: false,
         };
         self.claim_address(&entry.record);
         self.entries.insert(id.clone(), entry);
         self.tombstones.remove(&id);
-        if !unchanged || is_resized {
+        // Another directory at this position may hold the older record of a copy.
+        let is_written_again = is_newer && now < self.keep_missing_until || is_ahead;
+        if !unchanged || is_resized || is_written_again {
             self.change_log.record(&id);
         }
         match state {
@@ -154,25 +171,14 @@
         }
     }
 
-    /// Inserts or updates a record of a full list of the registry.
-    ///
-    /// Soon after a restore, the list may hold endpoints that have left since the copy was made. They
-    /// report no more, while an endpoint that is alive soon does so with a higher sequence number.
-    pub fn upsert_listed(
-        &mut self,
-        now: ClockTime,
-        record: EndpointRecord,
-    ) -> Option<DirectoryEvent> {
-        if now < self.restored_until && self.tombstones.replace(&record, self.era) {
-            return None;
-        }
-        self.upsert(now, record)
-    }
-
     /// Removes an endpoint whose registry entry was removed.
     ///
-    /// During the reregistration window, a ready endpoint is only flagged as missing.
+    /// During the reregistration window, a ready endpoint is only flagged as missing. An unknown
+    /// endpoint is recorded as a change too: a node that follows this one may know it.
     pub fn remove(&mut self, now: ClockTime, id: &EndpointId) -> Option<DirectoryEvent> {
+        if !self.entries.contains_key(id) {
+            self.change_log.record(id);
+        }
         let entry = self.entries.get_mut(id)?;
         if now < self.keep_missing_until && entry.record.state == EndpointState::Ready {
             let was_missing = std::mem::replace(&mut entry.missing, true);
@@ -211,6 +217,7 @@
         for id in &missing {
             self.evict(id);
         }
+        self.tombstones.end_read();
         missing.into_iter().map(DirectoryEvent::Gone).collect()
     }
 
@@ -362,7 +369,7 @@
         self.change_log.record(id);
         if let Some(entry) = self.entries.remove(id) {
             self.release_address(&entry.record);
-            self.tombstones.insert(id, entry.record, self.era);
+            self.tombstones.insert(id, entry.record);
         }
     }
 
