--- a/tests/directory_simulation.rs
+++ b/tests/directory_simulation.rs
@@ -264,3 +264,13 @@
         simulation.check_convergence();
     }
 }
+
+#[test]
+fn directories_agree_when_a_restore_falls_between_the_pages_of_a_list() {
+    for seed in 0..SEED_COUNT {
+        let mut simulation = DirectorySimulation::new(seed);
+        simulation.registry.has_pages = true;
+        simulation.play(true);
+        simulation.check_convergence();
+    }
+}
