--- a/tests/refresh_rules.rs
+++ b/tests/refresh_rules.rs
@@ -4,7 +4,7 @@
 
 use endivelanding::clock::ClockTime;
 use endivelanding::sidecar::{
-    FreshPeers, PlannedSource, ReaderState, RefreshPlan, RefreshState, ViewSource,
+    FreshPeers, MeshBounds, PlannedSource, ReaderState, RefreshPlan, RefreshState, ViewSource,
     earliest_read_time, plan_refresh,
 };
 use rand::rngs::StdRng;
@@ -233,3 +233,25 @@
         }
     }
 }
+
+#[test]
+fn only_an_outage_of_two_heartbeats_or_the_drain_bound_may_have_expired_entries() {
+    // (heartbeat, drain bound, shortest outage)
+    for (heartbeat, drain, shortest) in [
+        (1_500, 3_000, 3_000),
+        (1_500, 2_000, 2_000),
+        (300, 800, 600),
+        (1_000, 5_000, 2_000),
+    ] {
+        let bounds = MeshBounds {
+            config_apply: ClockTime(1_000),
+            drain: ClockTime(drain),
+            grace: ClockTime(6_000),
+            heartbeat: ClockTime(heartbeat),
+            retry_ratio: 0.2,
+            retry_window: ClockTime(10_000),
+            retry_slack: 60.0,
+        };
+        assert_eq!(bounds.shortest_expiry(), ClockTime(shortest));
+    }
+}
