Run commands of tests under the lock that guards probed ports

The other test of the program ran endive-node by Command::output while a PortRange probed a port. The process that is being spawned holds a copy of the probing listener until it executes its program, and the stand-in found its port in use. ProcessGuard spawns under SPAWN_LOCK for that reason; these commands did not.

Ruled out: ports of other test programs (each range claims whole blocks).

Why this works. run_to_end spawns under the lock and waits without it.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use crate::fleet::{DeploymentPlan, EndpointPlan, FleetPlan, PeerLinkScope, RunningFleet};
 pub use crate::port_range::PortRange;
-pub use crate::process::ProcessGuard;
+pub use crate::process::{ProcessGuard, run_to_end};
 pub use crate::wire::HttpProbe;
--- a/testkit/src/process.rs
+++ b/testkit/src/process.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::{Mutex, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -49,6 +49,24 @@
     reader: Option<JoinHandle<VecDeque<String>>>,
 }
 
+/// Runs a command to its end and returns its output.
+///
+/// Other threads may claim ports meanwhile, which [`Command::output`] does not allow for.
+///
+/// # Errors
+///
+/// Returns an error if the program does not start or its output cannot be read.
+pub fn run_to_end(command: &mut Command) -> io::Result<Output> {
+    command
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let spawn_guard = wire::lock(&port_range::SPAWN_LOCK);
+    let child = command.spawn()?;
+    drop(spawn_guard);
+    child.wait_with_output()
+}
+
 impl ProcessGuard {
     /// Starts a program from the target directory and waits up to 10 s for its ready line, which
     /// starts with `ready`.
--- a/tests/daemon_process.rs
+++ b/tests/daemon_process.rs
@@ -14,7 +14,7 @@
 
 fn run(arguments: &[&str]) -> Output {
     let program = ProcessGuard::program_path("endive-node").unwrap();
-    Command::new(program).args(arguments).output().unwrap()
+    testkit::run_to_end(Command::new(program).args(arguments)).unwrap()
 }
 
 /// Guards against use of io_uring or child processes by the daemon, and against a changed route that
