--- a/review/standins/src/bin/lost_registration.rs
+++ b/review/standins/src/bin/lost_registration.rs
@@ -16,22 +16,22 @@
 use standins::record::Record;
 
 /// Deployments that run side by side, and outages of each.
-const PARALLEL: u8 = 4;
-const OUTAGES: usize = 9;
-const MACHINES: usize = 40;
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
+const PARALLEL: u8 = 10;
+const OUTAGES: usize = 11;
+const MACHINES: usize = 18;
+const HEARTBEAT: Duration = Duration::from_millis(870);
 /// Longer than three heartbeats, after which entries expire.
-const OUTAGE: Duration = Duration::from_millis(4_800);
+const OUTAGE: Duration = Duration::from_millis(3_400);
 const STEADY: Duration = Duration::from_millis(3_000);
 /// Time after the outage until the fleet is in steady state again: about two seconds for the
 /// endpoints to register, and `contact`.
 const SETTLING: Duration = Duration::from_millis(4_000);
-const MEASURED: Duration = Duration::from_millis(1_500);
+const MEASURED: Duration = Duration::from_millis(1_200);
 /// `config-apply`, and a margin.
 const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
-const INTERVAL: Duration = Duration::from_millis(150);
+const INTERVAL: Duration = Duration::from_millis(100);
 /// Requests on the added route from each machine.
-const ADDED_REQUESTS: usize = 2;
+const ADDED_REQUESTS: usize = 3;
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
