Add review case 2: machines turned away at the start keep an old version

CONFIG: the store turns three of nine machines away 0.2 s after the first of them have started. These know only each other, nobody asks them, and they run requests by the old service more than config-apply and max-stretch after the store accepted a version that moves the route. The earlier cases become 1 and 3 by gravity.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+runner=target/review/release/drain_after_outage
+node=target/release/endive-sidecar
+[ -x "$runner" ] && [ -x "$node" ] || { echo "not built"; exit 2; }
+folder=$(mktemp -d) || exit 2
+"$runner" "$node" "$folder" "$here/record.txt"
+result=$?
+rm -rf "$folder"
+case $result in 0 | 1) exit $result ;; *) exit 2 ;; esac
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -142,7 +143,6 @@
         heartbeat: Duration,
         record: Arc<Record>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
         let content = Content {
             revision: 1,
             items: BTreeMap::new(),
@@ -156,15 +156,7 @@
             heartbeat,
             record,
         };
-        let server = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = server.clone();
-                thread::spawn(move || {
-                    let _ = store.serve(stream);
-                });
-            }
-        });
+        store.serve_at(address, Arc::default())?;
         let expiring = store.clone();
         thread::spawn(move || {
             loop {
@@ -175,6 +167,21 @@
         Ok(store)
     }
 
+    /// Serves the store at one more address, which answers 503 while `turns_away` is set.
+    pub fn serve_at(&self, address: SocketAddr, turns_away: Arc<AtomicBool>) -> io::Result<()> {
+        let listener = TcpListener::bind(address)?;
+        let store = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (store, turns_away) = (store.clone(), Arc::clone(&turns_away));
+                thread::spawn(move || {
+                    let _ = store.serve(stream, &turns_away);
+                });
+            }
+        });
+        Ok(())
+    }
+
     fn lock(&self) -> MutexGuard<'_, Content> {
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -259,11 +266,15 @@
         }
     }
 
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, mut stream: TcpStream, turns_away: &AtomicBool) -> io::Result<()> {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Some(request) = http::read(&mut stream, &mut buffer)? {
-            let (status, body) = self.answer(&request);
+            let mut answer = self.answer(&request, turns_away);
+            if turns_away.load(Ordering::SeqCst) {
+                answer = (503, "{}".to_owned());
+            }
+            let (status, body) = answer;
             thread::sleep(ANSWER_TIME);
             let start = format!("HTTP/1.1 {status} Answer");
             let close = if request.closes() {
@@ -280,9 +291,9 @@
         Ok(())
     }
 
-    fn answer(&self, request: &http::Message) -> (u16, String) {
+    fn answer(&self, request: &http::Message, turns_away: &AtomicBool) -> (u16, String) {
         let path = request.target().split('?').next().unwrap_or_default();
-        if self.lock().is_down {
+        if self.lock().is_down || turns_away.load(Ordering::SeqCst) {
             return (503, "{}".to_owned());
         }
         match path {
