Keep live endpoints after outages of the registry, and introduce nodes to unreached ones

A registration past an absence was no change in the log, so a delta lacked it and a child that had seen the absence kept the endpoint as gone. The window for missing entries began at a node's first successful read and anew with each view that had one.

Change: a record holds the revision at which its entry was created, and a changed one is passed on. RegistryOutage decides how long missing entries are kept, from the last failed and the first successful read; views carry the rest of that time, and how long the sender has known the endpoints. The reader of a region reads every half interval during an outage. Parents introduce themselves to children that do not ask them.

Ruled out: passing every heartbeat on (each delta would hold all endpoints); counting from the first success alone (an endpoint is used more than 3 s after the return).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod error;
 pub mod event_loop;
 pub mod id;
+pub mod introduction;
 pub mod logging;
 pub mod manifest;
 pub mod membership;
--- a/src/mesh/endpoint_record.rs
+++ b/src/mesh/endpoint_record.rs
@@ -35,6 +35,9 @@
     pub born: u64,
     /// Sequence number of the report within the incarnation.
     pub sequence: u64,
+    /// Revision at which the registry created the entry. It differs after the entry has expired and
+    /// the endpoint has registered again.
+    pub registered: u64,
 }
 
 impl EndpointRecord {
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -61,6 +61,12 @@
         self.keep_missing_until = self.keep_missing_until.max(until);
     }
 
+    /// Returns the time until which ready entries that are missing are kept.
+    #[must_use]
+    pub fn missing_kept_until(&self) -> ClockTime {
+        self.keep_missing_until
+    }
+
     /// Returns the position in the registry's history that the directory reflects.
     #[must_use]
     pub fn position(&self) -> HistoryPosition {
@@ -142,6 +148,9 @@
         let is_ahead = held.is_some_and(|held| held.is_ahead);
         let is_newer = held.is_none_or(|held| held.record.is_older_than(&record));
         let is_resized = held.is_some_and(|held| held.record.capacity != record.capacity);
+        // A directory that has seen the entry missing in between needs the change.
+        let is_registered_again =
+            held.is_some_and(|held| held.record.registered != record.registered);
         let state = record.state;
         let warm_up_end = now + record.warm_up;
         let service_changed = held.is_none_or(|held| held.record.service != record.service);
@@ -161,7 +170,7 @@
         self.tombstones.remove(&id);
         // Another directory at this position may hold the older record of a copy.
         let is_written_again = is_newer && now < self.keep_missing_until || is_ahead;
-        if !unchanged || is_resized || is_written_again {
+        if !unchanged || is_resized || is_registered_again || is_written_again {
             self.change_log.record(&id);
         }
         match state {
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::{Error, Result, ResultCode};
+use crate::introduction::{INTRODUCTION_PATH, Introduction};
 use crate::peer::stream_io;
 use crate::peer::{ByteCounter, ShutdownSignal, StreamHandler};
 use crate::sidecar::forward_message::{
@@ -27,7 +28,7 @@
 /// Path for resuming requests whose connection was lost.
 pub(crate) const RESUME_PATH: &str = "/resume/2";
 /// Path for reading a node's view of the mesh.
-pub(crate) const VIEW_PATH: &str = "/view/4";
+pub(crate) const VIEW_PATH: &str = "/view/5";
 /// Timeout for receiving a complete request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for sending a response, so that a peer that does not read cannot hold memory.
@@ -75,6 +76,7 @@
             FORWARD_PATH if post => self.forward(stream).await,
             RESUME_PATH if post => self.resume(stream).await,
             VIEW_PATH if post => self.view(stream).await,
+            INTRODUCTION_PATH if post => self.introduction(stream).await,
             _ => Err(Error::new(
                 ResultCode::PeerProtocol,
                 format!("unknown path {path}"),
@@ -148,6 +150,12 @@
         }
     }
 
+    async fn introduction(&mut self, stream: RecvStream) -> Result<()> {
+        let (introduction, _): (Introduction, _) = read_message(stream, 0).await?;
+        let reply = self.views.introduce(&introduction);
+        self.send(ViewCodec::encode(&reply)?, Bytes::new()).await
+    }
+
     /// Runs a future until the peer resets the stream, in which case it returns `None`.
     ///
     /// A lost connection is not a reset: the future then stays pending until it is dropped with the
--- a/src/sidecar/mesh_bounds.rs
+++ b/src/sidecar/mesh_bounds.rs
@@ -2,6 +2,9 @@
 
 /// Heartbeats without a report after which the registry removes an entry.
 const EXPIRY_HEARTBEAT_COUNT: u64 = 3;
+/// Number of refresh intervals in the shortest propagation bound, so that a change arrives within
+/// the bound even if one read is slow.
+const BOUND_INTERVAL_COUNT: u64 = 4;
 
 /// Time bounds and retry limits that apply across the mesh.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +26,13 @@
 }
 
 impl MeshBounds {
+    /// Returns the usual time between two refreshes of a node's view.
+    #[must_use]
+    pub fn refresh_interval(&self) -> ClockTime {
+        let bound = self.config_apply.min(self.drain);
+        ClockTime(bound.0 / BOUND_INTERVAL_COUNT)
+    }
+
     /// Returns the shortest outage of the registry after which a missing entry may have expired.
     ///
     /// The last report of an endpoint precedes the outage by a heartbeat at most, so an entry that is
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
-use crate::mesh::{HistoryPosition, RegistryRead};
+use crate::mesh::{HistoryPosition, RegistryOutage, RegistryRead};
 use crate::sidecar::mesh_updater::MeshUpdater;
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::refresh_plan::{self, PlannedSource, RefreshPlan, RefreshState, ViewSource};
@@ -21,9 +21,6 @@
 use crate::sidecar::view_trees::{ViewNeighbors, ViewTrees};
 use crate::sidecar::{PlatformAdapter, ReaderState, SidecarSettings};
 
-/// Number of refresh intervals in the shortest propagation bound, so that a change arrives within
-/// the bound even if one read is slow.
-const BOUND_INTERVAL_COUNT: u64 = 4;
 /// Mean delay after the first failed refresh; it doubles with each further failure up to the refresh
 /// interval.
 const INITIAL_BACKOFF: ClockTime = ClockTime(50);
@@ -49,7 +46,7 @@
     pub(crate) first_page: RefCell<Option<(ClockTime, RegistryRead)>>,
     /// Consecutive failed refreshes.
     pub(crate) failures: Cell<u32>,
-    pub(crate) registry_unreachable: Cell<bool>,
+    pub(crate) outage: RefCell<RegistryOutage>,
     pub(crate) reader: RefCell<ReaderState>,
     /// The parent that refreshed the view last.
     pub(crate) last_parent: Cell<Option<IpAddr>>,
@@ -171,9 +168,10 @@
         let mut waiting: SmallVec<[IpAddr; 8]> = SmallVec::new();
         loop {
             let elapsed = self.state.clock.now() - started_at;
-            while let Some(next) =
-                planned.next_if(|next: &PlannedSource| running.is_empty() || next.delay <= elapsed)
-            {
+            while let Some(next) = planned.next_if(|next: &PlannedSource| {
+                let is_early = next.delay > elapsed;
+                !is_early || (running.is_empty() && next.source != ViewSource::RegistryAgain)
+            }) {
                 let source = match next.source {
                     ViewSource::FreshestNode => self.freshest_node(&waiting).map(ViewSource::Node),
                     ViewSource::RandomNode => self.random_node(&asked, false).map(ViewSource::Node),
@@ -191,7 +189,7 @@
                 }
                 running.push(self.query(source));
             }
-            if running.is_empty() {
+            if running.is_empty() && planned.peek().is_none() {
                 return Err(());
             }
             let next_delay = planned.peek().map(|next| next.delay - elapsed);
@@ -201,7 +199,16 @@
                     None => future::pending().await,
                 }
             });
-            match future::select(running.next(), timer).await {
+            let finished = pin!(async {
+                match running.is_empty() {
+                    true => future::pending().await,
+                    false => running.next().await,
+                }
+            });
+            match future::select(finished, timer).await {
+                Either::Left((Some((ViewSource::RegistryAgain, Ok(()))), _)) => {
+                    return Ok(ViewSource::Registry);
+                }
                 Either::Left((Some((source, Ok(()))), _)) => return Ok(source),
                 Either::Left((Some((ViewSource::Node(address), Err(()))), _)) => {
                     waiting.retain(|other| *other != address);
@@ -213,7 +220,7 @@
 
     async fn query(&self, source: ViewSource) -> (ViewSource, std::result::Result<(), ()>) {
         let result = match source {
-            ViewSource::Registry => self.read_registry().await,
+            ViewSource::Registry | ViewSource::RegistryAgain => self.read_registry().await,
             ViewSource::Node(address) => self.query_node(address).await,
             ViewSource::FreshestNode | ViewSource::RandomNode | ViewSource::RandomFarNode => {
                 Err(())
@@ -235,6 +242,7 @@
             interval: self.interval(),
             reads_registry: self.reads_registry(),
             is_standby: neighbors.is_standby,
+            watches_outage: neighbors.is_reader && self.outage.borrow().is_active(),
             lacks_config: self.pending_config_read.get().is_some(),
             parents: &neighbors.parents,
             introduced: &self.introduced_nodes(),
@@ -276,7 +284,10 @@
     async fn back_off(&self) {
         let failures = self.failures.get();
         self.failures.set(failures.saturating_add(1));
-        let mean_delay = ClockTime(INITIAL_BACKOFF.0 << failures.min(6)).min(self.interval());
+        let mut mean_delay = ClockTime(INITIAL_BACKOFF.0 << failures.min(6)).min(self.interval());
+        if self.neighbors().is_reader && self.outage.borrow().is_active() {
+            mean_delay = mean_delay.min(ClockTime(self.interval().0 / 4));
+        }
         let jitter = rand::random_range(0.5..1.5);
         let delay = ClockTime((mean_delay.as_f64() * jitter) as u64);
         time::sleep(delay.to_duration()).await;
@@ -299,8 +310,6 @@
 
     /// Returns the refresh interval.
     pub(crate) fn interval(&self) -> ClockTime {
-        let bounds = self.state.bounds();
-        let bound = bounds.config_apply.min(bounds.drain);
-        ClockTime(bound.0 / BOUND_INTERVAL_COUNT)
+        self.state.bounds().refresh_interval()
     }
 }
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -6,7 +6,9 @@
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
 use crate::id::EndpointId;
-use crate::mesh::{DirectoryEvent, HistoryPosition, MeshConfig, RegistryChange, RegistryRead};
+use crate::mesh::{
+    self, DirectoryEvent, HistoryPosition, MeshConfig, RegistryChange, RegistryRead,
+};
 use crate::sidecar::compressed_config::CompressedConfig;
 use crate::sidecar::config_origin::ConfigOrigin;
 use crate::sidecar::dispatcher::Dispatcher;
@@ -14,9 +16,9 @@
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::view_message::{ConfigUpdate, ViewReply};
 
-/// Time after a registry outage within which expired endpoints register again: the platform
-/// specifies two seconds, and one refresh interval is added for the node to read them.
-pub(crate) const REREGISTRATION_WINDOW: ClockTime = ClockTime(2_500);
+/// Time after a restore of the registry within which endpoints whose entries were lost register again:
+/// the platform specifies two seconds, and one refresh interval is added for the node to read them.
+const REREGISTRATION_WINDOW: ClockTime = ClockTime(2_500);
 
 /// Component that applies configuration and endpoint changes to the node and notifies the
 /// components that depend on them.
@@ -74,10 +76,20 @@
     /// Merges the endpoints of another node's view into the directory.
     pub(crate) fn merge_view(&self, reply: ViewReply) {
         let now = self.state.clock.now();
+        if self.state.age().is_none() {
+            self.state.record_known_since(now - reply.known_for);
+        }
         let is_new_era = self.begin_era(reply.listed_position, "node");
+        let lacks_removals = self.lacks_removals(&reply);
         let mut events = Vec::new();
         {
             let mut directory = self.state.directory.borrow_mut();
+            if lacks_removals || reply.entries.iter().any(|entry| entry.missing) {
+                directory.keep_missing_until(now + reply.missing_kept_for);
+            }
+            if lacks_removals {
+                directory.keep_missing_until(mesh::kept_until(now - reply.known_for));
+            }
             let mut listed = HashSet::new();
             let mut missing = Vec::new();
             for entry in reply.entries {
@@ -87,9 +99,6 @@
                 }
                 events.extend(directory.upsert(now, entry.record));
             }
-            if !missing.is_empty() {
-                directory.keep_missing_until(now + REREGISTRATION_WINDOW);
-            }
             for id in missing {
                 events.extend(directory.remove(now, &id));
             }
@@ -100,7 +109,7 @@
                 reply.removed
             };
             for id in removed {
-                events.extend(if is_new_era {
+                events.extend(if is_new_era || (lacks_removals && reply.is_snapshot) {
                     directory.remove(now, &id)
                 } else {
                     directory.remove_immediately(&id)
@@ -116,6 +125,14 @@
         self.handle_events(events);
     }
 
+    /// Returns true if endpoints may be absent from a reply because their entries expired in an outage
+    /// that the sender has not observed: it started, or started anew, after this node's last reading.
+    fn lacks_removals(&self, reply: &ViewReply) -> bool {
+        let age = self.state.age();
+        let expiry = self.state.bounds().shortest_expiry();
+        age.is_some_and(|age| age >= expiry && reply.known_for < age)
+    }
+
     /// Installs a configuration unless the installed one is at least as new.
     pub(crate) fn install(&self, config: &Arc<MeshConfig>, origin: ConfigOrigin) {
         let previous = self.state.config().map(|config| config.version());
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::Result;
+use crate::introduction::ChildTable;
 use crate::mesh::{ConfigHistory, HistoryEra, HistoryPosition, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
 use crate::sidecar::view_origin::ViewOrigin;
@@ -23,6 +24,8 @@
     pub(crate) history: RefCell<ConfigHistory>,
     /// Whether the view has been synchronized at least once.
     loaded: Cell<bool>,
+    /// Time from which on no removal of an endpoint is unknown to the node.
+    known_since: Cell<ClockTime>,
     /// Times of the planned stop, while the node stops.
     stop: Cell<Option<StopSchedule>>,
     /// Era of the registry's history and time up to which the view is known to match it.
@@ -32,6 +35,8 @@
     refresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Nodes whose views were the freshest.
     pub(crate) fresh_peers: RefCell<FreshPeers>,
+    /// Nodes that may request this node's view.
+    pub(crate) children: RefCell<ChildTable>,
     bounds: RefCell<Rc<MeshBounds>>,
     registry: Cell<SocketAddr>,
 }
@@ -50,11 +55,13 @@
             config: RefCell::default(),
             history: RefCell::default(),
             loaded: Cell::new(false),
+            known_since: Cell::default(),
             stop: Cell::new(None),
             read_mark: Cell::default(),
             origin: Cell::default(),
             refresh_waiters: RefCell::default(),
             fresh_peers: RefCell::default(),
+            children: RefCell::default(),
             bounds: RefCell::new(Rc::new(settings.bounds.clone())),
             registry: Cell::new(settings.registry),
         })
@@ -131,6 +138,16 @@
         self.loaded.get().then_some(age)
     }
 
+    /// Returns how long the node has known the endpoints without a gap.
+    pub(crate) fn known_for(&self) -> ClockTime {
+        self.clock.now() - self.known_since.get()
+    }
+
+    /// Records that removals of endpoints before `since` may be unknown.
+    pub(crate) fn record_known_since(&self, since: ClockTime) {
+        self.known_since.set(self.known_since.get().max(since));
+    }
+
     /// Returns the time up to which the view is known to match the registry.
     pub(crate) fn read_at(&self) -> ClockTime {
         self.read_mark.get().1
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -18,6 +18,8 @@
 /// Time, in refresh intervals, over which starting nodes spread their reads of the whole list of
 /// endpoints.
 pub(crate) const START_SPREAD_INTERVALS: f64 = 0.5;
+/// Number of times at which a node without a view asks the node with the freshest view that it knows.
+const START_QUERY_COUNT: usize = 4;
 /// Number of random nodes of all regions that are asked.
 const FAR_NODE_COUNT: usize = 2;
 /// Mean number of nodes of a region that ask nodes of other regions, besides its readers.
@@ -28,6 +30,9 @@
 const SHARED_RATE_RATIO: f64 = 0.5;
 /// Time, in refresh intervals, from asking the first further node to the next plan.
 const LIMIT_INTERVALS: f64 = 2.5;
+/// Time, in refresh intervals, between two reads of the reader of a region during an outage of the
+/// registry. Half an interval after its end at the latest, the reader knows that endpoints register again.
+const OUTAGE_READ_INTERVALS: f64 = 0.5;
 
 /// A source of a fresher view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +47,8 @@
     RandomNode,
     /// A random node of all regions that has not been asked.
     RandomFarNode,
+    /// The registry again after a failed read, not before its delay.
+    RegistryAgain,
 }
 
 /// A source with the time after which it is asked, unless an earlier one has succeeded.
@@ -67,6 +74,8 @@
     pub reads_registry: bool,
     /// Whether the node reads the registry if its parent's view is late.
     pub is_standby: bool,
+    /// Whether the node is the reader of its region and its last read has failed.
+    pub watches_outage: bool,
     /// Whether only the configuration is missing after a full read of the endpoints.
     pub lacks_config: bool,
     /// Parents in the distribution trees; the first one is asked before the other.
@@ -139,6 +148,13 @@
         add(&mut plan, ViewSource::Node(*node), node_delay);
     }
     add(&mut plan, ViewSource::RandomFarNode, node_delay);
+    // Another node may introduce itself to a node that the registry turns away.
+    for count in 1..=START_QUERY_COUNT {
+        plan.push(PlannedSource {
+            source: ViewSource::FreshestNode,
+            delay: state.intervals(count as f64),
+        });
+    }
     // A restarted fleet would otherwise read the configuration at the same moment.
     let delay = state.intervals(1.0 + state.spread) + state.registry_delay();
     add(&mut plan, ViewSource::Registry, delay);
@@ -165,9 +181,25 @@
         }
     }
     plan_further_sources(state, age, &mut plan);
+    if state.watches_outage {
+        plan_outage_reads(state, second, &mut plan);
+    }
     plan
 }
 
+/// Adds the reads by which the reader of a region notices the end of an outage, once its view is late.
+fn plan_outage_reads(state: &RefreshState<'_>, from: ClockTime, plan: &mut RefreshPlan) {
+    let spacing = state.intervals(OUTAGE_READ_INTERVALS).max(ClockTime(1));
+    let mut delay = from;
+    while delay < state.limit {
+        plan.push(PlannedSource {
+            source: ViewSource::RegistryAgain,
+            delay,
+        });
+        delay = delay + spacing;
+    }
+}
+
 /// Adds the sources for a view that the usual ones have not refreshed in time.
 fn plan_further_sources(state: &RefreshState<'_>, age: ClockTime, plan: &mut RefreshPlan) {
     let backup = state.intervals(BACKUP_AGE_INTERVALS) - age;
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -4,7 +4,6 @@
 use crate::mesh::{HistoryEra, HistoryPosition, RegistrySource};
 use crate::sidecar::config_origin::ConfigOrigin;
 use crate::sidecar::mesh_sync_task::{MeshSyncTask, PendingConfigRead};
-use crate::sidecar::mesh_updater;
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_time;
 
@@ -46,7 +45,7 @@
                 self.reader
                     .borrow_mut()
                     .record_failure(now, self.interval());
-                if !self.registry_unreachable.replace(true) {
+                if self.outage.borrow_mut().record_failure(now) {
                     let age = self.state.age().unwrap_or_default();
                     log::warn!("event=registry_lost view_age={age} cause=\"{error}\"");
                 }
@@ -100,6 +99,9 @@
             // Another node has sent a later view since the list was requested.
             return Ok(());
         }
+        if self.state.age().is_none() {
+            self.state.record_known_since(started_at);
+        }
         self.updater.begin_era(read.position, "registry");
         let pending = PendingConfigRead {
             started_at,
@@ -122,17 +124,18 @@
     /// that expired in the meantime. If other nodes kept the view fresh, only this node was turned
     /// away, and a missing entry was removed.
     fn end_registry_outage(&self) {
-        if self.registry_unreachable.replace(false) {
-            let age = self.state.age().unwrap_or_default();
-            log::info!(
-                "event=registry_back failures={} view_age={age} position={}",
-                self.failures.get(),
-                self.state.directory.borrow().listed_position()
-            );
-            if age < self.state.bounds().shortest_expiry() {
-                return;
-            }
-            let until = self.state.clock.now() + mesh_updater::REREGISTRATION_WINDOW;
+        let Some(until) = self.outage.borrow_mut().end(self.state.clock.now()) else {
+            return;
+        };
+        let age = self.state.age();
+        log::info!(
+            "event=registry_back failures={} view_age={} position={} missing_kept_until={until}",
+            self.failures.get(),
+            age.unwrap_or_default(),
+            self.state.directory.borrow().listed_position()
+        );
+        // A node without a view knows no endpoints, but others learn from it how long to keep theirs.
+        if age.is_none_or(|age| age >= self.state.bounds().shortest_expiry()) {
             self.state.directory.borrow_mut().keep_missing_until(until);
         }
     }
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -12,6 +12,7 @@
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::{Error, Result, ResultCode};
 use crate::id::NodeAddress;
+use crate::introduction::IntroductionTask;
 use crate::node::TaskGroup;
 use crate::peer::{KeepaliveConfig, PeerPool, PeerServer};
 use crate::sidecar::ahead_budget::AheadBudget;
@@ -157,12 +158,19 @@
             pending_config_read: Cell::new(None),
             first_page: RefCell::default(),
             failures: Cell::new(0),
-            registry_unreachable: Cell::new(false),
+            outage: RefCell::default(),
             reader: RefCell::default(),
             last_parent: Cell::new(None),
             trees: RefCell::default(),
         };
         background_tasks.push(monoio::spawn(mesh_sync.run(background_stopped.clone())));
+        let introductions = IntroductionTask {
+            settings: Rc::clone(&settings),
+            state: Rc::clone(&state),
+            pool: Rc::clone(&pool),
+            trees: RefCell::default(),
+        };
+        background_tasks.push(monoio::spawn(introductions.run(background_stopped.clone())));
         let reload = ReloadTask {
             adapter,
             state: Rc::clone(&state),
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -72,6 +72,10 @@
     pub(crate) held: ClockTime,
     /// Age of the view; `None` if it has never been synchronized.
     pub(crate) age: Option<ClockTime>,
+    /// Time for which the node has known the endpoints without a gap. A removal before is not known.
+    pub(crate) known_for: ClockTime,
+    /// Time for which the node keeps endpoints whose entries are missing.
+    pub(crate) missing_kept_for: ClockTime,
     /// Version of the installed configuration.
     pub(crate) version: Option<ConfigVersion>,
     /// Update to the installed configuration, if it is newer than that of the requesting node.
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -7,6 +7,7 @@
 use monoio::time;
 
 use crate::clock::ClockTime;
+use crate::introduction::{Introduction, IntroductionReply};
 use crate::mesh::{ConfigVersion, DirectoryDelta, MeshConfig};
 use crate::sidecar::compressed_config::CompressedConfig;
 use crate::sidecar::node_state::NodeState;
@@ -43,6 +44,10 @@
             let mut fresh_peers = self.state.fresh_peers.borrow_mut();
             fresh_peers.record(request.sender, sender_read_at);
         }
+        let interval = self.state.bounds().refresh_interval();
+        let mut children = self.state.children.borrow_mut();
+        children.record_request(now, interval, request.sender);
+        drop(children);
         let until = now + request.wait.min(MAX_WAIT);
         let is_fresher = match request.position.era.cmp(&era) {
             Ordering::Less => true,
@@ -65,6 +70,18 @@
         self.reply(request, now)
     }
 
+    /// Records the node that introduces itself as a source of fresher views.
+    pub(crate) fn introduce(&self, introduction: &Introduction) -> IntroductionReply {
+        let now = self.state.clock.now();
+        if introduction.era >= self.state.read_mark().0 {
+            let mut fresh_peers = self.state.fresh_peers.borrow_mut();
+            fresh_peers.record(introduction.sender, now - introduction.age);
+        }
+        let age = self.state.age();
+        log::debug!("event=introduction node={}", introduction.sender);
+        IntroductionReply { age }
+    }
+
     fn reply(&self, request: &ViewRequest, received_at: ClockTime) -> ViewReply {
         let directory = self.state.directory.borrow();
         let listed_position = directory.listed_position();
@@ -98,6 +115,8 @@
             seen_position: directory.seen_position(),
             held: self.state.clock.now() - received_at,
             age: self.state.age(),
+            known_for: self.state.known_for(),
+            missing_kept_for: directory.missing_kept_until() - self.state.clock.now(),
             version: config.as_ref().map(|config| config.version()),
             config: config
                 .filter(|config| Some(config.version()) > request.version)
--- a/src/sidecar/view_tree.rs
+++ b/src/sidecar/view_tree.rs
@@ -78,6 +78,27 @@
         parents
     }
 
+    /// Returns the nodes that have a node as a parent.
+    #[must_use]
+    pub fn children(&self, node: IpAddr) -> Vec<IpAddr> {
+        let Some(place) = self.nodes.iter().position(|other| *other == node) else {
+            return Vec::new();
+        };
+        let last = self.nodes.len() - 1;
+        let forward = child_places(place).take_while(|child| *child <= last);
+        let backward = child_places(last - place)
+            .take_while(|child| *child <= last)
+            .map(|child| last - child);
+        let mut children = Vec::new();
+        for place in forward.chain(backward) {
+            let child = self.nodes[place];
+            if child != node && !children.contains(&child) {
+                children.push(child);
+            }
+        }
+        children
+    }
+
     /// Returns the nodes in the order of the first tree, starting with its root.
     #[must_use]
     pub fn nodes(&self) -> &[IpAddr] {
@@ -85,6 +106,12 @@
     }
 }
 
+/// Returns the places of the children in the order of a tree.
+fn child_places(place: usize) -> impl Iterator<Item = usize> {
+    let first = place * CHILD_COUNT + 1;
+    first..first + CHILD_COUNT
+}
+
 /// Returns the place of the parent in the order of a tree, or `None` for the root.
 fn parent_place(place: usize) -> Option<usize> {
     place.checked_sub(1).map(|place| place / CHILD_COUNT)
--- a/src/sidecar/view_trees.rs
+++ b/src/sidecar/view_trees.rs
@@ -15,6 +15,8 @@
     /// Whether the node reads the registry if its parent's view is late.
     pub(crate) is_standby: bool,
     pub(crate) parents: SmallVec<[IpAddr; 2]>,
+    /// Nodes that may request this node's view.
+    pub(crate) children: Vec<IpAddr>,
     /// Number of nodes in the region.
     pub(crate) region_size: usize,
 }
@@ -59,6 +61,7 @@
     neighbors.is_reader = readers.first() == Some(&node);
     neighbors.is_standby = readers.get(1) == Some(&node);
     neighbors.parents = tree.parents(node);
+    neighbors.children = tree.children(node);
     neighbors.region_size = tree.nodes().len();
     neighbors
 }
--- a/tests/refresh_rules.rs
+++ b/tests/refresh_rules.rs
@@ -23,6 +23,7 @@
         interval: INTERVAL,
         reads_registry: false,
         is_standby: false,
+        watches_outage: false,
         lacks_config: false,
         parents,
         introduced: &[],
@@ -255,3 +256,26 @@
         assert_eq!(bounds.shortest_expiry(), ClockTime(shortest));
     }
 }
+
+/// Guards against an end of an outage that is noticed late: endpoints whose entries are missing are used
+/// until a time that counts from it.
+#[test]
+fn the_reader_of_a_region_reads_every_half_interval_during_an_outage() {
+    let parents = [node(1)];
+    let plan = plan_refresh(&RefreshState {
+        age: Some(ClockTime(1_000)),
+        watches_outage: true,
+        ..state(&parents)
+    });
+    let delays: Vec<u64> = plan
+        .iter()
+        .filter(|planned| planned.source == ViewSource::RegistryAgain)
+        .map(|planned| planned.delay.0)
+        .collect();
+    assert_eq!(delays, [0, 375, 750, 1_125, 1_500, 1_875, 2_250]);
+    let calm = plan_refresh(&state(&parents));
+    assert!(
+        calm.iter()
+            .all(|planned| planned.source != ViewSource::RegistryAgain)
+    );
+}
--- a/tests/support/mesh_records.rs
+++ b/tests/support/mesh_records.rs
@@ -24,5 +24,6 @@
         warm_up: ClockTime(0),
         born,
         sequence,
+        registered: 1,
     }
 }
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -89,6 +89,7 @@
                 warm_up: ClockTime(0),
                 born: 1,
                 sequence: 1,
+                registered: 1,
             };
             directory.upsert(ClockTime(0), record);
         }
@@ -195,6 +196,7 @@
             interval: INTERVAL,
             reads_registry,
             is_standby: node.is_standby,
+            watches_outage: false,
             lacks_config: false,
             parents: &node.parents,
             introduced: &[],
@@ -274,7 +276,7 @@
         let mut reads = 0;
         for source in due {
             let mark = match source {
-                ViewSource::Registry => {
+                ViewSource::Registry | ViewSource::RegistryAgain => {
                     let is_away = self.now < self.back_at;
                     let is_failing = self.nodes[index].is_turned_away || is_away;
                     reads += match is_failing {
