--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -18,6 +18,8 @@
 /// Time, in refresh intervals, over which starting nodes spread their reads of the whole list of
 /// endpoints.
 pub(crate) const START_SPREAD_INTERVALS: f64 = 0.5;
+/// Time, in refresh intervals, for a node on the first page to reply before any of these reads.
+const START_REPLY_INTERVALS: f64 = 0.25;
 /// Number of times at which a node without a view asks the node with the freshest view that it knows.
 const START_QUERY_COUNT: usize = 4;
 /// Number of random nodes of all regions that are asked.
@@ -134,7 +136,8 @@
     }
     if !plan.is_empty() {
         // When all nodes start together, the first of them to read the whole list serve the others.
-        let delay = state.intervals(START_SPREAD_INTERVALS * state.spread);
+        let delay = START_REPLY_INTERVALS + START_SPREAD_INTERVALS * state.spread;
+        let delay = state.intervals(delay);
         add(&mut plan, ViewSource::Registry, delay);
         return plan;
     }
