Serve routes in their homes, evacuate zones, and protect cold endpoints

Cause: nothing knew of allowed-regions, op/evacuate or cold endpoints.

Change: endpoints outside the homes of a route and in evacuated zones are no candidates; the node beside an endpoint refuses for an evacuated zone. It also limits what is sent to a cold endpoint in any one second, and asks the endpoint's health check when it may have become cold. Routes, services and evacuations travel with the view.

--- a/src/error/result_code.rs
+++ b/src/error/result_code.rs
@@ -82,6 +82,10 @@
     RequestHeadTooLarge = 315,
     /// The call timed out while waiting for a slot.
     QueueTimeout = 316,
+    /// The zone of the endpoint is being evacuated.
+    ZoneEvacuated = 317,
+    /// No endpoint in a region that the route allows is ready.
+    NoHome = 318,
     /// The answer exceeds its size limit.
     AnswerTooLarge = 401,
     /// The answer is malformed or incomplete.
@@ -154,6 +158,8 @@
         Self::BackendUnreachable,
         Self::RequestHeadTooLarge,
         Self::QueueTimeout,
+        Self::ZoneEvacuated,
+        Self::NoHome,
         Self::AnswerTooLarge,
         Self::AnswerMalformed,
         Self::EndpointFailed,
@@ -218,6 +224,8 @@
             Self::PeerUnreachable => "the node beside the endpoint could not be reached",
             Self::BackendUnreachable => "the backend server could not be reached",
             Self::QueueTimeout => "the call waited too long for a slot",
+            Self::ZoneEvacuated => "nothing is sent to endpoints of the zone",
+            Self::NoHome => "no endpoint in an allowed region is ready",
             Self::RequestHeadTooLarge => "the head of the request exceeds its limit",
             Self::AnswerTooLarge => "the answer exceeds its size limit",
             Self::AnswerMalformed => "the answer is malformed or incomplete",
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -17,6 +17,7 @@
 mod route_key;
 mod route_rule;
 mod service_directory;
+mod service_spec;
 mod service_target;
 mod tombstones;
 
@@ -35,4 +36,5 @@
 pub use route_key::RouteKey;
 pub use route_rule::RouteRule;
 pub use service_directory::{DirectoryDelta, ServiceDirectory};
+pub use service_spec::ServiceSpec;
 pub use service_target::ServiceTarget;
--- a/src/mesh/config_delta.rs
+++ b/src/mesh/config_delta.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::mesh::{ClientLimits, ConfigVersion, RouteKey, RouteRule};
+use crate::mesh::{ClientLimits, ConfigVersion, RouteKey, RouteRule, ServiceSpec};
 
 /// The changes from one configuration to a later one.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -15,4 +15,6 @@
     pub changed: Vec<RouteRule>,
     /// Keys of the removed routes.
     pub removed: Vec<RouteKey>,
+    /// All services of the resulting version.
+    pub services: Vec<ServiceSpec>,
 }
--- a/src/mesh/config_history.rs
+++ b/src/mesh/config_history.rs
@@ -64,6 +64,7 @@
             limits: config.limits().clone(),
             changed: Vec::new(),
             removed: Vec::new(),
+            services: config.services().cloned().collect(),
         };
         for (key, _) in self.changes.iter().filter(|(_, changed)| **changed > base) {
             match config.rule(&key.host, &key.prefix) {
--- a/src/mesh/config_snapshot.rs
+++ b/src/mesh/config_snapshot.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::mesh::{ClientLimits, ConfigVersion, RouteRule};
+use crate::mesh::{ClientLimits, ConfigVersion, RouteRule, ServiceSpec};
 
 /// The full content of a configuration, as exchanged between nodes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -11,4 +11,6 @@
     pub limits: ClientLimits,
     /// Rules of all routes.
     pub routes: Vec<RouteRule>,
+    /// All services.
+    pub services: Vec<ServiceSpec>,
 }
--- a/src/mesh/directory_event.rs
+++ b/src/mesh/directory_event.rs
@@ -7,6 +7,8 @@
     Ready(EndpointId),
     /// The endpoint accepts no new requests.
     Draining(EndpointId),
+    /// The endpoint has become cold.
+    Cold(EndpointId),
     /// The entry is missing after a registry outage; the endpoint may register again.
     Missing(EndpointId),
     /// The endpoint was removed.
@@ -18,7 +20,11 @@
     #[must_use]
     pub fn endpoint(&self) -> &EndpointId {
         match self {
-            Self::Ready(id) | Self::Draining(id) | Self::Missing(id) | Self::Gone(id) => id,
+            Self::Ready(id)
+            | Self::Draining(id)
+            | Self::Cold(id)
+            | Self::Missing(id)
+            | Self::Gone(id) => id,
         }
     }
 
@@ -28,6 +34,7 @@
         match self {
             Self::Ready(_) => "ready",
             Self::Draining(_) => "draining",
+            Self::Cold(_) => "cold",
             Self::Missing(_) => "missing",
             Self::Gone(_) => "gone",
         }
--- a/src/mesh/mesh_config.rs
+++ b/src/mesh/mesh_config.rs
@@ -1,8 +1,11 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::error::{Error, Result, ResultCode};
-use crate::mesh::{ClientLimits, ConfigDelta, ConfigSnapshot, ConfigVersion, RouteRule};
+use crate::id::ServiceName;
+use crate::mesh::{
+    ClientLimits, ConfigDelta, ConfigSnapshot, ConfigVersion, RouteRule, ServiceSpec,
+};
 
 /// A complete, validated configuration.
 #[derive(Debug)]
@@ -10,8 +13,12 @@
     version: ConfigVersion,
     limits: ClientLimits,
     hosts: HostTable,
+    services: ServiceTable,
 }
 
+/// Services by name.
+type ServiceTable = BTreeMap<ServiceName, ServiceSpec>;
+
 /// Route rules by host and path prefix.
 type HostTable = HashMap<String, HashMap<String, Arc<RouteRule>>>;
 
@@ -45,9 +52,32 @@
             version,
             limits,
             hosts,
+            services: ServiceTable::new(),
         })
     }
 
+    /// Sets the services.
+    #[must_use]
+    pub fn with_services<Services>(mut self, services: Services) -> Self
+    where
+        Services: IntoIterator<Item = ServiceSpec>,
+    {
+        let named = services.into_iter().map(|spec| (spec.name.clone(), spec));
+        self.services = named.collect();
+        self
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
     /// Returns the version.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
@@ -72,7 +102,8 @@
     ///
     /// As for [`MeshConfig::new`].
     pub fn from_snapshot(content: ConfigSnapshot) -> Result<Self> {
-        Self::new(content.version, content.limits, content.routes)
+        let config = Self::new(content.version, content.limits, content.routes)?;
+        Ok(config.with_services(content.services))
     }
 
     /// Returns the full content, for transfer to another node.
@@ -82,6 +113,7 @@
             version: self.version,
             limits: self.limits.clone(),
             routes: self.rules().map(|rule| rule.as_ref().clone()).collect(),
+            services: self.services().cloned().collect(),
         }
     }
 
@@ -112,11 +144,13 @@
             let rules = hosts.entry(route.host.clone()).or_default();
             rules.insert(route.prefix.clone(), Arc::new(route));
         }
-        Ok(Self {
+        let config = Self {
             version: delta.version,
             limits: delta.limits,
             hosts,
-        })
+            services: ServiceTable::new(),
+        };
+        Ok(config.with_services(delta.services))
     }
 
     /// Returns the rules of all routes.
--- a/src/mesh/registry_read.rs
+++ b/src/mesh/registry_read.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::id::EndpointId;
+use crate::id::{EndpointId, ZoneName};
 use crate::mesh::{EndpointRecord, HistoryPosition, MeshConfig};
 
 /// One change reported by a registry read.
@@ -12,6 +12,8 @@
     Endpoint(EndpointRecord),
     /// The entry of an endpoint was removed or is no longer a valid endpoint record.
     EndpointRemoved(EndpointId),
+    /// The evacuation of an availability zone was requested (true) or taken back.
+    Evacuation(ZoneName, bool),
 }
 
 /// The result of one registry read.
@@ -36,4 +38,6 @@
     pub position: HistoryPosition,
     /// The latest configuration; `None` if there is no usable one.
     pub config: Option<Arc<MeshConfig>>,
+    /// The availability zones to be evacuated.
+    pub evacuated: Vec<ZoneName>,
 }
--- a/src/mesh/registry_source.rs
+++ b/src/mesh/registry_source.rs
@@ -23,7 +23,7 @@
     /// [`RegistrySource::first_endpoints`].
     fn all_endpoints(&self, first: RegistryRead) -> LocalBoxFuture<'_, Result<RegistryRead>>;
 
-    /// Reads the latest configuration.
+    /// Reads the latest configuration and the evacuated availability zones.
     ///
     /// # Errors
     ///
--- a/src/mesh/route_rule.rs
+++ b/src/mesh/route_rule.rs
@@ -2,6 +2,7 @@
 use smallvec::SmallVec;
 
 use crate::clock::ClockTime;
+use crate::homes::HomeRegions;
 use crate::mesh::{RouteKey, ServiceTarget};
 
 /// The routing rule for the requests of one host and path prefix.
@@ -25,6 +26,8 @@
     pub max_attempts: u32,
     /// Priority of the requests; 0 is the highest.
     pub priority: u8,
+    /// Regions in which the requests may be served.
+    pub homes: HomeRegions,
 }
 
 impl RouteRule {
--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -151,6 +151,9 @@
         // A directory that has seen the entry missing in between needs the change.
         let is_registered_again =
             held.is_some_and(|held| held.record.registered != record.registered);
+        // Reports are up to a heartbeat old, so only a longer time is a new one.
+        let is_cold_again = record.warm_up > ClockTime(0)
+            && held.is_some_and(|held| held.warm_up_end < now && held.record.born == record.born);
         let state = record.state;
         let warm_up_end = now + record.warm_up;
         let service_changed = held.is_none_or(|held| held.record.service != record.service);
@@ -170,11 +173,11 @@
         self.tombstones.remove(&id);
         // Another directory at this position may hold the older record of a copy.
         let is_written_again = is_newer && now < self.keep_missing_until || is_ahead;
-        if !unchanged || is_resized || is_registered_again || is_written_again {
+        if !unchanged || is_resized || is_registered_again || is_cold_again || is_written_again {
             self.change_log.record(&id);
         }
         match state {
-            _ if unchanged => None,
+            _ if unchanged => is_cold_again.then_some(DirectoryEvent::Cold(id)),
             EndpointState::Ready => Some(DirectoryEvent::Ready(id)),
             EndpointState::Draining => Some(DirectoryEvent::Draining(id)),
         }
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -35,6 +35,9 @@
     endpoints: Gauge<u64>,
     outstanding: Gauge<u64>,
     ready: Gauge<u64>,
+    evacuated_zones: Gauge<u64>,
+    cold: Gauge<u64>,
+    cold_requests: Gauge<u64>,
 }
 
 /// Values of the gauges of a sidecar.
@@ -50,6 +53,12 @@
     pub outstanding: u32,
     /// Whether new clients should use the sidecar.
     pub ready: bool,
+    /// Number of availability zones that are evacuated.
+    pub evacuated_zones: usize,
+    /// Whether the sidecar's own endpoint is cold or suspected to be.
+    pub is_cold: bool,
+    /// Requests that were sent to the own endpoint while it was cold or suspected to be.
+    pub cold_requests: u64,
 }
 
 impl SidecarMetrics {
@@ -115,6 +124,18 @@
                 "Requests that run or wait at the endpoint beside the node",
             ),
             ready: gauge("endive_ready", "1 if new clients should use the node"),
+            evacuated_zones: gauge(
+                "endive_evacuated_zones",
+                "Availability zones to whose endpoints nothing is sent",
+            ),
+            cold: gauge(
+                "endive_cold",
+                "1 if the endpoint beside the node is cold or may be",
+            ),
+            cold_requests: gauge(
+                "endive_cold_requests",
+                "Requests sent to the endpoint beside the node while it was cold",
+            ),
             registry,
             _provider: provider,
         })
@@ -205,6 +226,10 @@
         self.endpoints.record(values.endpoints as u64, &[]);
         self.outstanding.record(u64::from(values.outstanding), &[]);
         self.ready.record(u64::from(values.ready), &[]);
+        self.evacuated_zones
+            .record(values.evacuated_zones as u64, &[]);
+        self.cold.record(u64::from(values.is_cold), &[]);
+        self.cold_requests.record(values.cold_requests, &[]);
         instruments::exposition(&self.registry)
     }
 }
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -279,6 +279,7 @@
                     ResultCode::BackendUnreachable
                         | ResultCode::NodeLeaving
                         | ResultCode::NoEndpoint
+                        | ResultCode::ZoneEvacuated
                 ) {
                     endpoints.eject(&record.id, now);
                 }
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -210,7 +210,9 @@
             return ClientResponse::local(ResultCode::MalformedRequest, None);
         }
         let wait = progress.overloaded.iter().map(|(_, wait)| *wait).min();
-        let code = progress.last_refusal.unwrap_or(ResultCode::NoEndpoint);
+        let code = progress
+            .last_refusal
+            .unwrap_or_else(|| self.balancer.missing_cause(request));
         let wait = match wait {
             // The endpoint itself refused the request, so a retry may reach one that accepts it.
             _ if progress.refused_by_endpoint => ClockTime(0),
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -9,6 +9,7 @@
 
 use crate::caller::{self, BodyLength, WireError, WireStream};
 use crate::clock::{ClockTime, SystemClock};
+use crate::cold::ColdRoom;
 use crate::error::ResultCode;
 use crate::id::EndpointId;
 use crate::sidecar::HeaderNames;
@@ -40,6 +41,7 @@
     max_response_bytes: usize,
     /// Limit on the responses that arrive at the same time.
     responses: Rc<BodyBudget>,
+    room: Rc<ColdRoom>,
     idle: RefCell<IdleConnections>,
     /// Endpoint that responded to a request addressed to another one.
     responding_endpoint: RefCell<Option<String>>,
@@ -69,6 +71,7 @@
         names: Rc<HeaderNames>,
         max_response_bytes: usize,
         responses: Rc<BodyBudget>,
+        room: Rc<ColdRoom>,
     ) -> Self {
         Self {
             address,
@@ -77,6 +80,7 @@
             names,
             max_response_bytes,
             responses,
+            room,
             idle: RefCell::default(),
             responding_endpoint: RefCell::default(),
         }
@@ -114,6 +118,7 @@
                     "request {}: cannot connect to the endpoint: {error}",
                     header.request_id
                 );
+                self.room.suspect("connection refused");
                 return (not_run(ResultCode::BackendUnreachable, false), Bytes::new());
             }
         };
@@ -329,6 +334,7 @@
             let name = response.headers.get(&self.names.responding_endpoint);
             let name = name.and_then(|value| value.to_str().ok());
             *self.responding_endpoint.borrow_mut() = name.map(str::to_owned);
+            self.room.suspect("another endpoint responded");
         }
         match verdict {
             AnswerVerdict::NotRun(code) => (not_run(code, status != 421), Bytes::new()),
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -172,7 +172,12 @@
                 failure_rate: 0.0,
             };
         };
-        let capacity = f64::from(capacity.max(1));
+        // A cold endpoint sustains fewer requests than it has slots.
+        let sustained = match entry.report.capacity {
+            0 => capacity,
+            sustained => capacity.min(sustained),
+        };
+        let capacity = f64::from(sustained.max(1));
         let age = (now - entry.reported_at).as_f64();
         let confidence = (-age / STATS_DECAY_MS).exp();
         let mean = entry.mean_outstanding * confidence;
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -24,9 +24,9 @@
 use crate::sidecar::view_service::ViewService;
 
 /// Path for forwarded requests.
-pub(crate) const FORWARD_PATH: &str = "/forward/2";
+pub(crate) const FORWARD_PATH: &str = "/forward/3";
 /// Path for resuming requests whose connection was lost.
-pub(crate) const RESUME_PATH: &str = "/resume/2";
+pub(crate) const RESUME_PATH: &str = "/resume/3";
 /// Path for reading a node's view of the mesh.
 pub(crate) const VIEW_PATH: &str = "/view/5";
 /// Timeout for receiving a complete request.
--- a/src/sidecar/header_names.rs
+++ b/src/sidecar/header_names.rs
@@ -15,6 +15,8 @@
     pub responding_endpoint: HeaderName,
     /// Indicates that the endpoint has not run the request.
     pub not_run: HeaderName,
+    /// Remaining time in milliseconds for which the endpoint is cold.
+    pub cold_remaining: HeaderName,
     /// Service from whose sidecar the request originates.
     pub caller_service: HeaderName,
 }
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -5,6 +5,7 @@
 use futures_util::future::{self, Either};
 
 use crate::clock::ClockTime;
+use crate::cold::ColdRoom;
 use crate::error::ResultCode;
 use crate::id::EndpointId;
 use crate::mesh::EndpointState;
@@ -35,6 +36,8 @@
     /// Random identifier of this process.
     pub(crate) process: u64,
     pub(crate) slots: Rc<SlotSemaphore>,
+    /// Room for requests while the endpoint is cold.
+    pub(crate) room: Rc<ColdRoom>,
     pub(crate) client: EndpointClient,
     pub(crate) calls: CallTable,
     pub(crate) tasks: Rc<TaskGroup>,
@@ -172,6 +175,9 @@
         if self.client.serves_other_endpoint(endpoint) {
             return Some(ResultCode::NoEndpoint);
         }
+        if self.state.evacuations.borrow().contains(&self.state.zone) {
+            return Some(ResultCode::ZoneEvacuated);
+        }
         if directory.is_gone(endpoint) {
             return Some(ResultCode::NodeLeaving);
         }
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::clock::ClockTime;
+use crate::error::ResultCode;
 use crate::id::{EndpointId, NodeAddress};
 use crate::mesh::EndpointRecord;
 use crate::peer::PeerPool;
@@ -184,13 +185,46 @@
     fn probe_wait(&self, request: &OutboundRequest, record: &EndpointRecord) -> ClockTime {
         let directory = self.state.directory.borrow();
         let mut ready = directory.ready(&request.service);
-        if self.is_in_other_region(record) && ready.any(|other| !self.is_in_other_region(other)) {
+        let mut has_local = || {
+            ready.any(|other| {
+                !self.is_in_other_region(other) && self.exclusion(request, other).is_none()
+            })
+        };
+        if self.is_in_other_region(record) && has_local() {
             return ClockTime(0);
         }
         let factor = self.short_request_factor(&record.id, self.processing_ms(request));
         ClockTime((request.rule.objective.as_f64() * PROBE_WAIT_RATIO * factor) as u64)
     }
 
+    /// Returns why a ready endpoint must not be sent a request, if it must not.
+    fn exclusion(&self, request: &OutboundRequest, record: &EndpointRecord) -> Option<ResultCode> {
+        let homes = &request.rule.homes;
+        if !homes.is_unrestricted() && !homes.admits(self.settings.regions.get(&record.zone)) {
+            return Some(ResultCode::NoHome);
+        }
+        let evacuations = self.state.evacuations.borrow();
+        let is_evacuated = evacuations.contains(&record.zone);
+        is_evacuated.then_some(ResultCode::ZoneEvacuated)
+    }
+
+    /// Returns why no endpoint of the service can be sent a request. An evacuation takes precedence over
+    /// a home, since its end makes the endpoint available.
+    pub(crate) fn missing_cause(&self, request: &OutboundRequest) -> ResultCode {
+        let directory = self.state.directory.borrow();
+        let ready = directory.ready(&request.service);
+        let causes: Vec<_> = ready
+            .map(|record| self.exclusion(request, record))
+            .collect();
+        let is_excluded = !causes.is_empty() && causes.iter().all(Option::is_some);
+        let evacuated = causes.contains(&Some(ResultCode::ZoneEvacuated));
+        match (is_excluded, evacuated) {
+            (true, true) => ResultCode::ZoneEvacuated,
+            (true, false) => ResultCode::NoHome,
+            (false, _) => ResultCode::NoEndpoint,
+        }
+    }
+
     fn distance_penalty(&self, request: &OutboundRequest, id: &EndpointId) -> ClockTime {
         let directory = self.state.directory.borrow();
         let record = directory.record(id);
@@ -260,7 +294,7 @@
         let objective = request.rule.objective.as_f64();
         let mut best: Option<(f64, &Rc<EndpointRecord>)> = None;
         for record in directory.ready(&request.service) {
-            if excluded.contains(&record.id) {
+            if excluded.contains(&record.id) || self.exclusion(request, record).is_some() {
                 continue;
             }
             let (latency_ms, distance) = self.network_defaults(record);
--- a/src/sidecar/mesh_bounds.rs
+++ b/src/sidecar/mesh_bounds.rs
@@ -23,6 +23,10 @@
     pub retry_window: ClockTime,
     /// Additional retries allowed in a window, summed over all nodes.
     pub retry_slack: f64,
+    /// Factor by which the rate of a cold endpoint may exceed the one that it tolerates.
+    pub cold_excess: f64,
+    /// Requests in one second by which the rate of a cold endpoint may exceed the product.
+    pub cold_tolerance: f64,
 }
 
 impl MeshBounds {
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -5,7 +5,8 @@
 
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
-use crate::id::EndpointId;
+use crate::evacuation::EvacuationChange;
+use crate::id::{EndpointId, ZoneName};
 use crate::mesh::{
     self, DirectoryEvent, HistoryPosition, MeshConfig, RegistryChange, RegistryRead,
 };
@@ -79,6 +80,7 @@
         if self.state.age().is_none() {
             self.state.record_known_since(now - reply.known_for);
         }
+        self.replace_evacuations(reply.evacuated.iter().cloned());
         let is_new_era = self.begin_era(reply.listed_position, "node");
         let lacks_removals = self.lacks_removals(&reply);
         let mut events = Vec::new();
@@ -133,11 +135,41 @@
         age.is_some_and(|age| age >= expiry && reply.known_for < age)
     }
 
+    /// Replaces the evacuated availability zones.
+    pub(crate) fn replace_evacuations<Zones>(&self, zones: Zones)
+    where
+        Zones: IntoIterator<Item = ZoneName>,
+    {
+        let now = self.state.clock.now();
+        let change = self.state.evacuations.borrow_mut().replace(now, zones);
+        self.handle_evacuations(&change);
+    }
+
+    fn handle_evacuations(&self, change: &EvacuationChange) {
+        for zone in &change.begun {
+            log::info!("event=evacuation_begun zone={zone}");
+        }
+        for zone in &change.ended {
+            log::info!("event=evacuation_ended zone={zone}");
+        }
+        let zone = &self.state.zone;
+        if change.begun.contains(zone) {
+            self.inbound.slots.reject_waiting();
+        }
+        // The endpoints of the zone may have become cold meanwhile.
+        if change.begun.contains(zone) || change.ended.contains(zone) {
+            self.inbound.room.suspect("evacuation");
+        }
+    }
+
     /// Installs a configuration unless the installed one is at least as new.
     pub(crate) fn install(&self, config: &Arc<MeshConfig>, origin: ConfigOrigin) {
         let previous = self.state.config().map(|config| config.version());
         if self.state.install(config) {
             self.dispatcher.picker.borrow_mut().reset();
+            let spec = config.service(&self.state.service);
+            let bounds = self.state.bounds();
+            self.inbound.room.configure(spec, &bounds);
             let previous = previous.map_or_else(|| "-".to_owned(), |version| version.to_string());
             log::info!(
                 "event=config_in_force version={} previous={previous} routes={} {origin}",
@@ -212,6 +244,13 @@
                     events.extend(directory.upsert(now, record));
                 }
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
+                RegistryChange::Evacuation(zone, is_evacuated) => {
+                    drop(directory);
+                    let mut evacuations = self.state.evacuations.borrow_mut();
+                    let change = evacuations.set(now, zone, is_evacuated);
+                    drop(evacuations);
+                    self.handle_evacuations(&change);
+                }
             }
         }
         let mut directory = self.state.directory.borrow_mut();
@@ -238,6 +277,7 @@
             match &event {
                 DirectoryEvent::Ready(id) => self.on_endpoint_ready(id),
                 DirectoryEvent::Draining(id) => self.reject_queued_requests(id),
+                DirectoryEvent::Cold(id) => self.on_endpoint_cold(id),
                 DirectoryEvent::Missing(_) => {}
                 DirectoryEvent::Gone(id) => {
                     self.dispatcher.balancer.endpoints.borrow_mut().remove(id);
@@ -256,6 +296,17 @@
         if record.address == self.inbound.client.address() {
             self.inbound.client.reset();
             self.inbound.slots.set_capacity(record.capacity as usize);
+            self.inbound.room.suspect("registered");
+        }
+    }
+
+    /// Has the local endpoint checked if the registry reports that it is cold.
+    fn on_endpoint_cold(&self, id: &EndpointId) {
+        let directory = self.state.directory.borrow();
+        let local_address = self.inbound.client.address();
+        let record = directory.record(id);
+        if record.is_some_and(|record| record.address == local_address) {
+            self.inbound.room.suspect("reported by the registry");
         }
     }
 
--- a/src/sidecar/monitoring_service.rs
+++ b/src/sidecar/monitoring_service.rs
@@ -6,6 +6,7 @@
 use monoio::net::TcpListener;
 
 use crate::caller::{HttpServer, RequestService, ServerLimits, StopSignal};
+use crate::cold::ColdPhase;
 use crate::metrics::GaugeValues;
 use crate::sidecar::inbound_service::InboundService;
 use crate::sidecar::node_state::NodeState;
@@ -48,6 +49,9 @@
             endpoints: self.state.directory.borrow().len(),
             outstanding: self.inbound.slots.load().outstanding,
             ready: self.state.is_ready(),
+            evacuated_zones: self.state.evacuations.borrow().zones().count(),
+            is_cold: self.inbound.room.phase() != ColdPhase::Warm,
+            cold_requests: self.inbound.room.limited_count(),
         };
         match self.state.metrics.exposition(state) {
             Ok(text) => (StatusCode::OK, Bytes::from(text)),
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -157,6 +157,7 @@
         if let Some(pending) = pending.filter(|pending| reply.position < pending.position) {
             // The local endpoint list is newer; only the configuration was missing. Watching
             // resumes at the older position, which the configuration reflects.
+            self.updater.replace_evacuations(reply.evacuated);
             self.updater.advance(reply.position);
             self.position.set(Some(reply.position));
             self.pending_config_read.set(None);
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -7,6 +7,8 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::error::Result;
+use crate::evacuation::EvacuationSet;
+use crate::id::{ServiceName, ZoneName};
 use crate::introduction::ChildTable;
 use crate::mesh::{ConfigHistory, HistoryEra, HistoryPosition, MeshConfig, ServiceDirectory};
 use crate::metrics::SidecarMetrics;
@@ -20,6 +22,8 @@
     pub(crate) metrics: SidecarMetrics,
     pub(crate) directory: RefCell<ServiceDirectory>,
     config: RefCell<Option<Arc<MeshConfig>>>,
+    /// Availability zones to whose endpoints nothing is sent.
+    pub(crate) evacuations: RefCell<EvacuationSet>,
     /// Changes between the configurations that were installed.
     pub(crate) history: RefCell<ConfigHistory>,
     /// Whether the view has been synchronized at least once.
@@ -32,6 +36,10 @@
     read_mark: Cell<(HistoryEra, ClockTime)>,
     /// Source from which `read_mark` was learned.
     origin: Cell<Option<ViewOrigin>>,
+    /// Availability zone of the instance.
+    pub(crate) zone: ZoneName,
+    /// Service of the local endpoint.
+    pub(crate) service: ServiceName,
     refresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Nodes whose views were the freshest.
     pub(crate) fresh_peers: RefCell<FreshPeers>,
@@ -53,12 +61,15 @@
             clock,
             directory: RefCell::default(),
             config: RefCell::default(),
+            evacuations: RefCell::default(),
             history: RefCell::default(),
             loaded: Cell::new(false),
             known_since: Cell::default(),
             stop: Cell::new(None),
             read_mark: Cell::default(),
             origin: Cell::default(),
+            zone: settings.zone.clone(),
+            service: settings.service.clone(),
             refresh_waiters: RefCell::default(),
             fresh_peers: RefCell::default(),
             children: RefCell::default(),
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -170,6 +170,7 @@
         if let Some(config) = read.config {
             self.updater.install(&config, ConfigOrigin::Registry);
         }
+        self.updater.replace_evacuations(read.evacuated);
         self.updater.advance(pending.position);
         self.position.set(Some(pending.position));
         self.pending_config_read.set(None);
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -8,8 +8,10 @@
 use monoio::task::JoinHandle;
 use monoio::time;
 
+use crate::backend::HttpClient;
 use crate::caller::StopSignal;
 use crate::clock::{ClockTime, SystemClock};
+use crate::cold::{ColdRoom, ColdTask};
 use crate::error::{Error, Result, ResultCode};
 use crate::id::NodeAddress;
 use crate::introduction::IntroductionTask;
@@ -62,6 +64,10 @@
     idle_interval_ticks: Some(4),
     timeout_ticks: 3,
 };
+/// Time limit for connecting to the local endpoint for a health check.
+const PROBE_CONNECT_TIMEOUT: ClockTime = ClockTime(250);
+/// Maximum size of the body of a health response.
+const MAX_PROBE_BYTES: usize = 64 * 1024;
 /// Time that the clock of a starting node shows. A view read by another node earlier than that
 /// would seem to be as old as the node.
 const MAX_VIEW_AGE: ClockTime = ClockTime(86_400_000);
@@ -164,6 +170,17 @@
             trees: RefCell::default(),
         };
         background_tasks.push(monoio::spawn(mesh_sync.run(background_stopped.clone())));
+        let cold = ColdTask {
+            room: Rc::clone(&inbound.room),
+            slots: Rc::clone(&inbound.slots),
+            client: HttpClient {
+                address: settings.endpoint,
+                connect_timeout: PROBE_CONNECT_TIMEOUT,
+                body_limit: MAX_PROBE_BYTES,
+            },
+            headers: settings.headers.clone(),
+        };
+        background_tasks.push(monoio::spawn(cold.run(background_stopped.clone())));
         let introductions = IntroductionTask {
             settings: Rc::clone(&settings),
             state: Rc::clone(&state),
@@ -259,16 +276,19 @@
     let clock = state.clock;
     let names = Rc::new(settings.headers.clone());
     let response_limit = memory_share(settings, RESPONSE_MEMORY_DIVISOR);
+    let room = Rc::new(ColdRoom::new(clock));
     Rc::new(InboundService {
         process,
         state: Rc::clone(state),
-        slots: SlotSemaphore::new(clock, INITIAL_SLOT_COUNT),
+        slots: SlotSemaphore::new(clock, INITIAL_SLOT_COUNT, Rc::clone(&room)),
+        room: Rc::clone(&room),
         client: EndpointClient::new(
             settings.endpoint,
             Rc::clone(state),
             names,
             response_limit,
             BodyBudget::new(ByteSize(memory_share(settings, BODY_MEMORY_DIVISOR) as u64)),
+            room,
         ),
         calls: CallTable::default(),
         tasks: Rc::clone(tasks),
--- a/src/sidecar/slot_queue.rs
+++ b/src/sidecar/slot_queue.rs
@@ -56,6 +56,16 @@
     next_number: u64,
     mean_hold_ms: f64,
     mean_running_age_ms: f64,
+    pace: SlotPace,
+}
+
+/// A limit on the rate at which requests start, besides the number of slots.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct SlotPace {
+    /// Requests per second that may start; `None` if their rate is not limited.
+    pub rate: Option<f64>,
+    /// Earliest time at which the next request may start.
+    pub opens_at: ClockTime,
 }
 
 impl SlotQueue {
@@ -69,6 +79,7 @@
             next_number: 0,
             mean_hold_ms: INITIAL_HOLD_MS,
             mean_running_age_ms: 0.0,
+            pace: SlotPace::default(),
         }
     }
 
@@ -83,6 +94,28 @@
         self.capacity.max(1)
     }
 
+    /// Sets the limit on the rate at which requests start.
+    pub fn set_pace(&mut self, pace: SlotPace) {
+        self.pace = pace;
+    }
+
+    /// Returns the number of requests that the endpoint can run at the same time: its slots, or fewer if
+    /// the rate at which requests start is limited.
+    #[must_use]
+    pub fn sustained_capacity(&self) -> usize {
+        let Some(rate) = self.pace.rate else {
+            return self.capacity();
+        };
+        let sustained = (rate * self.mean_hold_ms / 1_000.0).ceil() as usize;
+        sustained.clamp(1, self.capacity())
+    }
+
+    /// Returns true if requests wait.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Returns the number of running and queued requests.
     #[must_use]
     pub fn outstanding(&self) -> usize {
@@ -105,9 +138,10 @@
 
     /// Returns the expected wait of a request with the given due time.
     #[must_use]
-    pub fn expected_wait(&self, due: ClockTime) -> ClockTime {
+    pub fn expected_wait(&self, now: ClockTime, due: ClockTime) -> ClockTime {
+        let opens_in = self.pace.opens_at - now;
         if self.running < self.capacity() && self.waiting.is_empty() {
-            return ClockTime(0);
+            return opens_in;
         }
         let ahead = self
             .waiting
@@ -116,7 +150,11 @@
             .count();
         let free = self.capacity().saturating_sub(self.running);
         let turns = (ahead + 1).saturating_sub(free) as f64;
-        ClockTime((turns * self.mean_hold_ms() / self.capacity() as f64) as u64)
+        let slot_wait = turns * self.mean_hold_ms() / self.capacity() as f64;
+        let pace_wait = self.pace.rate.map_or(0.0, |rate| {
+            opens_in.as_f64() + ahead as f64 * 1_000.0 / rate
+        });
+        ClockTime(slot_wait.max(pace_wait) as u64)
     }
 
     /// Requests a slot, accepting an expected wait of up to `max_wait` before `deadline`.
@@ -127,12 +165,13 @@
         max_wait: ClockTime,
         deadline: ClockTime,
     ) -> SlotDecision {
-        if self.running < self.capacity() && self.waiting.is_empty() {
+        let is_open = self.pace.opens_at <= now;
+        if self.running < self.capacity() && self.waiting.is_empty() && is_open {
             self.running += 1;
             return SlotDecision::Run;
         }
         let due = urgency.due(now);
-        let wait = self.expected_wait(due);
+        let wait = self.expected_wait(now, due);
         if wait > max_wait || now + wait >= deadline {
             return SlotDecision::Refuse(wait);
         }
@@ -163,7 +202,7 @@
 
     /// Admits the next queued request whose deadline has not passed, if a slot is free.
     pub fn admit_next(&mut self, now: ClockTime) -> Option<SlotTicket> {
-        while self.running < self.capacity() {
+        while self.running < self.capacity() && self.pace.opens_at <= now {
             let (ticket, deadline) = self.waiting.pop_first()?;
             if deadline > now {
                 self.running += 1;
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -6,12 +6,14 @@
 use monoio::time;
 
 use crate::clock::{ClockTime, SystemClock};
+use crate::cold::ColdRoom;
 use crate::sidecar::forward_message::LoadReport;
-use crate::sidecar::{SlotDecision, SlotQueue, SlotTicket, SlotUrgency};
+use crate::sidecar::{SlotDecision, SlotPace, SlotQueue, SlotTicket, SlotUrgency};
 
 /// Asynchronous semaphore over the slots of the endpoint.
 pub(crate) struct SlotSemaphore {
     clock: SystemClock,
+    room: Rc<ColdRoom>,
     queue: RefCell<SlotQueue>,
     waiters: RefCell<BTreeMap<SlotTicket, oneshot::Sender<()>>>,
     /// Number of running requests and the sum of their start times in ms.
@@ -30,9 +32,10 @@
 }
 
 impl SlotSemaphore {
-    pub(crate) fn new(clock: SystemClock, capacity: usize) -> Rc<Self> {
+    pub(crate) fn new(clock: SystemClock, capacity: usize, room: Rc<ColdRoom>) -> Rc<Self> {
         Rc::new(Self {
             clock,
+            room,
             queue: RefCell::new(SlotQueue::new(capacity)),
             waiters: RefCell::default(),
             running: Cell::new((0, 0)),
@@ -48,10 +51,11 @@
     /// Returns the current load of the endpoint.
     pub(crate) fn load(&self) -> LoadReport {
         self.record_running_age();
+        self.update_pace();
         let queue = self.queue.borrow();
         LoadReport {
             outstanding: queue.outstanding() as u32,
-            capacity: queue.capacity() as u32,
+            capacity: queue.sustained_capacity() as u32,
             mean_hold_ms: queue.mean_hold_ms() as f32,
         }
     }
@@ -77,18 +81,25 @@
         deadline: ClockTime,
     ) -> Result<SlotPermit, AcquireError> {
         self.record_running_age();
+        self.update_pace();
         let now = self.clock.now();
         let decision = self
             .queue
             .borrow_mut()
             .request(now, urgency, max_wait, deadline);
         let ticket = match decision {
-            SlotDecision::Run => return Ok(SlotPermit::new(self)),
+            SlotDecision::Run => {
+                self.room.record_send();
+                return Ok(SlotPermit::new(self));
+            }
             SlotDecision::Refuse(wait) => return Err(AcquireError::Busy(wait)),
             SlotDecision::Wait(ticket) => ticket,
         };
         let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
+        if self.room.pace().is_some() {
+            self.room.wake();
+        }
         let mut waiter = QueuedWaiter {
             semaphore: self,
             ticket,
@@ -109,15 +120,36 @@
         self.queue.borrow_mut().record_running_age(age);
     }
 
+    /// Starts the queued requests for which a cold endpoint has room; returns the time until there is room
+    /// for the next one, if any waits for it.
+    pub(crate) fn release_due(&self) -> Option<ClockTime> {
+        self.admit_waiting();
+        let has_waiting = self.queue.borrow().has_waiting();
+        let pause = self.room.opens_at() - self.clock.now();
+        (has_waiting && pause > ClockTime(0)).then_some(pause)
+    }
+
+    /// Applies the rate to which a cold endpoint limits its requests.
+    fn update_pace(&self) {
+        let pace = SlotPace {
+            rate: self.room.pace(),
+            opens_at: self.room.opens_at(),
+        };
+        self.queue.borrow_mut().set_pace(pace);
+    }
+
     fn admit_waiting(&self) {
         loop {
             let now = self.clock.now();
+            self.update_pace();
             let Some(ticket) = self.queue.borrow_mut().admit_next(now) else {
                 return;
             };
             let sender = self.waiters.borrow_mut().remove(&ticket);
             let taken = sender.is_some_and(|sender| sender.send(()).is_ok());
-            if !taken {
+            if taken {
+                self.room.record_send();
+            } else {
                 self.queue.borrow_mut().release();
             }
         }
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::ClockTime;
-use crate::id::EndpointId;
+use crate::id::{EndpointId, ZoneName};
 use crate::mesh::{ConfigDelta, ConfigSnapshot, ConfigVersion, EndpointRecord, HistoryPosition};
 use crate::peer::FrameCodec;
 use crate::sidecar::compressed_config::CompressedConfig;
@@ -80,6 +80,8 @@
     pub(crate) version: Option<ConfigVersion>,
     /// Update to the installed configuration, if it is newer than that of the requesting node.
     pub(crate) config: Option<CompressedConfig>,
+    /// Availability zones to whose endpoints nothing is to be sent.
+    pub(crate) evacuated: Vec<ZoneName>,
     /// Whether `entries` lists all endpoints in the view.
     pub(crate) is_snapshot: bool,
     pub(crate) entries: Vec<ViewEntry>,
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -105,6 +105,7 @@
             })
             .collect();
         let config = self.state.config();
+        let evacuations = self.state.evacuations.borrow();
         ViewReply {
             cursor: ViewCursor {
                 process: self.process,
@@ -121,6 +122,7 @@
             config: config
                 .filter(|config| Some(config.version()) > request.version)
                 .and_then(|config| self.compressed_config(&config, request.version)),
+            evacuated: evacuations.zones().map(|(zone, _)| zone.clone()).collect(),
             is_snapshot,
             entries,
             removed,
--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use endivelanding::clock::ClockTime;
+use endivelanding::homes::HomeRegions;
 use endivelanding::mesh::{
     ClientLimits, ConfigHistory, ConfigVersion, MeshConfig, RouteRule, ServiceTarget,
 };
@@ -33,6 +34,7 @@
         objective: ClockTime(300),
         max_attempts: 2,
         priority: 0,
+        homes: HomeRegions::default(),
     }
 }
 
--- a/tests/mesh_rules.rs
+++ b/tests/mesh_rules.rs
@@ -8,6 +8,7 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use endivelanding::clock::ClockTime;
+use endivelanding::homes::HomeRegions;
 use endivelanding::id::{EndpointId, RegionName, ServiceName, ZoneName};
 use endivelanding::mesh::{
     ClientLimits, ConfigVersion, DirectoryEvent, EndpointRecord, EndpointState, HistoryEra,
@@ -35,6 +36,7 @@
         objective: ClockTime(300),
         max_attempts: 2,
         priority: 0,
+        homes: HomeRegions::default(),
     }
 }
 
--- a/tests/refresh_rules.rs
+++ b/tests/refresh_rules.rs
@@ -252,6 +252,8 @@
             retry_ratio: 0.2,
             retry_window: ClockTime(10_000),
             retry_slack: 60.0,
+            cold_excess: 1.0,
+            cold_tolerance: 0.0,
         };
         assert_eq!(bounds.shortest_expiry(), ClockTime(shortest));
     }
--- a/tests/slot_rules.rs
+++ b/tests/slot_rules.rs
@@ -117,9 +117,9 @@
 fn expected_wait_grows_with_the_age_of_running_requests() {
     let mut queue = SlotQueue::new(1);
     queue.request(ClockTime(0), urgency(0, 300), FAR_DEADLINE, FAR_DEADLINE);
-    let before = queue.expected_wait(ClockTime(300));
+    let before = queue.expected_wait(ClockTime(0), ClockTime(300));
     queue.record_running_age(2_000.0);
-    let hanging = queue.expected_wait(ClockTime(300));
+    let hanging = queue.expected_wait(ClockTime(0), ClockTime(300));
     assert!(hanging >= ClockTime(2_000), "{before} became {hanging}");
     let max_wait = ClockTime(500);
     let decision = queue.request(ClockTime(2_000), urgency(0, 300), max_wait, FAR_DEADLINE);
