--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::cmp::Ordering;
+use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -44,10 +45,7 @@
             let mut fresh_peers = self.state.fresh_peers.borrow_mut();
             fresh_peers.record(request.sender, sender_read_at);
         }
-        let interval = self.state.bounds().refresh_interval();
-        let mut children = self.state.children.borrow_mut();
-        children.record_request(now, interval, request.sender);
-        drop(children);
+        self.record_child(now, request.sender);
         let until = now + request.wait.min(MAX_WAIT);
         let is_fresher = match request.position.era.cmp(&era) {
             Ordering::Less => true,
@@ -70,6 +68,12 @@
         self.reply(request, now)
     }
 
+    fn record_child(&self, now: ClockTime, sender: IpAddr) {
+        let interval = self.state.bounds().refresh_interval();
+        let mut children = self.state.children.borrow_mut();
+        children.record_request(now, interval, sender);
+    }
+
     /// Records the node that introduces itself as a source of fresher views.
     pub(crate) fn introduce(&self, introduction: &Introduction) -> IntroductionReply {
         let now = self.state.clock.now();
