--- a/src/caller/chunk_decoder.rs
+++ b/src/caller/chunk_decoder.rs
@@ -2,6 +2,8 @@
 
 use crate::caller::WireError;
 
+/// Size of the segments in which a body is held until it is complete.
+const SEGMENT_BYTES: usize = 64 * 1024;
 /// Maximum length of a chunk size line.
 const MAX_SIZE_LINE_BYTES: usize = 16;
 
@@ -12,7 +14,9 @@
 #[derive(Debug)]
 pub(crate) struct ChunkDecoder {
     limit: usize,
-    body: BytesMut,
+    /// The body in segments, so that a large one is not copied as it grows.
+    segments: Vec<BytesMut>,
+    length: usize,
     remaining: usize,
     state: ChunkState,
 }
@@ -29,15 +33,52 @@
     pub(crate) fn new(limit: usize) -> Self {
         Self {
             limit,
-            body: BytesMut::new(),
+            segments: Vec::new(),
+            length: 0,
             remaining: 0,
             state: ChunkState::Size,
         }
     }
 
-    /// Returns the number of body bytes that have been decoded.
-    pub(crate) fn decoded_len(&self) -> usize {
-        self.body.len()
+    /// Returns the number of bytes that the decoded part of the body occupies.
+    pub(crate) fn held_len(&self) -> usize {
+        self.segments.iter().map(BytesMut::capacity).sum()
+    }
+
+    /// Appends decoded bytes.
+    fn append(&mut self, mut bytes: &[u8]) {
+        self.length += bytes.len();
+        while !bytes.is_empty() {
+            let room = match self.segments.last() {
+                Some(last) => SEGMENT_BYTES - last.len(),
+                None => 0,
+            };
+            if room == 0 {
+                let capacity = match self.segments.is_empty() {
+                    true => bytes.len().min(SEGMENT_BYTES),
+                    false => SEGMENT_BYTES,
+                };
+                self.segments.push(BytesMut::with_capacity(capacity));
+                continue;
+            }
+            let (part, rest) = bytes.split_at(bytes.len().min(room));
+            if let Some(last) = self.segments.last_mut() {
+                last.extend_from_slice(part);
+            }
+            bytes = rest;
+        }
+    }
+
+    /// Returns the whole body, which is copied unless it is small.
+    fn take_body(&mut self) -> BytesMut {
+        if self.segments.len() <= 1 {
+            return self.segments.pop().unwrap_or_default();
+        }
+        let mut body = BytesMut::with_capacity(self.length);
+        for segment in std::mem::take(&mut self.segments) {
+            body.extend_from_slice(&segment);
+        }
+        body
     }
 
     /// Consumes received bytes and returns the body when the last chunk is complete.
@@ -52,7 +93,7 @@
                     let Some(size) = decode_chunk_size(buffer)? else {
                         return Ok(None);
                     };
-                    if size > self.limit - self.body.len() {
+                    if size > self.limit - self.length {
                         return Err(WireError::TooLarge);
                     }
                     self.remaining = size;
@@ -64,7 +105,7 @@
                 }
                 ChunkState::Data => {
                     let count = self.remaining.min(buffer.len());
-                    self.body.extend_from_slice(&buffer[..count]);
+                    self.append(&buffer[..count]);
                     buffer.advance(count);
                     self.remaining -= count;
                     if self.remaining > 0 {
@@ -81,7 +122,7 @@
                     }
                     buffer.advance(2);
                     if self.state == ChunkState::BodyEnd {
-                        return Ok(Some(std::mem::take(&mut self.body)));
+                        return Ok(Some(self.take_body()));
                     }
                     self.state = ChunkState::Size;
                 }
--- a/src/caller/wire_stream.rs
+++ b/src/caller/wire_stream.rs
@@ -14,11 +14,16 @@
 /// Size of one read of a head. Each idle connection holds a buffer of this size, so that 1,024
 /// connections hold 4 MiB.
 const HEAD_READ_BYTES: usize = 4 * 1024;
-/// Size of one read of a body.
+/// Size of one read of a body that a client sends. Many clients may send one at the same time, and each
+/// connection holds what was read and the buffer of the next read.
+const CLIENT_BODY_READ_BYTES: usize = 16 * 1024;
+/// Size of one read of another body.
 const BODY_READ_BYTES: usize = 64 * 1024;
 /// Time for which received data is discarded before the connection is closed. Closing with unread
 /// data resets the connection, and the client could lose the response.
 const LINGER_TIMEOUT: ClockTime = ClockTime(1_000);
+/// Time without progress after which a peer no longer reads a large body, whose memory others need.
+const WRITE_STALL_TIMEOUT: ClockTime = ClockTime(5_000);
 /// Maximum size of the data discarded before the connection is closed.
 const MAX_LINGER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -53,6 +58,14 @@
         self.buffer.len()
     }
 
+    /// Discards the received bytes and frees their buffers.
+    pub(crate) fn discard(&mut self) {
+        self.buffer = BytesMut::new();
+        self.read_buffer = Vec::new();
+        self.searched = 0;
+        self.skipped = 0;
+    }
+
     /// Returns whether a part of the next head has arrived.
     pub(crate) fn has_partial_head(&self) -> bool {
         !self.buffer.is_empty() || self.skipped > 0
@@ -67,13 +80,17 @@
         self.fill_up_to(HEAD_READ_BYTES).await
     }
 
-    /// Receives more bytes of a body; otherwise as [`WireStream::fill`].
+    /// Receives more bytes of a body that a client sends; otherwise as [`WireStream::fill`].
     ///
     /// # Errors
     ///
     /// The error of the socket.
-    pub(crate) async fn fill_large(&mut self) -> io::Result<usize> {
-        self.fill_up_to(BODY_READ_BYTES).await
+    pub(crate) async fn fill_client_body(&mut self) -> io::Result<usize> {
+        if self.buffer.is_empty() {
+            // The buffer may have grown with earlier pieces.
+            self.buffer = BytesMut::new();
+        }
+        self.fill_up_to(CLIENT_BODY_READ_BYTES).await
     }
 
     async fn fill_up_to(&mut self, size: usize) -> io::Result<usize> {
@@ -215,17 +232,52 @@
         Ok(())
     }
 
-    /// Writes until the peer starts to respond; returns whether all bytes were written.
+    /// Writes a head and a body, which is copied only if it is small.
+    ///
+    /// # Errors
+    ///
+    /// As for [`WireStream::write`]; also `TimedOut` if the peer does not read a large body.
+    pub(crate) async fn write_message(
+        &mut self,
+        mut head: Vec<u8>,
+        body: Bytes,
+    ) -> Result<(), WireError> {
+        if body.len() <= BODY_READ_BYTES {
+            head.extend_from_slice(&body);
+            return self.write(head).await;
+        }
+        self.write(head).await?;
+        let mut remaining = body;
+        while !remaining.is_empty() {
+            let writing = self.stream.write(remaining.clone());
+            let written = time::timeout(WRITE_STALL_TIMEOUT.to_duration(), writing).await;
+            match written {
+                Ok((Ok(0), _)) => return Err(WireError::Lost(io::ErrorKind::WriteZero.into())),
+                Ok((Ok(count), _)) => remaining.advance(count),
+                Ok((Err(error), _)) => return Err(WireError::Lost(error)),
+                Err(_) => return Err(WireError::TimedOut),
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes a head and a body until the peer starts to respond; returns whether all bytes were
+    /// written. The body is copied only if it is small.
     ///
     /// # Errors
     ///
     /// As for [`WireStream::write`].
-    pub(crate) async fn write_until_response(&mut self, bytes: Vec<u8>) -> Result<bool, WireError> {
-        if bytes.len() <= BODY_READ_BYTES {
-            return self.write(bytes).await.map(|()| true);
+    pub(crate) async fn write_until_response(
+        &mut self,
+        mut head: Vec<u8>,
+        body: &Bytes,
+    ) -> Result<bool, WireError> {
+        if body.len() <= BODY_READ_BYTES {
+            head.extend_from_slice(body);
+            return self.write(head).await.map(|()| true);
         }
-        let mut remaining = Bytes::from(bytes);
-        let mut started = false;
+        self.write(head).await?;
+        let mut remaining = body.clone();
         while !remaining.is_empty() {
             {
                 let readable = pin!(self.stream.readable(false));
@@ -241,11 +293,7 @@
                 Ok(0) => Err(io::ErrorKind::WriteZero.into()),
                 other => other,
             }
-            .map_err(|error| match started {
-                false => WireError::NotWritten(error),
-                true => WireError::Lost(error),
-            })?;
-            started = true;
+            .map_err(WireError::Lost)?;
             remaining.advance(count);
         }
         Ok(true)
--- a/src/cold/cold_room.rs
+++ b/src/cold/cold_room.rs
@@ -64,7 +64,7 @@
             limiter.set_limit(limits.requests_per_s);
         }
         *self.limits.borrow_mut() = limits;
-        self.wake();
+        self.suspect("limits configured");
     }
 
     /// Records a sign that the endpoint may have become cold.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod logging;
 pub mod manifest;
 pub mod membership;
+pub mod memory;
 pub mod mesh;
 pub mod metrics;
 pub mod node;
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -38,6 +38,10 @@
     evacuated_zones: Gauge<u64>,
     cold: Gauge<u64>,
     cold_requests: Gauge<u64>,
+    memory_used: Gauge<u64>,
+    memory_refused: Gauge<u64>,
+    memory_evicted: Gauge<u64>,
+    client_connections: Gauge<u64>,
 }
 
 /// Values of the gauges of a sidecar.
@@ -59,6 +63,14 @@
     pub is_cold: bool,
     /// Requests that were sent to the own endpoint while it was cold or suspected to be.
     pub cold_requests: u64,
+    /// Bytes that messages claim in the account of memory.
+    pub memory_used: u64,
+    /// Messages that were refused for lack of memory.
+    pub memory_refused: u64,
+    /// Incomplete messages that gave way to others.
+    pub memory_evicted: u64,
+    /// Open connections of clients.
+    pub client_connections: usize,
 }
 
 impl SidecarMetrics {
@@ -136,6 +148,16 @@
                 "endive_cold_requests",
                 "Requests sent to the endpoint beside the node while it was cold",
             ),
+            memory_used: gauge("endive_memory_used", "Bytes that messages claim"),
+            memory_refused: gauge(
+                "endive_memory_refused",
+                "Messages that were refused for lack of memory",
+            ),
+            memory_evicted: gauge(
+                "endive_memory_evicted",
+                "Incomplete messages that gave way to others",
+            ),
+            client_connections: gauge("endive_client_connections", "Connections of clients"),
             registry,
             _provider: provider,
         })
@@ -230,6 +252,11 @@
             .record(values.evacuated_zones as u64, &[]);
         self.cold.record(u64::from(values.is_cold), &[]);
         self.cold_requests.record(values.cold_requests, &[]);
+        self.memory_used.record(values.memory_used, &[]);
+        self.memory_refused.record(values.memory_refused, &[]);
+        self.memory_evicted.record(values.memory_evicted, &[]);
+        self.client_connections
+            .record(values.client_connections as u64, &[]);
         instruments::exposition(&self.registry)
     }
 }
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -202,6 +202,28 @@
     ) -> Result<(Head, Bytes)>
     where
         Head: DeserializeOwned,
+    {
+        self.request_while::<Head, _, LIMIT>(to, path, head, body, |_| true)
+            .await
+    }
+
+    /// Sends a request as [`PeerPool::request`] does, as long as `admits` accepts the number of bytes held
+    /// for the body of the response.
+    ///
+    /// # Errors
+    ///
+    /// As for [`PeerPool::request`]; also `AnswerTooLarge` if the bytes are not accepted.
+    pub(crate) async fn request_while<Head, Admits, const LIMIT: usize>(
+        &self,
+        to: NodeAddress,
+        path: &'static str,
+        head: Bytes,
+        body: Bytes,
+        admits: Admits,
+    ) -> Result<(Head, Bytes)>
+    where
+        Head: DeserializeOwned,
+        Admits: FnMut(usize) -> bool,
     {
         let (_lease, mut sender) = self.acquire(to).await?;
         let (response, mut stream) = sender
@@ -211,7 +233,7 @@
         if let Err(error) = stream_io::send_message(&mut stream, head, body).await {
             log::debug!("the request to {to} was not sent completely: {error}");
         }
-        peer_request::read_response::<Head, LIMIT>(response, self.response_limit).await
+        peer_request::read_response::<Head, _, LIMIT>(response, self.response_limit, admits).await
     }
 
     async fn send_call(
--- a/src/peer/peer_request.rs
+++ b/src/peer/peer_request.rs
@@ -40,17 +40,20 @@
 }
 
 /// Reads a response that consists of a head in a frame of at most `LIMIT` bytes and of a body of at
-/// most `limit` bytes, which ends with the stream.
+/// most `limit` bytes, which ends with the stream. `admits` decides whether the bytes of the body may be
+/// held as it grows.
 ///
 /// # Errors
 ///
 /// As for [`read_call_response`].
-pub(crate) async fn read_response<Head, const LIMIT: usize>(
+pub(crate) async fn read_response<Head, Admits, const LIMIT: usize>(
     response: ResponseFuture,
     limit: usize,
+    admits: Admits,
 ) -> Result<(Head, Bytes)>
 where
     Head: DeserializeOwned,
+    Admits: FnMut(usize) -> bool,
 {
     let response = response
         .await
@@ -61,7 +64,7 @@
     let head = stream_io::read_frame::<Head, LIMIT>(&mut stream, &mut buffer)
         .await
         .map_err(|error| Error::new(ResultCode::ConnectionLost, error.message()))?;
-    let body = stream_io::read_to_end(&mut stream, buffer, limit).await?;
+    let body = stream_io::read_to_end(&mut stream, buffer, limit, admits).await?;
     Ok((head, body))
 }
 
--- a/src/peer/stream_io.rs
+++ b/src/peer/stream_io.rs
@@ -154,15 +154,26 @@
 /// # Errors
 ///
 /// `AnswerTooLarge` above the limit, `ConnectionLost` if the stream failed.
-pub(crate) async fn read_to_end(
+pub(crate) async fn read_to_end<Admits>(
     stream: &mut RecvStream,
     mut buffer: BytesMut,
     limit: usize,
-) -> Result<Bytes> {
-    while read_data(stream, &mut buffer)
-        .await
-        .map_err(|error| connection_lost(&error))?
-    {
+    mut admits: Admits,
+) -> Result<Bytes>
+where
+    Admits: FnMut(usize) -> bool,
+{
+    loop {
+        if !admits(buffer.len()) {
+            let message = "there is no memory for the body";
+            return Err(Error::new(ResultCode::AnswerTooLarge, message));
+        }
+        if !read_data(stream, &mut buffer)
+            .await
+            .map_err(|error| connection_lost(&error))?
+        {
+            break;
+        }
         if buffer.len() > limit {
             let message = format!("the body exceeds the limit of {limit} bytes");
             return Err(Error::new(ResultCode::AnswerTooLarge, message));
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -3,7 +3,6 @@
 mod ahead_budget;
 mod attempt_outcome;
 mod attempt_sender;
-mod body_budget;
 mod call_id;
 mod call_table;
 mod client_response;
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -8,6 +8,7 @@
 use crate::clock::ClockTime;
 use crate::error::{CallOutcome, Error, Result, ResultCode};
 use crate::id::{EndpointId, NodeAddress};
+use crate::memory::{MemoryAccount, MemoryClaim};
 use crate::mesh::EndpointRecord;
 use crate::peer::PeerPool;
 use crate::sidecar::attempt_outcome::AttemptOutcome;
@@ -37,6 +38,7 @@
     pub(crate) state: Rc<NodeState>,
     pub(crate) inbound: Rc<InboundService>,
     pub(crate) pool: Rc<PeerPool>,
+    pub(crate) memory: Rc<MemoryAccount>,
     pub(crate) balancer: Rc<LoadBalancer>,
     /// Random identifier of this process.
     pub(crate) process: u64,
@@ -126,7 +128,7 @@
         if header.idempotent {
             return Ok(self.inbound.run(&header, &request.body).await);
         }
-        let record = match self.inbound.submit(header, request.body.clone()) {
+        let record = match self.inbound.submit(header, request.body.clone(), None) {
             Ok(record) => record,
             Err(response) => return Ok(*response),
         };
@@ -150,16 +152,18 @@
     ) -> Result<ForwardResponse> {
         let to = self.balancer.node_address(record);
         let head = ForwardCodec::encode(&header)?;
+        let claim = self.memory.open();
         let sent = self
             .pool
-            .request::<ForwardResponseHeader, MAX_FORWARD_HEADER_BYTES>(
+            .request_while::<ForwardResponseHeader, _, MAX_FORWARD_HEADER_BYTES>(
                 to,
                 FORWARD_PATH,
                 head,
                 request.body.clone(),
+                |size| claim.resize(size as u64),
             )
             .await
-            .and_then(check_body_length);
+            .and_then(|response| check_body_length(response, claim));
         match sent {
             Err(error) if !header.idempotent && error.outcome() != CallOutcome::NotRun => {
                 log::info!(
@@ -197,16 +201,18 @@
                 age: sent_at - started,
             };
             let head = ForwardCodec::encode(&header)?;
+            let claim = self.memory.open();
             let reply = self
                 .pool
-                .request::<ForwardResponseHeader, MAX_FORWARD_HEADER_BYTES>(
+                .request_while::<ForwardResponseHeader, _, MAX_FORWARD_HEADER_BYTES>(
                     to,
                     RESUME_PATH,
                     head,
                     Bytes::new(),
+                    |size| claim.resize(size as u64),
                 )
                 .await
-                .and_then(check_body_length);
+                .and_then(|response| check_body_length(response, claim));
             let error = match reply {
                 Ok(response) => return Ok(response),
                 Err(error) => error,
@@ -255,6 +261,7 @@
                     headers,
                     body: response.body,
                     code: ResultCode::Ok,
+                    claim: response.claim,
                 };
                 if status >= 500 {
                     endpoints.record_failure(&record.id, now);
@@ -352,9 +359,16 @@
 }
 
 /// Checks that the body has the length stated in the header.
-fn check_body_length((header, body): (ForwardResponseHeader, Bytes)) -> Result<ForwardResponse> {
+fn check_body_length(
+    (header, body): (ForwardResponseHeader, Bytes),
+    claim: MemoryClaim,
+) -> Result<ForwardResponse> {
     if body.len() as u64 == header.body_length {
-        return Ok(ForwardResponse { header, body });
+        return Ok(ForwardResponse {
+            header,
+            body,
+            claim: Some(Rc::new(claim)),
+        });
     }
     let message = format!(
         "response body length mismatch: got {} of {} bytes",
--- a/src/sidecar/client_response.rs
+++ b/src/sidecar/client_response.rs
@@ -1,10 +1,12 @@
 use std::fmt::Write;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::StatusCode;
 
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
+use crate::memory::MemoryClaim;
 use crate::sidecar::forward_message::HeaderFields;
 
 /// Minimum `Retry-After` of a refusal. A client that retries immediately would meet the same queue.
@@ -18,6 +20,8 @@
     pub(crate) body: Bytes,
     /// Result code, for logs and metrics.
     pub(crate) code: ResultCode,
+    /// Memory of the body.
+    pub(crate) claim: Option<Rc<MemoryClaim>>,
 }
 
 impl ClientResponse {
@@ -34,6 +38,7 @@
             headers,
             body: Bytes::new(),
             code,
+            claim: None,
         }
     }
 
@@ -52,23 +57,34 @@
         is_rejection.then_some(self.code)
     }
 
-    /// Encodes the response as an HTTP/1.1 message.
-    pub(crate) fn encode(&self, keep_alive: bool, is_head: bool) -> Vec<u8> {
+    /// Returns the body as it is sent in response to a request.
+    pub(crate) fn sent_body(&self, is_head: bool) -> Bytes {
+        match is_head || self.is_bodiless() {
+            true => Bytes::new(),
+            false => self.body.clone(),
+        }
+    }
+
+    fn is_bodiless(&self) -> bool {
+        matches!(self.status, 204 | 304)
+    }
+
+    /// Encodes the head of the response as that of an HTTP/1.1 message.
+    pub(crate) fn encode_head(&self, keep_alive: bool) -> Vec<u8> {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let reason = status.canonical_reason().unwrap_or("Unknown");
         let mut head = String::with_capacity(256);
         // Writing to a string cannot fail.
         let _ = write!(head, "HTTP/1.1 {} {reason}\r\n", self.status);
         let mut bytes = head.into_bytes();
-        bytes.reserve(512 + self.body.len());
+        bytes.reserve(512);
         for (name, value) in &self.headers {
             bytes.extend_from_slice(name.as_bytes());
             bytes.extend_from_slice(b": ");
             bytes.extend_from_slice(value);
             bytes.extend_from_slice(b"\r\n");
         }
-        let bodiless = matches!(self.status, 204 | 304);
-        if !bodiless {
+        if !self.is_bodiless() {
             let length = format!("Content-Length: {}\r\n", self.body.len());
             bytes.extend_from_slice(length.as_bytes());
         }
@@ -76,9 +92,6 @@
             bytes.extend_from_slice(b"Connection: close\r\n");
         }
         bytes.extend_from_slice(b"\r\n");
-        if !bodiless && !is_head {
-            bytes.extend_from_slice(&self.body);
-        }
         bytes
     }
 }
--- a/src/sidecar/client_session.rs
+++ b/src/sidecar/client_session.rs
@@ -9,9 +9,10 @@
 use crate::caller::{StopSignal, WireStream};
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
+use crate::memory::MemoryClaim;
 use crate::mesh::{ClientLimits, MeshConfig};
 use crate::sidecar::client_response::ClientResponse;
-use crate::sidecar::client_server::ClientContext;
+use crate::sidecar::client_server::{CONNECTION_BYTES, ClientContext};
 use crate::sidecar::pending_request::{FinishedRequest, PendingRequest, PendingResponse};
 use crate::sidecar::request_receiver::{
     ReceiveLimits, ReceiveProgress, ReceivedRequest, RequestReceiver,
@@ -51,6 +52,8 @@
     receiver: RequestReceiver,
     pipeline: RequestPipeline<PendingRequest, PendingResponse>,
     running: FuturesUnordered<LocalBoxFuture<'static, FinishedRequest>>,
+    /// Memory of the connection and of the request that arrives.
+    claim: MemoryClaim,
 }
 
 /// Event that a session processes next.
@@ -59,6 +62,8 @@
     Finished(FinishedRequest),
     /// The request that arrives is not complete in time.
     ReceiveTimeout,
+    /// The request that arrives gives way to others, which need its memory.
+    Evicted,
     /// The client closed the connection, or the connection is idle and ends.
     Ended,
 }
@@ -73,7 +78,12 @@
 }
 
 impl ClientSession {
-    pub(crate) fn new(stream: TcpStream, context: Rc<ClientContext>, stop: StopSignal) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        context: Rc<ClientContext>,
+        stop: StopSignal,
+        claim: MemoryClaim,
+    ) -> Self {
         Self {
             stream: WireStream::new(stream),
             context,
@@ -81,6 +91,7 @@
             receiver: RequestReceiver::default(),
             pipeline: RequestPipeline::new(PIPELINE_LIMITS),
             running: FuturesUnordered::new(),
+            claim,
         }
     }
 
@@ -122,6 +133,10 @@
                     record_finished(&mut self.pipeline, &self.context, finished);
                 }
                 SessionEvent::ReceiveTimeout => self.reject(ResultCode::RequestTooSlow),
+                SessionEvent::Evicted if self.receiver.is_in_body() => {
+                    self.reject(ResultCode::Overloaded);
+                }
+                SessionEvent::Evicted => return SessionEnd::Drop,
                 SessionEvent::Ended => return SessionEnd::Drop,
             }
         }
@@ -143,14 +158,14 @@
             let limits = client_limits(context.state.config().as_deref());
             let limits = ReceiveLimits {
                 client: &limits,
-                free_memory: context.bodies.available(),
+                claim: &self.claim,
             };
             let names = &context.settings.headers;
             let now = context.state.clock.now();
             let progress = self.receiver.receive(&mut self.stream, names, limits, now);
             match progress.await? {
-                ReceiveProgress::Incomplete => return Ok(()),
-                ReceiveProgress::Complete(received) => self.accept(*received)?,
+                ReceiveProgress::Incomplete => return self.claim_incomplete(),
+                ReceiveProgress::Complete(received) => self.accept(*received),
                 // An interim response follows the responses to earlier requests.
                 ReceiveProgress::AwaitsContinue if !self.pipeline.is_empty() => return Ok(()),
                 ReceiveProgress::AwaitsContinue => {
@@ -166,13 +181,11 @@
     }
 
     /// Appends a request to the pipeline, or its response if it cannot be run.
-    fn accept(&mut self, received: ReceivedRequest) -> Result<(), ResultCode> {
+    fn accept(&mut self, received: ReceivedRequest) {
         let body_size = received.body.len();
-        let reservation = self
-            .context
-            .bodies
-            .try_reserve(body_size as u64)
-            .ok_or(ResultCode::Overloaded)?;
+        self.claim.complete();
+        let claim = self.claim.split(body_size as u64);
+        self.release_received();
         let size = received.head_size + body_size;
         let is_head = received.head.method == http::Method::HEAD;
         let is_last = !received.head.keep_alive;
@@ -183,7 +196,7 @@
                 request: PendingRequest {
                     request,
                     is_head,
-                    reservation,
+                    claim,
                 },
             }),
             Err(response) => self.push_response(response, is_head),
@@ -191,7 +204,29 @@
         if is_last {
             self.pipeline.close();
         }
-        Ok(())
+    }
+
+    /// Claims what has arrived of the next request, which gives way to others while it is incomplete.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` if there is no memory.
+    fn claim_incomplete(&mut self) -> Result<(), ResultCode> {
+        self.claim.record_progress();
+        if self.receiver.is_in_body() || !self.stream.has_partial_head() {
+            return Ok(());
+        }
+        let size = CONNECTION_BYTES + self.stream.buffered() as u64;
+        match self.claim.resize(size) {
+            true => Ok(()),
+            false => Err(ResultCode::Overloaded),
+        }
+    }
+
+    /// Reduces the claim to that of a connection without a request.
+    fn release_received(&mut self) {
+        let is_reduced = self.claim.resize(CONNECTION_BYTES);
+        debug_assert!(is_reduced, "there is always room for less");
     }
 
     /// Rejects the request that arrives. Its end is unknown, so the connection is closed.
@@ -207,6 +242,10 @@
             }
             code => code,
         };
+        self.receiver.clear();
+        self.stream.discard();
+        self.claim.complete();
+        self.release_received();
         let may_retry = matches!(code, ResultCode::Overloaded | ResultCode::NodeNotReady);
         let retry_after = may_retry.then_some(UNAVAILABLE_RETRY_AFTER);
         self.push_response(ClientResponse::local(code, retry_after), false);
@@ -263,7 +302,7 @@
             match (reads, is_in_body) {
                 (false, _) => future::pending().await,
                 (true, false) => stream.fill().await,
-                (true, true) => stream.fill_large().await,
+                (true, true) => stream.fill_client_body().await,
             }
         });
         let received = pin!(async {
@@ -279,6 +318,18 @@
                 None => future::pending().await,
             }
         });
+        // A connection that waits for its client gives way to others.
+        match self.pipeline.is_empty() {
+            true => self.claim.begin(),
+            false => self.claim.complete(),
+        }
+        let evicted = pin!(self.claim.evicted());
+        let finished = pin!(async {
+            match future::select(finished, evicted).await {
+                Either::Left((finished, _)) => SessionEvent::Finished(finished),
+                Either::Right(_) => SessionEvent::Evicted,
+            }
+        });
         let stop = &self.stop;
         let stopped = pin!(async {
             match is_idle {
@@ -287,7 +338,7 @@
             }
         });
         match future::select(finished, future::select(received, stopped)).await {
-            Either::Left((finished, _)) => SessionEvent::Finished(finished),
+            Either::Left((event, _)) => event,
             Either::Right((Either::Left((Ok(Ok(count)), _)), _)) if count > 0 => {
                 SessionEvent::Received
             }
@@ -299,26 +350,36 @@
     }
 
     /// Writes a response while the other requests run on; returns whether it was written.
-    async fn write_response(&mut self, pending: PendingResponse, closes: bool) -> bool {
+    async fn write_response(&mut self, mut pending: PendingResponse, closes: bool) -> bool {
         let rejection = pending.response.rejection_code();
         if let Some(code) = rejection {
             self.context.state.metrics.record_rejection(code);
         }
-        let bytes = pending.response.encode(!closes, pending.is_head);
+        let head = pending.response.encode_head(!closes);
+        let body = pending.response.sent_body(pending.is_head);
+        let _claim = pending.response.claim.take();
+        self.claim.begin();
         let Self {
             stream,
             running,
             pipeline,
             context,
+            claim,
             ..
         } = self;
-        let mut writing = pin!(time::timeout(
+        let writing = pin!(time::timeout(
             WRITE_TIMEOUT.to_duration(),
-            stream.write(bytes)
+            stream.write_message(head, body)
         ));
+        let mut writing = pin!(async {
+            match future::select(writing, pin!(claim.evicted())).await {
+                Either::Left((Ok(Ok(())), _)) => true,
+                Either::Left(_) | Either::Right(_) => false,
+            }
+        });
         while !running.is_empty() {
             match future::select(writing, running.next()).await {
-                Either::Left((written, _)) => return matches!(written, Ok(Ok(()))),
+                Either::Left((is_written, _)) => return is_written,
                 Either::Right((finished, pending)) => {
                     writing = pending;
                     if let Some(finished) = finished {
@@ -327,7 +388,7 @@
                 }
             }
         }
-        matches!(writing.await, Ok(Ok(())))
+        writing.await
     }
 }
 
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -12,8 +12,8 @@
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
 use crate::id::EndpointId;
+use crate::memory::{MemoryAccount, MemoryClaim};
 use crate::sidecar::HeaderNames;
-use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::endpoint_answer::{AnswerVerdict, EndpointAnswer};
 use crate::sidecar::endpoint_connection::EndpointConnection;
 use crate::sidecar::forward_message::{ForwardOutcome, ForwardRequestHeader, HeaderFields};
@@ -39,8 +39,7 @@
     state: Rc<NodeState>,
     names: Rc<HeaderNames>,
     max_response_bytes: usize,
-    /// Limit on the responses that arrive at the same time.
-    responses: Rc<BodyBudget>,
+    memory: Rc<MemoryAccount>,
     room: Rc<ColdRoom>,
     idle: RefCell<IdleConnections>,
     /// Endpoint that responded to a request addressed to another one.
@@ -52,10 +51,30 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    claim: MemoryClaim,
     /// Maximum idle time of the connection; `None` if it cannot be reused.
     idle_limit: Option<ClockTime>,
 }
 
+/// Result of a request at the endpoint.
+pub(crate) struct EndpointResult {
+    pub(crate) outcome: ForwardOutcome,
+    /// Body of the response.
+    pub(crate) body: Bytes,
+    /// Memory of the body.
+    pub(crate) claim: Option<Rc<MemoryClaim>>,
+}
+
+impl EndpointResult {
+    fn empty(outcome: ForwardOutcome) -> Self {
+        Self {
+            outcome,
+            body: Bytes::new(),
+            claim: None,
+        }
+    }
+}
+
 /// Request that a response belongs to, according to its identifier.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ResponseIdentity {
@@ -70,7 +89,7 @@
         state: Rc<NodeState>,
         names: Rc<HeaderNames>,
         max_response_bytes: usize,
-        responses: Rc<BodyBudget>,
+        memory: Rc<MemoryAccount>,
         room: Rc<ColdRoom>,
     ) -> Self {
         Self {
@@ -79,7 +98,7 @@
             state,
             names,
             max_response_bytes,
-            responses,
+            memory,
             room,
             idle: RefCell::default(),
             responding_endpoint: RefCell::default(),
@@ -110,7 +129,7 @@
         header: &ForwardRequestHeader,
         body: &Bytes,
         deadline: ClockTime,
-    ) -> (ForwardOutcome, Bytes) {
+    ) -> EndpointResult {
         let mut connection = match self.acquire_connection(header).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -119,18 +138,18 @@
                     header.request_id
                 );
                 self.room.suspect("connection refused");
-                return (not_run(ResultCode::BackendUnreachable, false), Bytes::new());
+                return EndpointResult::empty(not_run(ResultCode::BackendUnreachable, false));
             }
         };
         // The process may have been paused since the request was admitted, so the deadline is
         // checked again.
         let now = self.clock.now();
         if now >= deadline {
-            return (not_run(ResultCode::DeadlineTooShort, false), Bytes::new());
+            return EndpointResult::empty(not_run(ResultCode::DeadlineTooShort, false));
         }
         let left = deadline - now;
-        let message = self.encode(header, body, left);
-        let exchange = self.exchange(&mut connection, message, header);
+        let head = self.encode_head(header, body, left);
+        let exchange = self.exchange(&mut connection, head, body, header);
         match time::timeout(left.to_duration(), exchange).await {
             Ok(Ok(response)) => {
                 let is_reusable =
@@ -146,7 +165,7 @@
                     "request {}: not written to the endpoint: {error}",
                     header.request_id
                 );
-                (not_run(ResultCode::BackendUnreachable, false), Bytes::new())
+                EndpointResult::empty(not_run(ResultCode::BackendUnreachable, false))
             }
             Ok(Err(error)) => {
                 let code = if error.is_invalid_message() {
@@ -155,11 +174,11 @@
                     ResultCode::ConnectionLost
                 };
                 log::debug!("request {}: no valid response: {error}", header.request_id);
-                (ForwardOutcome::Unknown { code }, Bytes::new())
+                EndpointResult::empty(ForwardOutcome::Unknown { code })
             }
             Err(_) => {
                 let code = ResultCode::DeadlinePassed;
-                (ForwardOutcome::Unknown { code }, Bytes::new())
+                EndpointResult::empty(ForwardOutcome::Unknown { code })
             }
         }
     }
@@ -180,8 +199,8 @@
         Ok(EndpointConnection::new(WireStream::new(stream)))
     }
 
-    fn encode(&self, header: &ForwardRequestHeader, body: &Bytes, left: ClockTime) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(512 + body.len());
+    fn encode_head(&self, header: &ForwardRequestHeader, body: &Bytes, left: ClockTime) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512);
         let line = format!("{} {} HTTP/1.1\r\n", header.method, header.target);
         bytes.extend_from_slice(line.as_bytes());
         let mut field = |name: &str, value: &[u8]| {
@@ -214,26 +233,26 @@
             field("content-length", body.len().to_string().as_bytes());
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(body);
         bytes
     }
 
     async fn exchange(
         &self,
         connection: &mut EndpointConnection,
-        message: Vec<u8>,
+        head: Vec<u8>,
+        body: &Bytes,
         header: &ForwardRequestHeader,
     ) -> Result<EndpointResponse, WireError> {
         let mut has_earlier = connection.is_reused;
         let stream = &mut connection.stream;
-        let written = stream.write_until_response(message).await?;
+        let written = stream.write_until_response(head, body).await?;
         for _ in 0..MAX_SKIPPED_RESPONSE_COUNT {
             let head = stream.read_head(MAX_HEAD_BYTES).await?;
             let parts = caller::parse_response(&head).await?;
             if parts.status.is_informational() {
                 continue;
             }
-            let (body, framed) = self.read_body(stream, &parts, header).await?;
+            let (body, framed, claim) = self.read_body(stream, &parts, header).await?;
             match self.identity(&parts.headers, header) {
                 ResponseIdentity::Own => {}
                 // Nothing on a new connection belongs to an earlier request.
@@ -263,6 +282,7 @@
                 status: parts.status,
                 headers: parts.headers,
                 body,
+                claim,
                 idle_limit: reusable.then_some(limit),
             });
         }
@@ -271,31 +291,33 @@
         ))
     }
 
-    /// Reads the body; returns it and whether its end was delimited by the message framing.
+    /// Reads the body; returns it with its memory, and whether its end was delimited by the message
+    /// framing.
     async fn read_body(
         &self,
         stream: &mut WireStream,
         parts: &http::response::Parts,
         header: &ForwardRequestHeader,
-    ) -> Result<(Bytes, bool), WireError> {
+    ) -> Result<(Bytes, bool, MemoryClaim), WireError> {
         let bodiless = header.method == "HEAD"
             || parts.status == StatusCode::NO_CONTENT
             || parts.status == StatusCode::NOT_MODIFIED;
         let limit = self.max_response_bytes;
-        let mut reservation = self.responses.try_reserve(0);
-        let admits = |size: usize| {
-            let reservation = reservation.as_mut();
-            reservation.is_some_and(|reservation| reservation.grow_to(size as u64))
-        };
+        let claim = self.memory.open();
+        let admits = |size: usize| claim.resize(size as u64);
         match caller::body_length(parts.version, &parts.headers)? {
-            _ if bodiless => Ok((Bytes::new(), true)),
+            _ if bodiless => Ok((Bytes::new(), true, claim)),
             BodyLength::Absent => {
                 let body = stream.read_to_end(limit, admits).await?;
-                Ok((body, false))
+                Ok((body, false, claim))
             }
             length => {
                 let body = stream.read_body_while(length, limit, admits).await?;
-                Ok((body, true))
+                // A body that arrives at once has not grown.
+                if !claim.resize(body.len() as u64) {
+                    return Err(WireError::TooLarge);
+                }
+                Ok((body, true, claim))
             }
         }
     }
@@ -317,7 +339,7 @@
         &self,
         response: EndpointResponse,
         header: &ForwardRequestHeader,
-    ) -> (ForwardOutcome, Bytes) {
+    ) -> EndpointResult {
         let status = response.status.as_u16();
         let has = |name| response.headers.contains_key(name);
         let answer = EndpointAnswer {
@@ -337,11 +359,15 @@
             self.room.suspect("another endpoint responded");
         }
         match verdict {
-            AnswerVerdict::NotRun(code) => (not_run(code, status != 421), Bytes::new()),
-            AnswerVerdict::Unknown(code) => (ForwardOutcome::Unknown { code }, Bytes::new()),
+            AnswerVerdict::NotRun(code) => EndpointResult::empty(not_run(code, status != 421)),
+            AnswerVerdict::Unknown(code) => EndpointResult::empty(ForwardOutcome::Unknown { code }),
             AnswerVerdict::Final => {
                 let headers = end_to_end_headers(&response.headers);
-                (ForwardOutcome::Completed { status, headers }, response.body)
+                EndpointResult {
+                    outcome: ForwardOutcome::Completed { status, headers },
+                    body: response.body,
+                    claim: Some(Rc::new(response.claim)),
+                }
             }
         }
     }
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -14,6 +14,7 @@
 
 use crate::error::{Error, Result, ResultCode};
 use crate::introduction::{INTRODUCTION_PATH, Introduction};
+use crate::memory::MemoryAccount;
 use crate::peer::stream_io;
 use crate::peer::{ByteCounter, ShutdownSignal, StreamHandler};
 use crate::sidecar::forward_message::{
@@ -39,6 +40,7 @@
     pub(crate) inbound: Rc<InboundService>,
     pub(crate) views: Rc<ViewService>,
     pub(crate) body_limit: usize,
+    pub(crate) memory: Rc<MemoryAccount>,
 }
 
 impl StreamHandler for ForwardHandler {
@@ -53,6 +55,7 @@
             inbound: Rc::clone(&self.inbound),
             views: Rc::clone(&self.views),
             body_limit: self.body_limit,
+            memory: Rc::clone(&self.memory),
             respond,
         };
         stream.serve(request).boxed_local()
@@ -64,6 +67,7 @@
     inbound: Rc<InboundService>,
     views: Rc<ViewService>,
     body_limit: usize,
+    memory: Rc<MemoryAccount>,
     respond: SendResponse<Bytes>,
 }
 
@@ -91,8 +95,17 @@
     async fn forward(&mut self, stream: RecvStream) -> Result<()> {
         let clock = self.inbound.state.clock;
         let start = clock.now();
+        let claim = self.memory.open();
+        let admits = |size: usize| claim.resize(size as u64);
         let (mut header, body): (ForwardRequestHeader, _) =
-            read_message(stream, self.body_limit).await?;
+            match read_message(stream, self.body_limit, admits).await {
+                // Nothing of the request has run, which the sender learns only from a response.
+                Err(error) if error.code() == ResultCode::AnswerTooLarge => {
+                    let response = self.inbound.no_memory_response();
+                    return self.write_response(&response).await;
+                }
+                message => message?,
+            };
         if body.len() as u64 != header.body_length {
             let message = format!(
                 "request body length mismatch: got {} of {} bytes",
@@ -116,7 +129,7 @@
                 None => Ok(()),
             };
         }
-        let record = match inbound.submit(header, body) {
+        let record = match inbound.submit(header, body, Some(claim)) {
             Ok(record) => record,
             Err(response) => return self.write_response(&response).await,
         };
@@ -131,7 +144,7 @@
     }
 
     async fn resume(&mut self, stream: RecvStream) -> Result<()> {
-        let (header, _): (ResumeHeader, _) = read_message(stream, 0).await?;
+        let (header, _): (ResumeHeader, _) = read_message(stream, 0, |_| true).await?;
         let inbound = Rc::clone(&self.inbound);
         let running = inbound.resume(&header).boxed_local();
         match self.run_until_reset(running).await {
@@ -141,7 +154,7 @@
     }
 
     async fn view(&mut self, stream: RecvStream) -> Result<()> {
-        let (request, _): (ViewRequest, _) = read_message(stream, 0).await?;
+        let (request, _): (ViewRequest, _) = read_message(stream, 0, |_| true).await?;
         let views = Rc::clone(&self.views);
         let running = views.handle(&request).boxed_local();
         match self.run_until_reset(running).await {
@@ -151,7 +164,7 @@
     }
 
     async fn introduction(&mut self, stream: RecvStream) -> Result<()> {
-        let (introduction, _): (Introduction, _) = read_message(stream, 0).await?;
+        let (introduction, _): (Introduction, _) = read_message(stream, 0, |_| true).await?;
         let reply = self.views.introduce(&introduction);
         self.send(ViewCodec::encode(&reply)?, Bytes::new()).await
     }
@@ -203,16 +216,21 @@
     }
 }
 
-async fn read_message<Head>(mut stream: RecvStream, limit: usize) -> Result<(Head, Bytes)>
+async fn read_message<Head, Admits>(
+    mut stream: RecvStream,
+    limit: usize,
+    admits: Admits,
+) -> Result<(Head, Bytes)>
 where
     Head: DeserializeOwned,
+    Admits: FnMut(usize) -> bool,
 {
     let reading = async {
         let mut buffer = BytesMut::new();
         let head =
             stream_io::read_frame::<Head, MAX_FORWARD_HEADER_BYTES>(&mut stream, &mut buffer)
                 .await?;
-        let body = stream_io::read_to_end(&mut stream, buffer, limit).await?;
+        let body = stream_io::read_to_end(&mut stream, buffer, limit, admits).await?;
         Ok((head, body))
     };
     let late = |_| {
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -1,9 +1,12 @@
+use std::rc::Rc;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::id::{EndpointId, ServiceName};
+use crate::memory::MemoryClaim;
 use crate::peer::FrameCodec;
 use crate::sidecar::RemoteTime;
 use crate::sidecar::call_id::CallId;
@@ -105,4 +108,6 @@
 pub(crate) struct ForwardResponse {
     pub(crate) header: ForwardResponseHeader,
     pub(crate) body: Bytes,
+    /// Memory of the body.
+    pub(crate) claim: Option<Rc<MemoryClaim>>,
 }
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -8,6 +8,7 @@
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
 use crate::id::EndpointId;
+use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
 use crate::sidecar::call_table::{CallRecord, CallTable};
@@ -25,6 +26,8 @@
 /// A queued request is refused after this multiple of its maximum queue wait, plus the margin.
 const WAIT_TOLERANCE_FACTOR: f64 = 1.5;
 const WAIT_MARGIN: ClockTime = ClockTime(20);
+/// Expected time until there is memory for a body.
+const MEMORY_RETRY_TIME: ClockTime = ClockTime(300);
 /// Weight of the newest request in the moving average of the retry share.
 const RETRY_SAMPLE_WEIGHT: f64 = 0.02;
 /// Tolerance between the age of a call measured by its sender and by this process.
@@ -56,7 +59,8 @@
         self.run_with_hook(header, body, &|| {}).await
     }
 
-    /// Starts a non-idempotent request, which continues if the connection to the sender is lost.
+    /// Starts a non-idempotent request, which continues if the connection to the sender is lost. `claim`
+    /// is the memory of its body, unless another owner holds it.
     ///
     /// # Errors
     ///
@@ -65,6 +69,7 @@
         self: &Rc<Self>,
         header: ForwardRequestHeader,
         body: Bytes,
+        claim: Option<MemoryClaim>,
     ) -> Result<Rc<CallRecord>, Box<ForwardResponse>> {
         let now = self.state.clock.now();
         if self.calls.get(header.call).is_some() {
@@ -88,6 +93,7 @@
                     log::debug!("request {}: cancelled before it started", header.request_id);
                 }
             }
+            drop(claim);
         });
         Ok(record)
     }
@@ -153,7 +159,8 @@
         self.retry_share
             .set(share + RETRY_SAMPLE_WEIGHT * (repeated - share));
         let started = self.state.clock.now();
-        let (outcome, body) = self.client.run(header, body, deadline).await;
+        let result = self.client.run(header, body, deadline).await;
+        let outcome = result.outcome;
         let worked = self.state.clock.now() - started;
         log_failure(header, &outcome, waited, worked);
         if matches!(outcome, ForwardOutcome::Completed { .. }) {
@@ -162,8 +169,9 @@
         drop(slot);
         let mut response = self.response(arrived, outcome);
         response.header.worked = Some(worked);
-        response.header.body_length = body.len() as u64;
-        response.body = body;
+        response.header.body_length = result.body.len() as u64;
+        response.body = result.body;
+        response.claim = result.claim;
         response
     }
 
@@ -212,6 +220,7 @@
                 body_length: 0,
             },
             body: Bytes::new(),
+            claim: None,
         }
     }
 
@@ -240,6 +249,12 @@
         !self.closed.get() && schedule.admits(now, &late_request)
     }
 
+    /// Returns the refusal of a request for whose body there is no memory.
+    pub(crate) fn no_memory_response(&self) -> ForwardResponse {
+        let now = self.state.clock.now();
+        self.response(now, not_run(ResultCode::Overloaded, MEMORY_RETRY_TIME))
+    }
+
     /// Returns the refusal sent while the node is shutting down.
     pub(crate) fn leaving_response(&self) -> ForwardResponse {
         let now = self.state.clock.now();
--- a/src/sidecar/monitoring_service.rs
+++ b/src/sidecar/monitoring_service.rs
@@ -7,6 +7,7 @@
 
 use crate::caller::{HttpServer, RequestService, ServerLimits, StopSignal};
 use crate::cold::ColdPhase;
+use crate::memory::MemoryAccount;
 use crate::metrics::GaugeValues;
 use crate::sidecar::inbound_service::InboundService;
 use crate::sidecar::node_state::NodeState;
@@ -19,6 +20,7 @@
     pub(crate) ready_path: String,
     pub(crate) state: Rc<NodeState>,
     pub(crate) inbound: Rc<InboundService>,
+    pub(crate) memory: Rc<MemoryAccount>,
 }
 
 impl MonitoringService {
@@ -52,6 +54,10 @@
             evacuated_zones: self.state.evacuations.borrow().zones().count(),
             is_cold: self.inbound.room.phase() != ColdPhase::Warm,
             cold_requests: self.inbound.room.limited_count(),
+            memory_used: self.memory.used(),
+            memory_refused: self.memory.refused_count(),
+            memory_evicted: self.memory.evicted_count(),
+            client_connections: self.memory.connection_count(),
         };
         match self.state.metrics.exposition(state) {
             Ok(text) => (StatusCode::OK, Bytes::from(text)),
--- a/src/sidecar/pending_request.rs
+++ b/src/sidecar/pending_request.rs
@@ -2,9 +2,9 @@
 
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
+use crate::memory::MemoryClaim;
 use crate::sidecar::PipelineTicket;
 use crate::sidecar::ahead_budget::AheadPermit;
-use crate::sidecar::body_budget::BodyReservation;
 use crate::sidecar::client_response::ClientResponse;
 use crate::sidecar::dispatcher::Dispatcher;
 use crate::sidecar::outbound_request::OutboundRequest;
@@ -14,7 +14,7 @@
     pub(crate) request: OutboundRequest,
     pub(crate) is_head: bool,
     /// Memory of the body, which is free again when the request has ended.
-    pub(crate) reservation: BodyReservation,
+    pub(crate) claim: MemoryClaim,
 }
 
 /// A response that has not been sent.
@@ -63,7 +63,7 @@
         let Self {
             mut request,
             is_head,
-            reservation,
+            claim,
         } = self;
         if let Some(schedule) = dispatcher.state.stop_schedule() {
             request.deadline = request.client_deadline.min(schedule.answers_by);
@@ -71,7 +71,7 @@
         let mut log = CancelLog(Some(&request.id));
         let response = dispatcher.dispatch(&request).await;
         log.0 = None;
-        drop(reservation);
+        drop(claim);
         FinishedRequest {
             ticket,
             response: PendingResponse {
--- a/src/sidecar/request_receiver.rs
+++ b/src/sidecar/request_receiver.rs
@@ -3,8 +3,10 @@
 use crate::caller::{BodyDecoder, BodyLength, WireError, WireStream};
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
+use crate::memory::MemoryClaim;
 use crate::mesh::ClientLimits;
 use crate::sidecar::HeaderNames;
+use crate::sidecar::client_server::CONNECTION_BYTES;
 use crate::sidecar::request_parser::{self, RequestHead};
 
 /// Time limit for receiving a body if the client does not state its remaining time.
@@ -35,10 +37,16 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReceiveLimits<'a> {
     pub(crate) client: &'a ClientLimits,
-    /// Memory in bytes that is free for the body.
-    pub(crate) free_memory: u64,
+    /// Memory of the connection; a message is claimed before it is read.
+    pub(crate) claim: &'a MemoryClaim,
 }
 
+/// Memory of a connection on which a body arrives, besides the body itself: the buffer of one read and
+/// what it holds.
+const BODY_READ_BYTES: u64 = 64 * 1024;
+/// Largest share of the allocator that a growing body claims.
+const MAX_ALLOCATOR_BYTES: u64 = 1 << 20;
+
 /// Receiver of the requests of one connection, whose bytes arrive in pieces.
 #[derive(Debug, Default)]
 pub(crate) struct RequestReceiver {
@@ -54,10 +62,10 @@
     head_size: usize,
     arrived: ClockTime,
     decoder: BodyDecoder,
+    /// Bytes of the body that are claimed.
+    claimed: u64,
     /// Whether the client waits for an interim response.
     awaits_continue: bool,
-    /// Whether free memory limits the body more than the configuration does.
-    is_memory_limited: bool,
 }
 
 impl RequestReceiver {
@@ -74,6 +82,12 @@
         }
     }
 
+    /// Drops the request that arrives.
+    pub(crate) fn clear(&mut self) {
+        self.body = None;
+        self.head_since = None;
+    }
+
     /// Records that the interim response was sent.
     pub(crate) fn continue_sent(&mut self) {
         if let Some(body) = &mut self.body {
@@ -107,7 +121,7 @@
             let head_size = head.len();
             let head = request_parser::parse(&head, names)
                 .await
-                .map_err(|error| rejection(&error, None, false))?;
+                .map_err(|error| rejection(&error, None))?;
             self.body = Some(PendingBody::new(head, head_size, limits, now)?);
         }
         let Some(body) = &mut self.body else {
@@ -117,10 +131,18 @@
         if body.awaits_continue && stream.buffered() == 0 {
             return Ok(ReceiveProgress::AwaitsContinue);
         }
-        let is_memory_limited = body.is_memory_limited;
         let content = stream
             .take_body(&mut body.decoder)
-            .map_err(|error| rejection(&error, body.head.id.as_deref(), is_memory_limited))?;
+            .map_err(|error| rejection(&error, body.head.id.as_deref()))?;
+        let held = body.decoder.held_len() as u64;
+        if content.is_none() && held > body.claimed {
+            // Claims ahead, so that tiny chunks do not each change the claim. The allocator keeps a part of
+            // what many growing bodies have freed.
+            body.claimed = held + (held / 2).min(MAX_ALLOCATOR_BYTES) + BODY_READ_BYTES;
+            if !claim_body(limits.claim, body.claimed) {
+                return Err(no_memory(body.head.id.as_deref()));
+            }
+        }
         match (content, self.body.take()) {
             (Some(content), Some(body)) => {
                 Ok(ReceiveProgress::Complete(Box::new(ReceivedRequest {
@@ -145,10 +167,16 @@
         limits: ReceiveLimits<'_>,
         now: ClockTime,
     ) -> Result<Self, ResultCode> {
-        let is_memory_limited = limits.free_memory < limits.client.body_size.0;
-        let limit = limits.client.body_size.0.min(limits.free_memory) as usize;
+        let limit = limits.client.body_size.0 as usize;
         let decoder = BodyDecoder::new(head.length, limit)
-            .map_err(|error| rejection(&error, head.id.as_deref(), is_memory_limited))?;
+            .map_err(|error| rejection(&error, head.id.as_deref()))?;
+        let claimed = match head.length {
+            BodyLength::Fixed(length) => length as u64,
+            BodyLength::Absent | BodyLength::Chunked => 0,
+        };
+        if claimed > 0 && !claim_body(limits.claim, claimed) {
+            return Err(no_memory(head.id.as_deref()));
+        }
         let has_body = !matches!(head.length, BodyLength::Absent | BodyLength::Fixed(0));
         Ok(Self {
             awaits_continue: head.expects_continue && has_body,
@@ -156,18 +184,26 @@
             head_size,
             arrived: now,
             decoder,
-            is_memory_limited,
+            claimed,
         })
     }
 }
 
+/// Claims the memory of a connection on which a body of `size` bytes arrives.
+fn claim_body(claim: &MemoryClaim, size: u64) -> bool {
+    claim.resize(CONNECTION_BYTES + BODY_READ_BYTES + size)
+}
+
+fn no_memory(id: Option<&str>) -> ResultCode {
+    log::info!("event=no_memory request={}", id.unwrap_or("-"));
+    ResultCode::Overloaded
+}
+
 /// Returns the code with which an invalid request is rejected.
-fn rejection(error: &WireError, id: Option<&str>, is_memory_limited: bool) -> ResultCode {
+fn rejection(error: &WireError, id: Option<&str>) -> ResultCode {
     let id = id.unwrap_or("-");
     log::info!("event=bad_request request={id} cause=\"{error}\"");
     match error {
-        // The body may be within the limit of clients but exceeds the memory that is free.
-        WireError::TooLarge if is_memory_limited => ResultCode::Overloaded,
         WireError::TooLarge => ResultCode::RequestTooLarge,
         _ => ResultCode::MalformedRequest,
     }
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_channel::oneshot;
-use monoio::net::TcpListener;
+use monoio::net::{ListenerOpts, TcpListener};
 use monoio::task::JoinHandle;
 use monoio::time;
 
@@ -15,11 +15,11 @@
 use crate::error::{Error, Result, ResultCode};
 use crate::id::NodeAddress;
 use crate::introduction::IntroductionTask;
+use crate::memory::MemoryAccount;
 use crate::node::TaskGroup;
 use crate::peer::{KeepaliveConfig, PeerPool, PeerServer};
 use crate::sidecar::ahead_budget::AheadBudget;
 use crate::sidecar::attempt_sender::AttemptSender;
-use crate::sidecar::body_budget::BodyBudget;
 use crate::sidecar::call_table::CallTable;
 use crate::sidecar::client_server::{self, ClientContext};
 use crate::sidecar::dispatcher::Dispatcher;
@@ -44,9 +44,8 @@
 const INITIAL_SLOT_COUNT: usize = 1;
 /// Divisor of the memory that gives the size limit of one response.
 const RESPONSE_MEMORY_DIVISOR: u64 = 8;
-/// Divisor of the memory that gives the limit for all request bodies of clients. The same amount is
-/// reserved for bodies forwarded by other nodes, and for the responses that the endpoint is sending.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Divisor of the memory that gives the limit for all messages of clients, nodes and the endpoint.
+const ACCOUNT_MEMORY_DIVISOR: u64 = 2;
 /// Divisor of the memory that gives the limit for responses that wait for an earlier response of
 /// their connection.
 const HELD_MEMORY_DIVISOR: u64 = 8;
@@ -64,6 +63,8 @@
     idle_interval_ticks: Some(4),
     timeout_ticks: 3,
 };
+/// Receive buffer of a client connection, which the kernel doubles.
+const CLIENT_BUFFER_BYTES: usize = 32 * 1024;
 /// Time limit for connecting to the local endpoint for a health check.
 const PROBE_CONNECT_TIMEOUT: ClockTime = ClockTime(250);
 /// Maximum size of the body of a health response.
@@ -109,30 +110,33 @@
         let state = Rc::new(NodeState::new(clock, &settings)?);
         let tasks = Rc::new(TaskGroup::new());
         let process = rand::random();
-        let inbound = new_inbound_service(&settings, &state, &tasks, process);
-        let peers = new_peer_server(&settings, &state, &inbound)?;
+        let limit = ByteSize(memory_share(&settings, ACCOUNT_MEMORY_DIVISOR) as u64);
+        let memory = MemoryAccount::new(clock, limit);
+        let inbound = new_inbound_service(&settings, &state, &tasks, process, &memory);
+        let peers = new_peer_server(&settings, &state, &inbound, &memory)?;
         let response_limit = memory_share(&settings, RESPONSE_MEMORY_DIVISOR);
         let pool = Rc::new(PeerPool::new(clock, response_limit).with_keepalive(KEEPALIVE));
         let (abort_requests, requests_aborted) = StopSignal::new();
-        let dispatcher = new_dispatcher(&settings, &inbound, &pool, requests_aborted);
+        let dispatcher = new_dispatcher(&settings, &inbound, &pool, &memory, requests_aborted);
         let (stop_clients, clients_stopped) = StopSignal::new();
         let (stop_background, background_stopped) = StopSignal::new();
         let context = Rc::new(ClientContext {
             settings: Rc::clone(&settings),
             state: Rc::clone(&state),
             dispatcher: Rc::clone(&dispatcher),
-            bodies: BodyBudget::new(ByteSize(memory_share(&settings, BODY_MEMORY_DIVISOR) as u64)),
+            memory: Rc::clone(&memory),
             ahead: AheadBudget::new(
                 AHEAD_REQUEST_LIMIT,
                 memory_share(&settings, HELD_MEMORY_DIVISOR),
             ),
         });
-        let clients = bind(settings.client_listen)?;
+        let clients = bind_clients(settings.client_listen)?;
         let clients = monoio::spawn(client_server::serve(clients, context, clients_stopped));
         let monitoring = Rc::new(MonitoringService {
             ready_path: settings.ready_path.clone(),
             state: Rc::clone(&state),
             inbound: Rc::clone(&inbound),
+            memory: Rc::clone(&memory),
         });
         let mut background_tasks: Vec<_> = listeners
             .into_iter()
@@ -272,6 +276,7 @@
     state: &Rc<NodeState>,
     tasks: &Rc<TaskGroup>,
     process: u64,
+    memory: &Rc<MemoryAccount>,
 ) -> Rc<InboundService> {
     let clock = state.clock;
     let names = Rc::new(settings.headers.clone());
@@ -287,7 +292,7 @@
             Rc::clone(state),
             names,
             response_limit,
-            BodyBudget::new(ByteSize(memory_share(settings, BODY_MEMORY_DIVISOR) as u64)),
+            Rc::clone(memory),
             room,
         ),
         calls: CallTable::default(),
@@ -301,6 +306,7 @@
     settings: &SidecarSettings,
     state: &Rc<NodeState>,
     inbound: &Rc<InboundService>,
+    memory: &Rc<MemoryAccount>,
 ) -> Result<PeerServer> {
     let streams = Rc::new(ForwardHandler {
         inbound: Rc::clone(inbound),
@@ -309,7 +315,8 @@
             process: inbound.process,
             compressed: RefCell::default(),
         }),
-        body_limit: memory_share(settings, BODY_MEMORY_DIVISOR),
+        body_limit: memory_share(settings, ACCOUNT_MEMORY_DIVISOR),
+        memory: Rc::clone(memory),
     });
     let address = NodeAddress(settings.peer_listen);
     PeerServer::bind_streams(address, streams, PEER_ACCEPTS_PER_S, state.clock)
@@ -319,6 +326,7 @@
     settings: &Rc<SidecarSettings>,
     inbound: &Rc<InboundService>,
     pool: &Rc<PeerPool>,
+    memory: &Rc<MemoryAccount>,
     abort: StopSignal,
 ) -> Rc<Dispatcher> {
     let state = &inbound.state;
@@ -334,6 +342,7 @@
         state: Rc::clone(state),
         inbound: Rc::clone(inbound),
         pool: Rc::clone(pool),
+        memory: Rc::clone(memory),
         balancer: Rc::clone(&balancer),
         process: inbound.process,
         next_call: Cell::new(0),
@@ -359,8 +368,19 @@
     (settings.memory.0 / divisor) as usize
 }
 
+/// Binds the listener for clients, whose connections have small receive buffers: bytes that are not read
+/// count as memory of the instance.
+fn bind_clients(address: SocketAddr) -> Result<TcpListener> {
+    let options = ListenerOpts::new().recv_buf_size(CLIENT_BUFFER_BYTES);
+    bind_with(address, &options)
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).map_err(|error| {
+    bind_with(address, &ListenerOpts::new())
+}
+
+fn bind_with(address: SocketAddr, options: &ListenerOpts) -> Result<TcpListener> {
+    TcpListener::bind_with_config(address, options).map_err(|error| {
         Error::new(
             ResultCode::SettingsOutOfRange,
             format!("address {address} cannot be bound: {error}"),
