Hold bodies back from busy endpoints, and tell an endpoint's speed with each response

Cause: a request for a busy endpoint carried its body to it, was refused, and carried it to the next one.

Change: for a body of 1 KiB and more, an endpoint in another zone that has refused or has a queue gets the head only and asks for the body when the request has a slot. The node beside an endpoint learns its speed from all requests and tells it with its load; before, each node learned it from its own few.

Ruled out: memory and descriptors (no line of either in the logs); the store (its disruption ended at 5.3 s).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod error;
 pub mod evacuation;
 pub mod event_loop;
+pub mod held_body;
 pub mod homes;
 pub mod id;
 pub mod introduction;
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -23,6 +23,7 @@
     rejections: Counter<u64>,
     endpoint_statuses: Counter<u64>,
     resends: Counter<u64>,
+    held_bodies: Counter<u64>,
     requests_ahead: Counter<u64>,
     responses_held: Counter<u64>,
     slot_wait: Histogram<f64>,
@@ -102,6 +103,10 @@
                 "Responses of the endpoint with status 3xx or 4xx by status and proof",
             ),
             resends: counter("endive_repeats", "Requests sent to a further endpoint"),
+            held_bodies: counter(
+                "endive_held_bodies",
+                "Requests whose body waits until the endpoint has room",
+            ),
             requests_ahead: counter(
                 "endive_requests_ahead",
                 "Pipelined requests that started before an earlier one had its response",
@@ -197,6 +202,11 @@
         self.resends.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request whose body is sent only when the endpoint has room.
+    pub fn record_held_body(&self) {
+        self.held_bodies.add(1, &[]);
+    }
+
     /// Counts a pipelined request that starts before an earlier one has its response.
     pub fn record_request_ahead(&self) {
         self.requests_ahead.add(1, &[]);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -43,4 +43,5 @@
 pub use peer_server::PeerServer;
 pub use pinned_stream::PinnedStream;
 
+pub(crate) use peer_request::HeldReply;
 pub(crate) use stream_handler::{ShutdownSignal, StreamHandler};
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -236,6 +236,41 @@
         peer_request::read_response::<Head, _, LIMIT>(response, self.response_limit, admits).await
     }
 
+    /// Sends the head of a request, and its body when the peer asks for it; otherwise as
+    /// [`PeerPool::request_while`].
+    ///
+    /// # Errors
+    ///
+    /// As for [`PeerPool::request_while`].
+    pub(crate) async fn request_held<Head, Admits, const LIMIT: usize>(
+        &self,
+        to: NodeAddress,
+        path: &'static str,
+        head: Bytes,
+        body: Bytes,
+        admits: Admits,
+    ) -> Result<(Head, Bytes)>
+    where
+        Head: DeserializeOwned,
+        Admits: FnMut(usize) -> bool,
+    {
+        let (_lease, mut sender) = self.acquire(to).await?;
+        let (response, mut stream) = sender
+            .send_request(peer_request::post_request(path), false)
+            .map_err(|error| peer_connection::unreachable(to, error))?;
+        if let Err(error) = stream_io::send_all(&mut stream, head, false).await {
+            log::debug!("the head of a held request to {to} was not sent: {error}");
+        }
+        peer_request::exchange_held::<Head, Admits, LIMIT>(
+            response,
+            &mut stream,
+            body,
+            self.response_limit,
+            admits,
+        )
+        .await
+    }
+
     async fn send_call(
         &self,
         to: NodeAddress,
--- a/src/peer/peer_request.rs
+++ b/src/peer/peer_request.rs
@@ -1,9 +1,11 @@
 //! Construction of requests to peers and reading of their responses.
 
 use bytes::{Bytes, BytesMut};
+use h2::SendStream;
 use h2::client::ResponseFuture;
 use http::{Method, Request, StatusCode};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result, ResultCode};
 use crate::peer::CallResponseHeader;
@@ -68,6 +70,58 @@
     Ok((head, body))
 }
 
+/// A frame of the response to a request whose body is held back.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum HeldReply<Head> {
+    /// The sender is to send the body.
+    SendBody,
+    /// The response, whose body follows.
+    Final(Head),
+}
+
+/// Sends the body of a request when the peer asks for it, and reads the response as [`read_response`] does.
+///
+/// # Errors
+///
+/// As for [`read_call_response`].
+pub(crate) async fn exchange_held<Head, Admits, const LIMIT: usize>(
+    response: ResponseFuture,
+    sending: &mut SendStream<Bytes>,
+    body: Bytes,
+    limit: usize,
+    admits: Admits,
+) -> Result<(Head, Bytes)>
+where
+    Head: DeserializeOwned,
+    Admits: FnMut(usize) -> bool,
+{
+    let response = response
+        .await
+        .map_err(|error| stream_io::unprocessed_or_lost(&error))?;
+    check_status(response.status())?;
+    let mut stream = response.into_body();
+    let mut buffer = BytesMut::new();
+    let lost = |error: Error| Error::new(ResultCode::ConnectionLost, error.message());
+    let mut reply = stream_io::read_frame::<HeldReply<Head>, LIMIT>(&mut stream, &mut buffer)
+        .await
+        .map_err(lost)?;
+    if matches!(reply, HeldReply::SendBody) {
+        // The peer may respond before it has read the whole body.
+        if let Err(error) = stream_io::send_all(sending, body, true).await {
+            log::debug!("the body of a held request was not sent completely: {error}");
+        }
+        reply = stream_io::read_frame::<HeldReply<Head>, LIMIT>(&mut stream, &mut buffer)
+            .await
+            .map_err(lost)?;
+    }
+    let HeldReply::Final(head) = reply else {
+        let message = "the peer asked for the body twice";
+        return Err(Error::new(ResultCode::ConnectionLost, message));
+    };
+    let body = stream_io::read_to_end(&mut stream, buffer, limit, admits).await?;
+    Ok((head, body))
+}
+
 /// Creates a POST request to a peer's path.
 pub(crate) fn post_request(path: &'static str) -> Request<()> {
     let mut request = Request::new(());
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::ClockTime;
 use crate::error::{CallOutcome, Error, Result, ResultCode};
+use crate::held_body::RequestBody;
 use crate::id::{EndpointId, NodeAddress};
 use crate::memory::{MemoryAccount, MemoryClaim};
 use crate::mesh::EndpointRecord;
@@ -15,7 +16,7 @@
 use crate::sidecar::call_id::CallId;
 use crate::sidecar::call_table::CallRecord;
 use crate::sidecar::client_response::ClientResponse;
-use crate::sidecar::forward_handler::{FORWARD_PATH, RESUME_PATH};
+use crate::sidecar::forward_handler::{FORWARD_PATH, HELD_FORWARD_PATH, RESUME_PATH};
 use crate::sidecar::forward_message::{
     ForwardCodec, ForwardOutcome, ForwardRequestHeader, ForwardResponse, ForwardResponseHeader,
     MAX_FORWARD_HEADER_BYTES, ResumeHeader,
@@ -126,12 +127,17 @@
         request: &OutboundRequest,
     ) -> Result<ForwardResponse> {
         if header.idempotent {
-            return Ok(self.inbound.run(&header, &request.body).await);
+            let body = RequestBody::Ready(request.body.clone());
+            return Ok(self.inbound.run(&header, body).await);
         }
-        let record = match self.inbound.submit(header, request.body.clone(), None) {
-            Ok(record) => record,
-            Err(response) => return Ok(*response),
-        };
+        let record =
+            match self
+                .inbound
+                .submit(header, RequestBody::Ready(request.body.clone()), None)
+            {
+                Ok(record) => record,
+                Err(response) => return Ok(*response),
+            };
         let guard = CancelOnDrop(&record);
         let response = record.wait().await;
         drop(guard);
@@ -153,17 +159,30 @@
         let to = self.balancer.node_address(record);
         let head = ForwardCodec::encode(&header)?;
         let claim = self.memory.open();
-        let sent = self
-            .pool
-            .request_while::<ForwardResponseHeader, _, MAX_FORWARD_HEADER_BYTES>(
+        let admits = |size: usize| claim.resize(size as u64);
+        let body = request.body.clone();
+        let pool = &self.pool;
+        let sent = if self.balancer.holds_body(request, record, started) {
+            self.state.metrics.record_held_body();
+            pool.request_held::<ForwardResponseHeader, _, MAX_FORWARD_HEADER_BYTES>(
+                to,
+                HELD_FORWARD_PATH,
+                head,
+                body,
+                admits,
+            )
+            .await
+        } else {
+            pool.request_while::<ForwardResponseHeader, _, MAX_FORWARD_HEADER_BYTES>(
                 to,
                 FORWARD_PATH,
                 head,
-                request.body.clone(),
-                |size| claim.resize(size as u64),
+                body,
+                admits,
             )
             .await
-            .and_then(|response| check_body_length(response, claim));
+        };
+        let sent = sent.and_then(|response| check_body_length(response, claim));
         match sent {
             Err(error) if !header.idempotent && error.outcome() != CallOutcome::NotRun => {
                 log::info!(
@@ -250,11 +269,6 @@
                 let processing_ms = header.worked.unwrap_or_default().as_f64();
                 let route = &request.rule.name;
                 let mut routes = self.balancer.routes.borrow_mut();
-                let mean = routes
-                    .processing_ms(route)
-                    .unwrap_or(processing_ms)
-                    .max(1.0);
-                endpoints.record_processing(&record.id, processing_ms / mean);
                 routes.record(route, processing_ms, elapsed.as_f64());
                 let response = ClientResponse {
                     status,
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -80,6 +80,7 @@
     ) {
         let entry = self.entry(id);
         entry.report = load;
+        entry.slowness = Some(f64::from(load.slowness)).filter(|slowness| *slowness > 0.0);
         entry.mean_outstanding +=
             SAMPLE_WEIGHT * (f64::from(load.outstanding) - entry.mean_outstanding);
         entry.reported_at = now;
@@ -88,13 +89,6 @@
         entry.latency_ms = Some(mean + SAMPLE_WEIGHT * (latency_ms - mean));
     }
 
-    /// Records a processing time, as a ratio to the mean of its route.
-    pub(crate) fn record_processing(&mut self, id: &EndpointId, ratio: f64) {
-        let entry = self.entry(id);
-        let mean = entry.slowness.unwrap_or(1.0);
-        entry.slowness = Some(mean + SAMPLE_WEIGHT * (ratio - mean));
-    }
-
     pub(crate) fn record_success(&mut self, id: &EndpointId) {
         let entry = self.entry(id);
         entry.failure_rate -= SAMPLE_WEIGHT * entry.failure_rate;
@@ -121,6 +115,13 @@
         (now - entry.refused_at).as_f64() < backoff
     }
 
+    /// Returns the time since the endpoint last refused a request for lack of a slot, if it has not
+    /// responded successfully since.
+    pub(crate) fn since_refusal(&self, id: &EndpointId, now: ClockTime) -> Option<ClockTime> {
+        let entry = self.entries.get(id).filter(|entry| entry.refusals > 0)?;
+        Some(now - entry.refused_at)
+    }
+
     pub(crate) fn record_failure(&mut self, id: &EndpointId, now: ClockTime) {
         let entry = self.entry(id);
         entry.failed_at = now;
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -1,24 +1,25 @@
-use std::future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::future::{FutureExt, LocalBoxFuture};
+use futures_util::future::{self, Either, FutureExt, LocalBoxFuture};
 use h2::server::SendResponse;
-use h2::{Reason, RecvStream};
+use h2::{Reason, RecvStream, SendStream};
 use http::{Method, Request, Response};
 use monoio::time;
 use serde::de::DeserializeOwned;
 
 use crate::error::{Error, Result, ResultCode};
+use crate::held_body::{BodySupply, HeldBody, RequestBody};
 use crate::introduction::{INTRODUCTION_PATH, Introduction};
 use crate::memory::MemoryAccount;
 use crate::peer::stream_io;
-use crate::peer::{ByteCounter, ShutdownSignal, StreamHandler};
+use crate::peer::{ByteCounter, HeldReply, ShutdownSignal, StreamHandler};
 use crate::sidecar::forward_message::{
-    ForwardCodec, ForwardRequestHeader, ForwardResponse, MAX_FORWARD_HEADER_BYTES, ResumeHeader,
+    ForwardCodec, ForwardRequestHeader, ForwardResponse, ForwardResponseHeader,
+    MAX_FORWARD_HEADER_BYTES, ResumeHeader,
 };
 use crate::sidecar::inbound_service::InboundService;
 use crate::sidecar::view_message::{ViewCodec, ViewRequest};
@@ -26,6 +27,8 @@
 
 /// Path for forwarded requests.
 pub(crate) const FORWARD_PATH: &str = "/forward/3";
+/// Path for forwarded requests whose body is sent when the node asks for it.
+pub(crate) const HELD_FORWARD_PATH: &str = "/forward-held/1";
 /// Path for resuming requests whose connection was lost.
 pub(crate) const RESUME_PATH: &str = "/resume/3";
 /// Path for reading a node's view of the mesh.
@@ -78,6 +81,7 @@
         let stream = request.into_body();
         let result = match path.as_str() {
             FORWARD_PATH if post => self.forward(stream).await,
+            HELD_FORWARD_PATH if post => self.forward_held(stream).await,
             RESUME_PATH if post => self.resume(stream).await,
             VIEW_PATH if post => self.view(stream).await,
             INTRODUCTION_PATH if post => self.introduction(stream).await,
@@ -122,8 +126,9 @@
         if !inbound.admits_forwarded(&mut header) {
             return self.write_response(&inbound.leaving_response()).await;
         }
+        let body = RequestBody::Ready(body);
         if header.idempotent {
-            let running = inbound.run(&header, &body).boxed_local();
+            let running = inbound.run(&header, body).boxed_local();
             return match self.run_until_reset(running).await {
                 Some(response) => self.write_response(&response).await,
                 None => Ok(()),
@@ -143,6 +148,155 @@
         }
     }
 
+    /// Runs a request whose body is asked for when it has a slot.
+    async fn forward_held(&mut self, mut stream: RecvStream) -> Result<()> {
+        let clock = self.inbound.state.clock;
+        let start = clock.now();
+        let mut buffer = BytesMut::new();
+        let reading = stream_io::read_frame::<ForwardRequestHeader, MAX_FORWARD_HEADER_BYTES>(
+            &mut stream,
+            &mut buffer,
+        );
+        let mut header = time::timeout(REQUEST_TIMEOUT, reading)
+            .await
+            .map_err(too_slow)??;
+        let inbound = Rc::clone(&self.inbound);
+        let read = header.remaining - (clock.now() - start);
+        header.remaining = inbound.remaining(&header).min(read);
+        let length = header.body_length;
+        if !inbound.admits_forwarded(&mut header) {
+            let response = inbound.leaving_response();
+            let reply = HeldReply::Final(response.header);
+            return self.send(ForwardCodec::encode(&reply)?, Bytes::new()).await;
+        }
+        let (held, supply) = HeldBody::new();
+        let body = RequestBody::Held(held);
+        // A refusal by the call table is a result like any other.
+        let (running, record) = if header.idempotent {
+            let inbound = Rc::clone(&inbound);
+            let running = async move { Some(inbound.run(&header, body).await) };
+            (running.boxed_local(), None)
+        } else {
+            match inbound.submit(header, body, None) {
+                Ok(record) => {
+                    let waiting = Rc::clone(&record);
+                    let running = async move { waiting.wait().await };
+                    (running.boxed_local(), Some(record))
+                }
+                Err(response) => (async move { Some(*response) }.boxed_local(), None),
+            }
+        };
+        let request = HeldRequest {
+            running,
+            supply,
+            stream,
+            buffer,
+            length,
+        };
+        let response = self.run_held(request).await?;
+        if response.is_none()
+            && let Some(record) = record
+        {
+            record.cancel();
+        }
+        Ok(())
+    }
+
+    /// Waits for the result of a held request and sends it; supplies the body if it is asked for. Returns
+    /// `None` if the peer has reset the stream or the request was cancelled.
+    async fn run_held(&mut self, request: HeldRequest) -> Result<Option<()>> {
+        let HeldRequest {
+            mut running,
+            mut supply,
+            mut stream,
+            buffer,
+            length,
+        } = request;
+        let wanted = {
+            let waiting = async {
+                match future::select(&mut running, &mut supply.wanted).await {
+                    Either::Left((response, _)) => HeldEvent::Finished(response.map(Box::new)),
+                    Either::Right((Ok(()), _)) => HeldEvent::Wanted,
+                    // The request ends without its body.
+                    Either::Right((Err(_), _)) => HeldEvent::Unwanted,
+                }
+            };
+            self.run_until_reset(waiting.boxed_local()).await
+        };
+        match wanted {
+            None => return Ok(None),
+            Some(HeldEvent::Finished(response)) => return self.send_final(None, response).await,
+            Some(HeldEvent::Unwanted) => {
+                let response = self.run_until_reset(running).await.flatten();
+                return self.send_final(None, response.map(Box::new)).await;
+            }
+            Some(HeldEvent::Wanted) => {}
+        }
+        let mut sending = self
+            .respond
+            .send_response(Response::new(()), false)
+            .map_err(|error| stream_io::connection_lost(&error))?;
+        let ask = ForwardCodec::encode(&HeldReply::<ForwardResponseHeader>::SendBody)?;
+        stream_io::send_all(&mut sending, ask, false)
+            .await
+            .map_err(|error| stream_io::connection_lost(&error))?;
+        let claim = self.memory.open();
+        let admits = |size: usize| claim.resize(size as u64);
+        let reading = stream_io::read_to_end(&mut stream, buffer, self.body_limit, admits);
+        match reading.await {
+            // The receiver waits unless the request has ended meanwhile.
+            Ok(body) if body.len() as u64 == length => drop(supply.provide.send(body)),
+            Ok(body) => {
+                log::info!("event=held_body_cut bytes={} of={length}", body.len());
+                drop(supply.provide);
+            }
+            Err(error) => {
+                log::info!("event=held_body_lost cause=\"{error}\"");
+                drop(supply.provide);
+            }
+        }
+        let response = future::poll_fn(|context| {
+            if let Poll::Ready(response) = running.as_mut().poll(context) {
+                return Poll::Ready(response);
+            }
+            match sending.poll_reset(context) {
+                Poll::Ready(Ok(_)) => Poll::Ready(None),
+                Poll::Ready(Err(_)) | Poll::Pending => Poll::Pending,
+            }
+        })
+        .await;
+        self.send_final(Some(sending), response.map(Box::new)).await
+    }
+
+    /// Sends the response to a held request, on a stream that may be open already.
+    async fn send_final(
+        &mut self,
+        sending: Option<SendStream<Bytes>>,
+        response: Option<Box<ForwardResponse>>,
+    ) -> Result<Option<()>> {
+        let Some(response) = response else {
+            return Ok(None);
+        };
+        let ForwardResponse {
+            header,
+            body,
+            claim,
+        } = *response;
+        let head = ForwardCodec::encode(&HeldReply::Final(header))?;
+        match sending {
+            None => self.send(head, body).await?,
+            Some(mut sending) => {
+                let sent = stream_io::send_message(&mut sending, head, body);
+                time::timeout(RESPONSE_TIMEOUT, sent)
+                    .await
+                    .map_err(|_| unread_response())?
+                    .map_err(|error| stream_io::connection_lost(&error))?;
+            }
+        }
+        drop(claim);
+        Ok(Some(()))
+    }
+
     async fn resume(&mut self, stream: RecvStream) -> Result<()> {
         let (header, _): (ResumeHeader, _) = read_message(stream, 0, |_| true).await?;
         let inbound = Rc::clone(&self.inbound);
@@ -207,15 +361,44 @@
         let sending = pin!(sending);
         time::timeout(RESPONSE_TIMEOUT, sending)
             .await
-            .map_err(|_| {
-                Error::new(
-                    ResultCode::ConnectionLost,
-                    "peer did not read the response within 10 s",
-                )
-            })?
+            .map_err(|_| unread_response())?
     }
 }
 
+/// A request whose body the sender holds, with the stream that it arrives on.
+struct HeldRequest {
+    running: LocalBoxFuture<'static, Option<ForwardResponse>>,
+    supply: BodySupply,
+    stream: RecvStream,
+    /// Bytes that followed the head.
+    buffer: BytesMut,
+    /// Announced length of the body.
+    length: u64,
+}
+
+/// What happens first to a held request.
+enum HeldEvent {
+    Finished(Option<Box<ForwardResponse>>),
+    /// The request has a slot, and the body is to be sent.
+    Wanted,
+    /// The request ends without its body.
+    Unwanted,
+}
+
+fn unread_response() -> Error {
+    Error::new(
+        ResultCode::ConnectionLost,
+        "peer did not read the response within 10 s",
+    )
+}
+
+fn too_slow<Cause>(_: Cause) -> Error {
+    Error::new(
+        ResultCode::RequestTooSlow,
+        "request not received within 10 s",
+    )
+}
+
 async fn read_message<Head, Admits>(
     mut stream: RecvStream,
     limit: usize,
@@ -233,13 +416,7 @@
         let body = stream_io::read_to_end(&mut stream, buffer, limit, admits).await?;
         Ok((head, body))
     };
-    let late = |_| {
-        Error::new(
-            ResultCode::RequestTooSlow,
-            "request not received within 10 s",
-        )
-    };
     time::timeout(REQUEST_TIMEOUT, reading)
         .await
-        .map_err(late)?
+        .map_err(too_slow)?
 }
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -85,6 +85,8 @@
     pub(crate) capacity: u32,
     /// Mean time in ms for which a request holds a slot.
     pub(crate) mean_hold_ms: f32,
+    /// Ratio of the time that the endpoint takes to that of the mean endpoint; 0 if it is not known.
+    pub(crate) slowness: f32,
 }
 
 /// Header of the response to a forwarded request.
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -7,6 +7,7 @@
 use crate::clock::ClockTime;
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
+use crate::held_body::RequestBody;
 use crate::id::EndpointId;
 use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
@@ -55,7 +56,11 @@
 
 impl InboundService {
     /// Runs an idempotent request. Dropping the future aborts it.
-    pub(crate) async fn run(&self, header: &ForwardRequestHeader, body: &Bytes) -> ForwardResponse {
+    pub(crate) async fn run(
+        &self,
+        header: &ForwardRequestHeader,
+        body: RequestBody,
+    ) -> ForwardResponse {
         self.run_with_hook(header, body, &|| {}).await
     }
 
@@ -68,7 +73,7 @@
     pub(crate) fn submit(
         self: &Rc<Self>,
         header: ForwardRequestHeader,
-        body: Bytes,
+        body: RequestBody,
         claim: Option<MemoryClaim>,
     ) -> Result<Rc<CallRecord>, Box<ForwardResponse>> {
         let now = self.state.clock.now();
@@ -82,7 +87,7 @@
         let call = Rc::clone(&record);
         self.tasks.spawn(async move {
             let on_start = || call.start();
-            let running = std::pin::pin!(service.run_with_hook(&header, &body, &on_start));
+            let running = std::pin::pin!(service.run_with_hook(&header, body, &on_start));
             // A cancellation by the sender only takes effect before the call has started.
             match future::select(running, cancelled).await {
                 Either::Left((response, _)) => call.finish(response),
@@ -120,7 +125,7 @@
     async fn run_with_hook(
         &self,
         header: &ForwardRequestHeader,
-        body: &Bytes,
+        body: RequestBody,
         on_start: StartHook<'_>,
     ) -> ForwardResponse {
         let arrived = self.state.clock.now();
@@ -147,6 +152,16 @@
             Ok(slot) => slot,
             Err(error) => return self.response(arrived, acquire_error_outcome(error)),
         };
+        let body = match body {
+            RequestBody::Ready(body) => body,
+            RequestBody::Held(held) => match held.fetch().await {
+                Some(body) => body,
+                None => {
+                    let code = ResultCode::PeerUnreachable;
+                    return self.response(arrived, not_run(code, ClockTime(0)));
+                }
+            },
+        };
         // The endpoint may have started draining while the request was queued.
         if let Some(code) = self.refusal_code(&header.endpoint) {
             return self.response(arrived, not_run(code, ClockTime(0)));
@@ -159,12 +174,14 @@
         self.retry_share
             .set(share + RETRY_SAMPLE_WEIGHT * (repeated - share));
         let started = self.state.clock.now();
-        let result = self.client.run(header, body, deadline).await;
+        let result = self.client.run(header, &body, deadline).await;
         let outcome = result.outcome;
         let worked = self.state.clock.now() - started;
         log_failure(header, &outcome, waited, worked);
         if matches!(outcome, ForwardOutcome::Completed { .. }) {
             slot.mark_used();
+            let mut speed = self.slots.speed.borrow_mut();
+            speed.record(self.state.clock.now(), header.work, worked);
         }
         drop(slot);
         let mut response = self.response(arrived, outcome);
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
+use crate::held_body::HoldPolicy;
 use crate::id::{EndpointId, NodeAddress};
 use crate::mesh::EndpointRecord;
 use crate::peer::PeerPool;
@@ -166,6 +167,22 @@
         endpoints.is_backing_off(&record.id, now, doublings)
     }
 
+    /// Returns whether the body of a request is sent only when the endpoint has room.
+    pub(crate) fn holds_body(
+        &self,
+        request: &OutboundRequest,
+        record: &EndpointRecord,
+        now: ClockTime,
+    ) -> bool {
+        let policy = HoldPolicy {
+            body_bytes: request.body.len(),
+            is_remote: record.zone != self.settings.zone,
+            expected_wait: self.expected_wait(request, record, now),
+            since_refusal: self.endpoints.borrow().since_refusal(&record.id, now),
+        };
+        policy.holds()
+    }
+
     fn expected_wait(
         &self,
         request: &OutboundRequest,
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::cold::ColdRoom;
+use crate::routing::EndpointSpeed;
 use crate::sidecar::forward_message::LoadReport;
 use crate::sidecar::{SlotDecision, SlotPace, SlotQueue, SlotTicket, SlotUrgency};
 
@@ -14,6 +15,7 @@
 pub(crate) struct SlotSemaphore {
     clock: SystemClock,
     room: Rc<ColdRoom>,
+    pub(crate) speed: RefCell<EndpointSpeed>,
     queue: RefCell<SlotQueue>,
     waiters: RefCell<BTreeMap<SlotTicket, oneshot::Sender<()>>>,
     /// Number of running requests and the sum of their start times in ms.
@@ -36,6 +38,7 @@
         Rc::new(Self {
             clock,
             room,
+            speed: RefCell::default(),
             queue: RefCell::new(SlotQueue::new(capacity)),
             waiters: RefCell::default(),
             running: Cell::new((0, 0)),
@@ -57,6 +60,7 @@
             outstanding: queue.outstanding() as u32,
             capacity: queue.sustained_capacity() as u32,
             mean_hold_ms: queue.mean_hold_ms() as f32,
+            slowness: self.speed.borrow().slowness(self.clock.now()) as f32,
         }
     }
 
