Leave scarce regions to the requests that only they may serve

Cause: requests with homes compete with others that may be served anywhere.

Change: the node beside an endpoint tells with its load which share of the requests with homes it turned away lately; requests without homes weigh it like the cost of another region.

Ruled out: the order of the queue (with equal cost it only changes who of the two is turned away).

--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -11,6 +11,8 @@
 /// Decay time of the statistics towards the defaults, in ms, so that an endpoint that was slow or
 /// failed is tried again.
 const STATS_DECAY_MS: f64 = 5_000.0;
+/// Decay time of the reported scarcity, in ms: an endpoint that is no longer asked is tried again.
+const SCARCITY_DECAY_MS: f64 = 2_000.0;
 /// Initial and maximum time for which an unreachable endpoint is ejected.
 const BASE_EJECTION_TIME: ClockTime = ClockTime(200);
 const MAX_EJECTION_TIME: ClockTime = ClockTime(1_000);
@@ -50,6 +52,8 @@
     pub(crate) wait_ms: f64,
     /// Expected fraction of failing requests.
     pub(crate) failure_rate: f64,
+    /// Share of the requests that may be served in few regions and are turned away.
+    pub(crate) scarcity: f64,
 }
 
 /// Statistics about the speed, load and reliability of each endpoint, from its responses.
@@ -171,6 +175,7 @@
                 response_time_ms: default_latency_ms + processing_ms,
                 wait_ms: 0.0,
                 failure_rate: 0.0,
+                scarcity: 0.0,
             };
         };
         // A cold endpoint sustains fewer requests than it has slots.
@@ -194,6 +199,7 @@
         EndpointForecast {
             response_time_ms: latency_ms + processing_ms * slowness * saturation + wait_ms,
             wait_ms,
+            scarcity: f64::from(entry.report.scarcity) * (-age / SCARCITY_DECAY_MS).exp(),
             failure_rate: entry.failure_rate
                 * (-(now - entry.failed_at).as_f64() / STATS_DECAY_MS).exp(),
         }
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -51,6 +51,8 @@
     pub(crate) repeated: bool,
     /// Whether the request is a call of one that already runs.
     pub(crate) holds_work: bool,
+    /// Whether the request may be served in few regions.
+    pub(crate) has_homes: bool,
 }
 
 /// Request for the result of a forwarded request whose connection was lost.
@@ -89,6 +91,8 @@
     pub(crate) mean_hold_ms: f32,
     /// Ratio of the time that the endpoint takes to that of the mean endpoint; 0 if it is not known.
     pub(crate) slowness: f32,
+    /// Share of the requests that may be served in few regions and were turned away lately.
+    pub(crate) scarcity: f32,
 }
 
 /// Header of the response to a forwarded request.
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -159,6 +159,10 @@
             .slots
             .acquire(urgency, header.max_queue_wait, until)
             .await;
+        if header.has_homes {
+            let mut scarcity = self.slots.scarcity.borrow_mut();
+            scarcity.record(self.state.clock.now(), slot.is_err());
+        }
         let mut slot = match slot {
             Ok(slot) => slot,
             Err(error) => return self.response(arrived, acquire_error_outcome(error)),
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -40,6 +40,9 @@
 /// whose traffic is billed. Crossing must reduce the risk of a late response by at least this much.
 const CROSS_ZONE_COST: f64 = 0.15;
 const CROSS_REGION_COST: f64 = 0.5;
+/// Cost of an endpoint at which all requests that may be served in few regions are turned away. It
+/// exceeds the cost of another region when a third of them is.
+const SCARCITY_COST: f64 = 1.5;
 /// Endpoints probed for a free slot before the request joins the shortest queue.
 const MAX_PROBE_COUNT: usize = 3;
 /// Endpoints passed over as ineligible before no further one is considered.
@@ -330,7 +333,13 @@
             let unresponsive = if overdue { UNRESPONSIVE_COST } else { 0.0 };
             let ejected = endpoints.is_ejected(&record.id, now);
             let ejection = if ejected { EJECTION_COST } else { 0.0 };
+            // A request without homes makes way for those that no other region may serve.
+            let scarcity = match request.rule.homes.is_unrestricted() {
+                true => SCARCITY_COST * forecast.scarcity,
+                false => 0.0,
+            };
             let cost = latency_cost(time_ms, objective)
+                + scarcity
                 + FAILURE_COST * forecast.failure_rate
                 + distance
                 + unresponsive
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::{ClockTime, SystemClock};
 use crate::cold::ColdRoom;
+use crate::homes::ScarcityMeter;
 use crate::routing::EndpointSpeed;
 use crate::sidecar::forward_message::LoadReport;
 use crate::sidecar::{SlotDecision, SlotPace, SlotQueue, SlotTicket, SlotUrgency};
@@ -16,6 +17,7 @@
     clock: SystemClock,
     room: Rc<ColdRoom>,
     pub(crate) speed: RefCell<EndpointSpeed>,
+    pub(crate) scarcity: RefCell<ScarcityMeter>,
     displaced_count: Cell<u64>,
     queue: RefCell<SlotQueue>,
     waiters: RefCell<BTreeMap<SlotTicket, oneshot::Sender<SlotGrant>>>,
@@ -49,6 +51,7 @@
             clock,
             room,
             speed: RefCell::default(),
+            scarcity: RefCell::default(),
             displaced_count: Cell::new(0),
             queue: RefCell::new(SlotQueue::new(capacity)),
             waiters: RefCell::default(),
@@ -72,6 +75,7 @@
             capacity: queue.sustained_capacity() as u32,
             mean_hold_ms: queue.mean_hold_ms() as f32,
             slowness: self.speed.borrow().slowness(self.clock.now()) as f32,
+            scarcity: self.scarcity.borrow().scarcity(self.clock.now()) as f32,
         }
     }
 
--- a/tests/evacuation_rules.rs
+++ b/tests/evacuation_rules.rs
@@ -1,7 +1,8 @@
-//! Tests of the set of evacuated availability zones.
+//! Tests of the set of evacuated availability zones, and of scarce regions.
 
 use endivelanding::clock::ClockTime;
 use endivelanding::evacuation::EvacuationSet;
+use endivelanding::homes::ScarcityMeter;
 use endivelanding::id::ZoneName;
 
 fn zone(name: &str) -> ZoneName {
@@ -31,3 +32,20 @@
     let unknown = set.set(ClockTime(6), zone("c"), false);
     assert!(unknown.ended.is_empty());
 }
+
+/// Guards against requests that take the slots of the only region in which others may be served.
+#[test]
+fn an_endpoint_is_scarce_while_requests_with_homes_are_turned_away() {
+    let mut meter = ScarcityMeter::new();
+    assert_eq!(meter.scarcity(ClockTime(0)), 0.0);
+    for time in (0..2_000).step_by(20) {
+        meter.record(ClockTime(time), time % 40 == 0);
+    }
+    let scarcity = meter.scarcity(ClockTime(2_000));
+    assert!((0.45..0.55).contains(&scarcity), "{scarcity}");
+    for time in (2_000..6_000).step_by(20) {
+        meter.record(ClockTime(time), false);
+    }
+    assert!(meter.scarcity(ClockTime(6_000)) < 0.1);
+    assert_eq!(meter.scarcity(ClockTime(60_000)), 0.0, "no recent requests");
+}
