Check a configuration before it is published

endive-sidecar check-config finds entries that can never match, limits that contradict each other and what differs from the version in force, for people and for pipelines (--json, exit codes 0, 1, 2).

--- a/src/homes/home_regions.rs
+++ b/src/homes/home_regions.rs
@@ -33,6 +33,11 @@
         self.0.is_empty()
     }
 
+    /// Returns the allowed regions.
+    pub fn regions(&self) -> impl Iterator<Item = &RegionName> {
+        self.0.iter()
+    }
+
     /// Returns true if an endpoint in a region may serve the requests. The region of an endpoint may
     /// be unknown, in which case it is not an allowed one.
     #[must_use]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod caller;
 pub mod clock;
 pub mod cold;
+pub mod config_check;
 pub mod distribution;
 pub mod error;
 pub mod evacuation;
