--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -31,6 +31,9 @@
 /// Multiple of the mean time at this endpoint that must remain when a request starts. With the mean alone,
 /// half of those that start last would be cut off at their deadline, after they have held a slot.
 const TAIL_FACTOR: f64 = 1.5;
+/// Largest slowness that counts for that time. After a start of all endpoints, senders and this node learn
+/// the same longer times, and would count them twice.
+const MAX_TAIL_SLOWNESS: f64 = 1.25;
 /// Expected time until there is memory for a body.
 const MEMORY_RETRY_TIME: ClockTime = ClockTime(300);
 /// Weight of the newest request in the moving average of the retry share.
@@ -152,7 +155,7 @@
         // The expected wait is only an estimate; a request that queues for much longer is refused.
         let limit = ClockTime((header.max_queue_wait.as_f64() * WAIT_TOLERANCE_FACTOR) as u64);
         let slowness = self.slots.speed.borrow().slowness(arrived);
-        let needed = header.work.as_f64() * slowness.max(1.0) * TAIL_FACTOR;
+        let needed = header.work.as_f64() * slowness.clamp(1.0, MAX_TAIL_SLOWNESS) * TAIL_FACTOR;
         let last_start = arrived + (header.remaining - ClockTime(needed as u64));
         let until = last_start.min(arrived + limit + WAIT_MARGIN);
         let slot = self
