Drop missing entries as soon as the time for which they are kept is over

Change: a loop of the synchronization task waits for the end of that time.

Ruled out: the window itself, which ends 2.75 s after the last failed read at the latest.

--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -24,6 +24,8 @@
 /// Mean delay after the first failed refresh; it doubles with each further failure up to the refresh
 /// interval.
 const INITIAL_BACKOFF: ClockTime = ClockTime(50);
+/// Interval at which a node checks whether missing entries are kept. They are kept for longer than that.
+const EXPIRY_CHECK_INTERVAL: ClockTime = ClockTime(250);
 /// Time for the first read of the registry, in addition to the transfer of its largest value.
 const INITIAL_READ_TIMEOUT: ClockTime = ClockTime(3_000);
 
@@ -67,12 +69,27 @@
     /// Runs the synchronization loop until the stop signal is given.
     pub(crate) async fn run(self, stop: StopSignal) {
         let syncing = pin!(self.sync_loop());
+        let expiring = pin!(self.expire_loop());
         let stopped = pin!(stop.wait());
-        match future::select(syncing, stopped).await {
+        match future::select(future::select(syncing, expiring), stopped).await {
             Either::Left(_) | Either::Right(_) => {}
         }
     }
 
+    /// Removes missing entries as soon as the time for which they are kept is over. A refresh, which may
+    /// wait for changes, would remove them up to an interval later.
+    async fn expire_loop(&self) {
+        loop {
+            let until = self.state.directory.borrow().missing_kept_until();
+            let pause = match until - self.state.clock.now() {
+                ClockTime(0) => EXPIRY_CHECK_INTERVAL,
+                left => left,
+            };
+            time::sleep(pause.to_duration()).await;
+            self.updater.expire();
+        }
+    }
+
     async fn sync_loop(&self) {
         loop {
             let started_at = self.state.clock.now();
