Stop waiting for a held body when the request gives up its slot

Read in the code: an idempotent request was not polled while its body was read, so a sender that fell silent kept its slot until the connection was found dead.

--- a/src/held_body.rs
+++ b/src/held_body.rs
@@ -6,5 +6,5 @@
 mod body_supply;
 mod hold_policy;
 
-pub(crate) use body_supply::{BodySupply, HeldBody, RequestBody};
+pub(crate) use body_supply::{BodySupply, FETCH_TIMEOUT, HeldBody, RequestBody};
 pub use hold_policy::HoldPolicy;
--- a/src/held_body/body_supply.rs
+++ b/src/held_body/body_supply.rs
@@ -5,7 +5,7 @@
 use crate::clock::ClockTime;
 
 /// Time for a body to arrive after it was asked for. The request holds a slot meanwhile.
-const FETCH_TIMEOUT: ClockTime = ClockTime(1_000);
+pub(crate) const FETCH_TIMEOUT: ClockTime = ClockTime(1_000);
 
 /// The body of a forwarded request.
 pub(crate) enum RequestBody {
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::{Error, Result, ResultCode};
-use crate::held_body::{BodySupply, HeldBody, RequestBody};
+use crate::held_body::{BodySupply, FETCH_TIMEOUT, HeldBody, RequestBody};
 use crate::introduction::{INTRODUCTION_PATH, Introduction};
 use crate::memory::MemoryAccount;
 use crate::peer::stream_io;
@@ -243,7 +243,9 @@
         let claim = self.memory.open();
         let admits = |size: usize| claim.resize(size as u64);
         let reading = stream_io::read_to_end(&mut stream, buffer, self.body_limit, admits);
-        match reading.await {
+        // The request gives up its slot after this time, for which it has to be polled.
+        let reading = time::timeout(FETCH_TIMEOUT.to_duration(), reading);
+        match reading.await.unwrap_or_else(|_| Err(too_slow(()))) {
             // The receiver waits unless the request has ended meanwhile.
             Ok(body) if body.len() as u64 == length => drop(supply.provide.send(body)),
             Ok(body) => {
@@ -393,10 +395,7 @@
 }
 
 fn too_slow<Cause>(_: Cause) -> Error {
-    Error::new(
-        ResultCode::RequestTooSlow,
-        "request not received within 10 s",
-    )
+    Error::new(ResultCode::RequestTooSlow, "request not received in time")
 }
 
 async fn read_message<Head, Admits>(
