Limit requests to an endpoint before the first configuration

Seen in its log: the process started at 32.25 s, got requests of other nodes, and its first configuration, which tells that its endpoint may be cold, at 32.93 s. The endpoint crashed and was back at 36.0 s.

Change: until the first configuration a node starts 8 requests a second; what it has sent counts afterwards.

Ruled out: the limiter (23 of 26 are used once it is configured).

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -6,6 +6,6 @@
 mod cold_task;
 
 pub use arrival_limiter::ArrivalLimiter;
-pub(crate) use cold_room::ColdRoom;
+pub use cold_room::ColdRoom;
 pub use cold_state::{ColdPhase, ColdState};
 pub(crate) use cold_task::ColdTask;
--- a/src/cold/cold_room.rs
+++ b/src/cold/cold_room.rs
@@ -11,6 +11,10 @@
 /// endpoint closer together than they were sent.
 const USED_SHARE: f64 = 0.9;
 
+/// Requests per second until the first configuration. Other nodes send requests to a node that starts
+/// before it has one, and its endpoint may be cold.
+const UNCONFIGURED_LIMIT: usize = 8;
+
 /// What a cold endpoint of the service tolerates.
 #[derive(Debug, Clone, PartialEq)]
 struct ColdLimits {
@@ -20,10 +24,14 @@
 }
 
 /// The room for requests at the local endpoint while it is cold.
-pub(crate) struct ColdRoom {
+#[derive(Debug)]
+pub struct ColdRoom {
     clock: SystemClock,
     state: RefCell<ColdState>,
     limiter: RefCell<ArrivalLimiter>,
+    /// Limiter until the first configuration tells what the endpoint tolerates.
+    unconfigured: RefCell<ArrivalLimiter>,
+    is_configured: Cell<bool>,
     /// `None` unless the configuration limits the requests to cold endpoints of the service.
     limits: RefCell<Option<ColdLimits>>,
     wake: RefCell<mpsc::Sender<()>>,
@@ -33,12 +41,16 @@
 }
 
 impl ColdRoom {
-    pub(crate) fn new(clock: SystemClock) -> Self {
+    /// Creates the room of a process that starts.
+    #[must_use]
+    pub fn new(clock: SystemClock) -> Self {
         let (wake, waiter) = mpsc::channel(1);
         Self {
             clock,
             state: RefCell::default(),
             limiter: RefCell::new(ArrivalLimiter::new(clock.now(), 1)),
+            unconfigured: RefCell::new(ArrivalLimiter::new(ClockTime(0), UNCONFIGURED_LIMIT)),
+            is_configured: Cell::new(false),
             limits: RefCell::default(),
             wake: RefCell::new(wake),
             waiter: RefCell::new(Some(waiter)),
@@ -47,7 +59,7 @@
     }
 
     /// Applies the limits that the configuration sets for the service.
-    pub(crate) fn configure(&self, spec: Option<&ServiceSpec>, bounds: &MeshBounds) {
+    pub fn configure(&self, spec: Option<&ServiceSpec>, bounds: &MeshBounds) {
         let limits = spec.and_then(|spec| {
             let allowed = spec.cold_rate? * bounds.cold_excess + bounds.cold_tolerance;
             Some(ColdLimits {
@@ -56,7 +68,11 @@
                 health_path: spec.health_path.clone(),
             })
         });
+        let is_first = !self.is_configured.replace(true);
         if *self.limits.borrow() == limits {
+            if is_first {
+                self.wake();
+            }
             return;
         }
         if let Some(limits) = &limits {
@@ -68,7 +84,7 @@
     }
 
     /// Records a sign that the endpoint may have become cold.
-    pub(crate) fn suspect(&self, cause: &'static str) {
+    pub fn suspect(&self, cause: &'static str) {
         let limits = self.limits.borrow();
         let Some(limits) = limits.as_ref() else {
             return;
@@ -81,7 +97,7 @@
     }
 
     /// Records the remaining cold time in a health response.
-    pub(crate) fn record_health(&self, remaining: ClockTime) {
+    pub fn record_health(&self, remaining: ClockTime) {
         let now = self.clock.now();
         self.state.borrow_mut().record_health(now, remaining);
         log::info!("event=cold_checked remaining={remaining}");
@@ -97,31 +113,45 @@
         (phase == ColdPhase::Suspected).then(|| limits.health_path.clone())
     }
 
-    /// Returns the phase, or `Warm` if requests to cold endpoints are not limited.
-    pub(crate) fn phase(&self) -> ColdPhase {
-        match self.limits.borrow().is_some() {
-            true => self.state.borrow().phase(self.clock.now()),
-            false => ColdPhase::Warm,
+    /// Returns the phase, or `Warm` if requests to cold endpoints are not limited. Before the first
+    /// configuration, which tells so, the endpoint is suspected.
+    #[must_use]
+    pub fn phase(&self) -> ColdPhase {
+        match (self.is_configured.get(), self.limits.borrow().is_some()) {
+            (false, _) => ColdPhase::Suspected,
+            (true, true) => self.state.borrow().phase(self.clock.now()),
+            (true, false) => ColdPhase::Warm,
+        }
+    }
+
+    fn active_limiter(&self) -> &RefCell<ArrivalLimiter> {
+        match self.is_configured.get() {
+            true => &self.limiter,
+            false => &self.unconfigured,
         }
     }
 
     /// Returns the earliest time at which a request may start; it has passed unless the endpoint is cold.
-    pub(crate) fn opens_at(&self) -> ClockTime {
+    #[must_use]
+    pub fn opens_at(&self) -> ClockTime {
         match self.phase() {
             ColdPhase::Warm => ClockTime(0),
-            ColdPhase::Cold | ColdPhase::Suspected => self.limiter.borrow().opens_at(),
+            ColdPhase::Cold | ColdPhase::Suspected => self.active_limiter().borrow().opens_at(),
         }
     }
 
     /// Returns the requests per second to which the endpoint is limited now.
-    pub(crate) fn pace(&self) -> Option<f64> {
+    #[must_use]
+    pub fn pace(&self) -> Option<f64> {
         let is_limited = self.phase() != ColdPhase::Warm;
-        is_limited.then(|| self.limiter.borrow().limit() as f64)
+        is_limited.then(|| self.active_limiter().borrow().limit() as f64)
     }
 
     /// Records that a request or a probe is sent to the endpoint.
-    pub(crate) fn record_send(&self) {
-        self.limiter.borrow_mut().record_send(self.clock.now());
+    pub fn record_send(&self) {
+        let now = self.clock.now();
+        self.limiter.borrow_mut().record_send(now);
+        self.unconfigured.borrow_mut().record_send(now);
         if self.phase() != ColdPhase::Warm {
             self.limited_count.set(self.limited_count.get() + 1);
         }
--- a/tests/cold_rules.rs
+++ b/tests/cold_rules.rs
@@ -1,8 +1,9 @@
 //! Tests of the protection of cold endpoints.
 
-use endivelanding::clock::ClockTime;
-use endivelanding::cold::{ArrivalLimiter, ColdPhase, ColdState};
-use endivelanding::sidecar::{SlotDecision, SlotPace, SlotQueue, SlotUrgency};
+use endivelanding::clock::{ClockTime, SystemClock};
+use endivelanding::cold::{ArrivalLimiter, ColdPhase, ColdRoom, ColdState};
+use endivelanding::mesh::ServiceSpec;
+use endivelanding::sidecar::{MeshBounds, SlotDecision, SlotPace, SlotQueue, SlotUrgency};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -129,6 +130,54 @@
     assert_eq!(state.phase(ClockTime(13_000)), ColdPhase::Warm);
 }
 
+/// Guards against an endpoint that crashes because its node does not know yet that it is cold: other nodes
+/// send requests to a node that starts before it has a configuration.
+#[test]
+fn few_requests_start_before_the_first_configuration() {
+    let room = ColdRoom::new(SystemClock::starting_at(ClockTime(100_000)));
+    let mut started = 0;
+    while room.opens_at() <= ClockTime(100_000) {
+        room.record_send();
+        started += 1;
+    }
+    assert_eq!(started, 8);
+    assert_eq!(
+        (room.phase(), room.pace()),
+        (ColdPhase::Suspected, Some(8.0))
+    );
+    let bounds = MeshBounds {
+        config_apply: ClockTime(3_000),
+        drain: ClockTime(3_000),
+        grace: ClockTime(6_000),
+        heartbeat: ClockTime(1_500),
+        retry_ratio: 0.2,
+        retry_window: ClockTime(10_000),
+        retry_slack: 60.0,
+        cold_excess: 1.5,
+        cold_tolerance: 8.0,
+    };
+    let spec = ServiceSpec {
+        name: "ratecard".parse().expect("a name"),
+        health_path: "/healthz".to_owned(),
+        cold_start: ClockTime(3_000),
+        cold_rate: Some(16.0),
+    };
+    room.configure(Some(&spec), &bounds);
+    assert_eq!(
+        (room.phase(), room.pace()),
+        (ColdPhase::Suspected, Some(28.0))
+    );
+    assert!(
+        room.opens_at() > ClockTime(101_000),
+        "what was sent before counts"
+    );
+    room.configure(None, &bounds);
+    assert_eq!(
+        (room.phase(), room.opens_at()),
+        (ColdPhase::Warm, ClockTime(0))
+    );
+}
+
 /// Guards against entry nodes that send a cold endpoint as much as it has slots for.
 #[test]
 fn a_paced_queue_reports_the_concurrency_that_its_rate_sustains() {
