--- a/src/cold/cold_room.rs
+++ b/src/cold/cold_room.rs
@@ -13,7 +13,7 @@
 
 /// Requests per second until the first configuration. Other nodes send requests to a node that starts
 /// before it has one, and its endpoint may be cold.
-const UNCONFIGURED_LIMIT: usize = 8;
+const UNCONFIGURED_REQUEST_COUNT: usize = 8;
 
 /// What a cold endpoint of the service tolerates.
 #[derive(Debug, Clone, PartialEq)]
@@ -49,7 +49,10 @@
             clock,
             state: RefCell::default(),
             limiter: RefCell::new(ArrivalLimiter::new(clock.now(), 1)),
-            unconfigured: RefCell::new(ArrivalLimiter::new(ClockTime(0), UNCONFIGURED_LIMIT)),
+            unconfigured: RefCell::new(ArrivalLimiter::new(
+                ClockTime(0),
+                UNCONFIGURED_REQUEST_COUNT,
+            )),
             is_configured: Cell::new(false),
             limits: RefCell::default(),
             wake: RefCell::new(wake),
--- a/src/homes/scarcity_meter.rs
+++ b/src/homes/scarcity_meter.rs
@@ -3,7 +3,7 @@
 /// Time after which half of the counts is forgotten, in ms.
 const HALF_LIFE_MS: f64 = 1_500.0;
 /// Requests from which the share is judged.
-const MIN_COUNT: f64 = 3.0;
+const MIN_ASKED_COUNT: f64 = 3.0;
 
 /// How scarce an endpoint is for requests that may be served in few regions.
 ///
@@ -32,10 +32,10 @@
         self.updated_at = now;
     }
 
-    /// Returns the share of these requests that was turned away lately, from 0 to 1.
+    /// Returns the recent share of these requests that was refused, from 0 to 1.
     #[must_use]
     pub fn scarcity(&self, now: ClockTime) -> f64 {
-        if self.asked * self.decay(now) < MIN_COUNT {
+        if self.asked * self.decay(now) < MIN_ASKED_COUNT {
             return 0.0;
         }
         self.refused / self.asked
--- a/src/memory/memory_ledger.rs
+++ b/src/memory/memory_ledger.rs
@@ -6,7 +6,7 @@
 
 /// Size up to which a claim counts as small: an ordinary request or response fits into it. Small claims
 /// evict large messages that are incomplete, and may use the reserve.
-const SMALL_BYTES: u64 = 64 << 10;
+const SMALL_CLAIM_BYTES: u64 = 64 << 10;
 /// Time without progress after which an incomplete message gives way to any other.
 const STALL_TIME: ClockTime = ClockTime(1_000);
 /// Divisor of the limit that gives the reserve above it, which only small claims use.
@@ -143,7 +143,7 @@
     /// room. Nothing has changed in that case.
     pub fn resize(&mut self, now: ClockTime, id: ClaimId, size: u64) -> Option<EvictedClaims> {
         let current = self.size(id);
-        let is_small = size <= SMALL_BYTES;
+        let is_small = size <= SMALL_CLAIM_BYTES;
         let limit = match is_small {
             true => self.limit + self.limit / RESERVE_DIVISOR,
             false => self.limit,
@@ -195,7 +195,7 @@
             .filter(|(other, entry)| **other != id && entry.size > 0)
             .filter_map(|(other, entry)| {
                 let is_stalled = now - entry.progress_at? >= STALL_TIME;
-                let gives_way = is_stalled || (is_small && entry.size > SMALL_BYTES);
+                let gives_way = is_stalled || (is_small && entry.size > SMALL_CLAIM_BYTES);
                 gives_way.then_some((is_stalled, entry.size, *other))
             })
             .collect();
--- a/src/routing/endpoint_speed.rs
+++ b/src/routing/endpoint_speed.rs
@@ -3,7 +3,7 @@
 /// Weight of the newest sample in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Limits on a sample, so that a single very long request does not count as a slow endpoint.
-const SAMPLE_RANGE: (f64, f64) = (0.2, 5.0);
+const SAMPLE_RATIO_RANGE: (f64, f64) = (0.2, 5.0);
 /// Time after which half of the difference from the usual speed is forgotten, in ms, if nothing runs. An
 /// endpoint that was slow is then tried again.
 const HALF_LIFE_MS: f64 = 4_000.0;
@@ -35,7 +35,7 @@
             return;
         }
         let ratio = worked.as_f64() / expected.as_f64();
-        let ratio = ratio.clamp(SAMPLE_RANGE.0, SAMPLE_RANGE.1);
+        let ratio = ratio.clamp(SAMPLE_RATIO_RANGE.0, SAMPLE_RATIO_RANGE.1);
         let slowness = self.slowness(now);
         self.slowness = slowness + SAMPLE_WEIGHT * (ratio - slowness);
         self.recorded_at = now;
--- a/src/shedding/starvation_guard.rs
+++ b/src/shedding/starvation_guard.rs
@@ -5,7 +5,7 @@
 /// Time after which half of the counts is forgotten, in ms.
 const HALF_LIFE_MS: f64 = 2_000.0;
 /// Requests of a priority from which its share is judged.
-const MIN_ASKED: f64 = 5.0;
+const MIN_ASKED_COUNT: f64 = 5.0;
 /// Share of the served requests, relative to that of all requests, below which a priority starves.
 const STARVED_RATIO: f64 = 0.3;
 
@@ -50,7 +50,7 @@
         };
         let asked: f64 = self.counts.values().map(|counts| counts.asked).sum();
         let served: f64 = self.counts.values().map(|counts| counts.served).sum();
-        own.asked >= MIN_ASKED && own.served * asked < own.asked * served * STARVED_RATIO
+        own.asked >= MIN_ASKED_COUNT && own.served * asked < own.asked * served * STARVED_RATIO
     }
 
     fn decay(&mut self, now: ClockTime) {
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -91,7 +91,7 @@
     pub(crate) mean_hold_ms: f32,
     /// Ratio of the time that the endpoint takes to that of the mean endpoint; 0 if it is not known.
     pub(crate) slowness: f32,
-    /// Share of the requests that may be served in few regions and were turned away lately.
+    /// Recent share of refused requests among those that may be served in few regions only.
     pub(crate) scarcity: f32,
 }
 
