Log and count reads of the registry by reason, size and result, and late refreshes

A read that was dropped since another source was faster left neither a line nor a count, bytes of responses were counted nowhere, and a read of a node that is no reader looked like one of a reader.

A calm reader writes no line more. Not measured; no decision changes.

--- a/src/mesh/registry_read.rs
+++ b/src/mesh/registry_read.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{EndpointId, ZoneName};
 use crate::mesh::{EndpointRecord, HistoryPosition, MeshConfig};
+use crate::size::ByteSize;
 
 /// One change reported by a registry read.
 #[derive(Debug, Clone)]
@@ -29,6 +30,8 @@
     pub changes: Vec<RegistryChange>,
     /// Key after which the list of endpoints continues; `None` if it is complete.
     pub continues_after: Option<String>,
+    /// Size of the bodies of the responses.
+    pub size: ByteSize,
 }
 
 /// The result of reading the configuration.
@@ -40,4 +43,6 @@
     pub config: Option<Arc<MeshConfig>>,
     /// The availability zones to be evacuated.
     pub evacuated: Vec<ZoneName>,
+    /// Size of the bodies of the responses.
+    pub size: ByteSize,
 }
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -6,6 +6,7 @@
 use crate::clock::ClockTime;
 use crate::error::{Result, ResultCode};
 use crate::metrics::instruments;
+use crate::size::ByteSize;
 
 /// Upper bounds of the histograms in seconds, dense around latency objectives of 0.1 to 1 s.
 const DURATION_BOUNDS: [f64; 12] = [
@@ -28,6 +29,7 @@
     responses_held: Counter<u64>,
     slot_wait: Histogram<f64>,
     registry_reads: Counter<u64>,
+    registry_bytes: Counter<u64>,
     registry_restores: Counter<u64>,
     view_queries: Counter<u64>,
     endpoint_events: Counter<u64>,
@@ -119,7 +121,14 @@
                 "Responses that waited for an earlier one of their connection",
             ),
             slot_wait: duration("endive_slot_wait", "Time that requests waited for a slot"),
-            registry_reads: counter("endive_registry_reads", "Reads of the registry by result"),
+            registry_reads: counter(
+                "endive_registry_reads",
+                "Reads of the registry by result and reason",
+            ),
+            registry_bytes: counter(
+                "endive_registry_bytes",
+                "Bytes of complete responses of the registry by reason of the read",
+            ),
             registry_restores: counter(
                 "endive_registry_restores",
                 "Restores of the registry by source",
@@ -229,12 +238,21 @@
         self.slot_wait.record(wait.as_f64() / 1_000.0, &[]);
     }
 
-    /// Counts a read of the registry by its result.
-    pub fn record_registry_read(&self, result: &'static str) {
-        let labels = [KeyValue::new("result", result)];
+    /// Counts a read of the registry by its result and its reason.
+    pub fn record_registry_read(&self, result: &'static str, reason: &'static str) {
+        let labels = [
+            KeyValue::new("result", result),
+            KeyValue::new("reason", reason),
+        ];
         self.registry_reads.add(1, &labels);
     }
 
+    /// Counts the bytes of complete responses of the registry by the reason of the read.
+    pub fn record_registry_bytes(&self, size: ByteSize, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.registry_bytes.add(size.0, &labels);
+    }
+
     /// Counts a restore of the registry by its source.
     pub fn record_registry_restore(&self, source: &'static str) {
         let labels = [KeyValue::new("source", source)];
--- a/src/sidecar/compressed_config.rs
+++ b/src/sidecar/compressed_config.rs
@@ -7,6 +7,7 @@
 
 use crate::error::{Error, Result, ResultCode};
 use crate::sidecar::view_message::{ConfigUpdate, VIEW_LIMIT};
+use crate::size::ByteSize;
 
 /// A configuration update, compressed for transfer to other nodes.
 ///
@@ -32,6 +33,11 @@
         Ok(Self(compressed))
     }
 
+    /// Returns the size of the compressed update.
+    pub(crate) fn size(&self) -> ByteSize {
+        ByteSize(self.0.len() as u64)
+    }
+
     /// Decompresses and decodes the update, whose size is limited to [`VIEW_LIMIT`].
     ///
     /// # Errors
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -102,6 +102,7 @@
             if !is_first {
                 let age = self.state.clock.now() - previous_read_at;
                 self.record_source(reads_registry, age, result);
+                self.log_late_refresh(started_at, age, result);
             }
             self.updater.expire();
             match result {
@@ -141,6 +142,28 @@
         }
     }
 
+    /// Logs a refresh after which other nodes have asked further sources.
+    fn log_late_refresh(
+        &self,
+        started_at: ClockTime,
+        age: ClockTime,
+        result: std::result::Result<ViewSource, ()>,
+    ) {
+        if age < self.intervals(refresh_plan::BACKUP_AGE_INTERVALS) {
+            return;
+        }
+        let elapsed = self.state.clock.now() - started_at;
+        let source = match result {
+            Ok(ViewSource::Node(address)) => address.to_string(),
+            Ok(_) => "registry".to_owned(),
+            Err(()) => "-".to_owned(),
+        };
+        let failures = self.failures.get();
+        log::info!(
+            "event=refresh_late view_age={age} elapsed={elapsed} source={source} failures={failures}"
+        );
+    }
+
     /// Records which kind of source has refreshed a view of the given age, of a node that
     /// `reads_registry` or does not do so.
     fn record_source(
@@ -272,7 +295,7 @@
         })
     }
 
-    fn reads_registry(&self) -> bool {
+    pub(crate) fn reads_registry(&self) -> bool {
         let is_reader = self.neighbors().is_reader;
         let now = self.state.clock.now();
         self.reader.borrow().reads_registry(now, is_reader)
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -43,6 +43,7 @@
         compressed: &CompressedConfig,
     ) -> Result<()> {
         let update = compressed.decode()?;
+        let size = compressed.size();
         let installed = self.state.config();
         let is_installed = |version| {
             let installed = installed.as_ref();
@@ -55,11 +56,13 @@
             (ConfigUpdate::Delta(delta), _) if is_installed(delta.version) => return Ok(()),
             (ConfigUpdate::Snapshot(snapshot), _) => {
                 let config = MeshConfig::from_snapshot(snapshot)?;
-                (config, ConfigOrigin::Snapshot(sender))
+                let node = sender;
+                (config, ConfigOrigin::Snapshot { node, size })
             }
             (ConfigUpdate::Delta(delta), Some(config)) => {
                 let origin = ConfigOrigin::Delta {
                     node: sender,
+                    size,
                     changed_count: delta.changed.len(),
                     removed_count: delta.removed.len(),
                 };
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -9,7 +9,7 @@
 pub(crate) const SECOND_PARENT_AGE_INTERVALS: f64 = 1.25;
 /// Age, in refresh intervals, at which a node asks further sources in addition to its usual ones.
 /// More than half of the propagation bound is then left for them.
-const BACKUP_AGE_INTERVALS: f64 = 1.75;
+pub(crate) const BACKUP_AGE_INTERVALS: f64 = 1.75;
 /// Delay, in refresh intervals, between two times at which a further node is asked.
 const NODE_QUERY_INTERVALS: f64 = 0.25;
 /// Number of random nodes that are asked. With half of the nodes turned away, at least one of them
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -2,6 +2,7 @@
 
 use crate::error::{Error, Result, ResultCode};
 use crate::mesh::{HistoryEra, HistoryPosition, RegistrySource};
+use crate::registry_read::{ReadReason, ReadTrace};
 use crate::sidecar::config_origin::ConfigOrigin;
 use crate::sidecar::mesh_sync_task::{MeshSyncTask, PendingConfigRead};
 use crate::sidecar::view_origin::ViewOrigin;
@@ -13,8 +14,8 @@
 impl MeshSyncTask {
     /// Reads the registry and records the result.
     pub(crate) async fn read_registry(&self) -> std::result::Result<(), ()> {
-        let metrics = &self.state.metrics;
-        let mut result = self.try_read_registry().await;
+        let trace = ReadTrace::new(&self.state, self.read_reason());
+        let mut result = self.try_read_registry(&trace).await;
         for _ in 0..MAX_FULL_READ_COUNT {
             let Err(error) = &result else {
                 break;
@@ -22,22 +23,22 @@
             if error.code() != ResultCode::HistoryGone {
                 break;
             }
-            metrics.record_registry_read("history_gone");
+            trace.finish("history_gone");
             let listed = self.state.directory.borrow().listed_position();
             let position = self.position.get().unwrap_or(listed);
             log::info!("event=registry_history_gone position={position} cause=\"{error}\"");
             self.forget_position();
             // A full read needs no history; it fails so only if the registry is restored meanwhile.
-            result = self.try_read_registry().await;
+            result = self.try_read_registry(&trace).await;
         }
         match result {
             Ok(()) => {
-                metrics.record_registry_read("ok");
+                trace.finish("ok");
                 self.reader.borrow_mut().record_success();
                 Ok(())
             }
             Err(error) => {
-                metrics.record_registry_read("failed");
+                trace.finish("failed");
                 // After an outage, the changes may no longer fit into one response, so the next
                 // read is a full one.
                 self.forget_position();
@@ -54,20 +55,31 @@
         }
     }
 
+    /// Returns why this node reads the registry now.
+    fn read_reason(&self) -> ReadReason {
+        match self.state.age() {
+            None => ReadReason::Start,
+            Some(_) if self.reads_registry() => ReadReason::Reader,
+            Some(_) if self.neighbors().is_standby => ReadReason::Standby,
+            Some(_) => ReadReason::Fallback,
+        }
+    }
+
     /// Reads the changes since the last position, or all endpoints and then the configuration.
     ///
     /// A node without a configuration requests it from its parent first and reads it from the
     /// registry only if the parent fails.
-    async fn try_read_registry(&self) -> Result<()> {
+    async fn try_read_registry(&self, trace: &ReadTrace) -> Result<()> {
         let transfer = self.settings.registry_transfer_time;
         let source = self.adapter.registry(self.state.registry(), transfer);
         if let Some(pending) = self.pending_config_read.get() {
-            return self.read_config(source.as_ref(), pending).await;
+            return self.read_config(source.as_ref(), pending, trace).await;
         }
         let started_at = self.state.clock.now();
         if let Some(position) = self.position.get() {
             let wait = self.watch_time();
             let read = source.watch(position, wait).await?;
+            trace.add_response(read.size);
             let received_at = self.state.clock.now();
             self.check_era(read.position)?;
             self.end_registry_outage();
@@ -93,6 +105,7 @@
             return Ok(());
         }
         let read = source.all_endpoints(first).await?;
+        trace.add_response(read.size);
         self.check_era(read.position)?;
         self.end_registry_outage();
         if read.position < self.state.directory.borrow().listed_position() {
@@ -115,7 +128,7 @@
         if is_first && !neighbors.is_reader && !neighbors.parents.is_empty() {
             return Ok(());
         }
-        self.read_config(source.as_ref(), pending).await
+        self.read_config(source.as_ref(), pending, trace).await
     }
 
     /// Ends a registry outage and starts the window in which endpoints may register again.
@@ -161,8 +174,10 @@
         &self,
         source: &dyn RegistrySource,
         pending: PendingConfigRead,
+        trace: &ReadTrace,
     ) -> Result<()> {
         let read = source.config().await?;
+        trace.add_response(read.size);
         if read.position.era != pending.position.era {
             return Err(registry_restored(pending.position.era, read.position.era));
         }
