Reproduce late routes and departures behind a link that large configurations fill

Sixteen real nodes of one region read the store through a link of 8 Mbit/s, on which one configuration of 2,400 routes takes 0.7 s. Four versions are published 150 ms apart, then an endpoint reports that it leaves.

A node's log: registry_read reason=fallback result=failed elapsed=1189ms view_age=1582ms, then refresh_late view_age=3187ms.

The proxy of the test kit now lets each connection hold one chunk of a limited link, so that connections share it as with small windows; before, one connection could hold 1 MB of it ahead of the others.

--- a/testkit/src/proxy/proxy_stream.rs
+++ b/testkit/src/proxy/proxy_stream.rs
@@ -130,6 +130,8 @@
         if sender.send((sent + mapping.latency(), chunk)).is_err() || length == 0 {
             return;
         }
+        // Like a small window, this shares the link among its connections.
+        thread::sleep(sent.saturating_duration_since(Instant::now()));
     }
 }
 
