Read endpoints and a large configuration apart, and let few nodes read the latter

Cause: the configuration is one value, read whole, and each watch received it together with the endpoints, in all versions since the last read. With 3,934 routes it is 0.9 MB, which takes 1.04 s at 7 Mbit/s. Views reach the age of 2.1 intervals (1.6 s) meanwhile, on all nodes of the region at once; each then read everything from the store, within 27 ms, and after a failed read all of it again. 45 nodes fill the link between the regions for more than 5 s, so every read failed or was late, and reports of endpoints waited behind. The rate of calls was bounded, that of bytes was not.

A watch now receives small changes only; a larger response is given up at its head, the endpoints are read alone, and the configuration beside them, only its latest version. Readers do so at once, the standby later, others in doubling numbers. A failed watch is repeated from its position.

At 5,500 nodes: two more calls of the store for each large version and reader, six readers; nothing in calm.

--- a/src/backend/http_client.rs
+++ b/src/backend/http_client.rs
@@ -8,6 +8,7 @@
 use crate::caller::WireError;
 use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
+use crate::size::ByteSize;
 
 /// HTTP/1.1 client that sends each request on its own connection.
 #[derive(Debug, Clone)]
@@ -53,14 +54,41 @@
         path: &str,
         timeout: ClockTime,
     ) -> Result<http::Response<Bytes>> {
-        self.send("GET", path, timeout).await?.map_err(|error| {
-            let code = if error.is_invalid_message() {
-                ResultCode::PlatformInvalid
-            } else {
-                ResultCode::PlatformUnreachable
-            };
-            Error::new(code, format!("platform at {}: {error}", self.address))
-        })
+        let result = self.send("GET", path, timeout).await?;
+        result.map_err(|error| self.platform_error(&error))
+    }
+
+    /// Sends a GET request to the platform like [`HttpClient::get_from_platform`]; returns `None` if
+    /// the body of the response exceeds `limit`, without receiving the rest of it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpClient::get_from_platform`].
+    pub async fn get_small_from_platform(
+        &self,
+        path: &str,
+        timeout: ClockTime,
+        limit: ByteSize,
+    ) -> Result<Option<http::Response<Bytes>>> {
+        let body_limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
+        let limited = Self {
+            body_limit: body_limit.min(self.body_limit),
+            ..self.clone()
+        };
+        match limited.send("GET", path, timeout).await? {
+            Ok(response) => Ok(Some(response)),
+            Err(WireError::TooLarge) => Ok(None),
+            Err(error) => Err(self.platform_error(&error)),
+        }
+    }
+
+    fn platform_error(&self, error: &WireError) -> Error {
+        let code = if error.is_invalid_message() {
+            ResultCode::PlatformInvalid
+        } else {
+            ResultCode::PlatformUnreachable
+        };
+        Error::new(code, format!("platform at {}: {error}", self.address))
     }
 
     async fn exchange(
--- a/src/mesh/registry_source.rs
+++ b/src/mesh/registry_source.rs
@@ -3,6 +3,7 @@
 use crate::clock::ClockTime;
 use crate::error::Result;
 use crate::mesh::{ConfigRead, HistoryPosition, RegistryRead};
+use crate::size::ByteSize;
 
 /// A source of the configuration and the endpoints in the registry of the platform.
 pub trait RegistrySource {
@@ -30,7 +31,8 @@
     /// As for [`RegistrySource::all_endpoints`].
     fn config(&self) -> LocalBoxFuture<'_, Result<ConfigRead>>;
 
-    /// Waits for changes after `position`, for at most `wait`, and returns them.
+    /// Waits for changes after `position`, for at most `wait`, and returns them, or `None` if they
+    /// exceed `limit`.
     ///
     /// # Errors
     ///
@@ -40,5 +42,29 @@
         &self,
         position: HistoryPosition,
         wait: ClockTime,
+        limit: ByteSize,
+    ) -> LocalBoxFuture<'_, Result<Option<RegistryRead>>>;
+
+    /// Waits for changes of endpoints after `position`, for at most `wait`, and returns them.
+    ///
+    /// # Errors
+    ///
+    /// As for [`RegistrySource::watch`].
+    fn watch_endpoints(
+        &self,
+        position: HistoryPosition,
+        wait: ClockTime,
     ) -> LocalBoxFuture<'_, Result<RegistryRead>>;
+
+    /// Returns the changes of the configuration and of the evacuated availability zones after
+    /// `position`, or `None` if they exceed `limit`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`RegistrySource::watch`].
+    fn config_changes(
+        &self,
+        position: HistoryPosition,
+        limit: ByteSize,
+    ) -> LocalBoxFuture<'_, Result<Option<RegistryRead>>>;
 }
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -121,10 +121,7 @@
                 "Responses that waited for an earlier one of their connection",
             ),
             slot_wait: duration("endive_slot_wait", "Time that requests waited for a slot"),
-            registry_reads: counter(
-                "endive_registry_reads",
-                "Reads of the registry by result and reason",
-            ),
+            registry_reads: counter("endive_registry_reads", "Reads of the registry by result"),
             registry_bytes: counter(
                 "endive_registry_bytes",
                 "Bytes of complete responses of the registry by reason of the read",
@@ -238,12 +235,9 @@
         self.slot_wait.record(wait.as_f64() / 1_000.0, &[]);
     }
 
-    /// Counts a read of the registry by its result and its reason.
-    pub fn record_registry_read(&self, result: &'static str, reason: &'static str) {
-        let labels = [
-            KeyValue::new("result", result),
-            KeyValue::new("reason", reason),
-        ];
+    /// Counts a read of the registry by its result.
+    pub fn record_registry_read(&self, result: &'static str) {
+        let labels = [KeyValue::new("result", result)];
         self.registry_reads.add(1, &labels);
     }
 
--- a/src/registry_read.rs
+++ b/src/registry_read.rs
@@ -1,7 +1,10 @@
 //! Reads of the registry by this node: why and when they are made, and their trace in logs and metrics.
 
+mod config_loop;
+mod config_schedule;
 mod read_reason;
 mod read_trace;
 
+pub use config_schedule::{ConfigLag, config_read_delay};
 pub use read_reason::ReadReason;
 pub(crate) use read_trace::ReadTrace;
--- a/src/registry_read/read_reason.rs
+++ b/src/registry_read/read_reason.rs
@@ -11,6 +11,8 @@
     Standby,
     /// No other node has refreshed the view in time.
     Fallback,
+    /// The configuration lags behind the endpoints.
+    Config,
 }
 
 impl ReadReason {
@@ -22,6 +24,7 @@
             Self::Reader => "reader",
             Self::Standby => "standby",
             Self::Fallback => "fallback",
+            Self::Config => "config",
         }
     }
 }
--- a/src/registry_read/read_trace.rs
+++ b/src/registry_read/read_trace.rs
@@ -49,7 +49,7 @@
     fn drop(&mut self) {
         let (reason, result, size) = (self.reason, self.result.get(), self.size.get());
         let metrics = &self.state.metrics;
-        metrics.record_registry_read(result, reason.label());
+        metrics.record_registry_read(result);
         metrics.record_registry_bytes(size, reason.label());
         let is_usual = matches!(reason, ReadReason::Reader | ReadReason::Start);
         if is_usual && result == "ok" && size.0 < LARGE_READ_BYTES {
--- a/src/sidecar/config_origin.rs
+++ b/src/sidecar/config_origin.rs
@@ -33,8 +33,8 @@
                 removed_count,
             } => write!(
                 formatter,
-                "source={node} form=delta bytes={size} changed={changed_count} \
-                 removed={removed_count}"
+                "source={node} form=delta changed={changed_count} removed={removed_count} \
+                 bytes={size}"
             ),
         }
     }
--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -43,6 +43,8 @@
     pub(crate) position: Cell<Option<HistoryPosition>>,
     /// Set while the endpoints of a full read have been applied and the configuration has not.
     pub(crate) pending_config_read: Cell<Option<PendingConfigRead>>,
+    /// Position up to which the endpoints are known while the configuration has changed since.
+    pub(crate) lagging_config: Cell<Option<HistoryPosition>>,
     /// The first page of the list of endpoints and the time when it was requested, while a starting
     /// node asks the nodes on it.
     pub(crate) first_page: RefCell<Option<(ClockTime, RegistryRead)>>,
@@ -69,11 +71,10 @@
     /// Runs the synchronization loop until the stop signal is given.
     pub(crate) async fn run(self, stop: StopSignal) {
         let syncing = pin!(self.sync_loop());
+        let reading = pin!(self.config_loop());
         let expiring = pin!(self.expire_loop());
-        let stopped = pin!(stop.wait());
-        match future::select(future::select(syncing, expiring), stopped).await {
-            Either::Left(_) | Either::Right(_) => {}
-        }
+        let loops = pin!(future::join3(syncing, reading, expiring));
+        future::select(loops, pin!(stop.wait())).await;
     }
 
     /// Removes missing entries as soon as the time for which they are kept is over. A refresh, which may
@@ -192,6 +193,8 @@
                 };
                 reader.record_backup_read(now, interval, region_size, chance);
             }
+            // The response shares the link with the configuration that is being received.
+            (true, Ok(_)) if self.lagging_config.get().is_some() => {}
             // The registry has not responded in time, or the failure is recorded already.
             (true, _) if reader.reads_registry(now, true) => reader.record_failure(now, interval),
             (true, _) => {}
@@ -279,6 +282,7 @@
             .sort_by_key(|parent| Some(*parent) != last_parent);
         refresh_plan::plan_refresh(&RefreshState {
             age: self.state.age(),
+            config_age: self.state.config_age().unwrap_or_default(),
             interval: self.interval(),
             reads_registry: self.reads_registry(),
             is_standby: neighbors.is_standby,
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -83,7 +83,9 @@
         if self.state.age().is_none() {
             self.state.record_known_since(now - reply.known_for);
         }
-        self.replace_evacuations(reply.evacuated.iter().cloned());
+        if reply.position >= self.state.directory.borrow().position() {
+            self.replace_evacuations(reply.evacuated.iter().cloned());
+        }
         let is_new_era = self.begin_era(reply.listed_position, "node");
         let lacks_removals = self.lacks_removals(&reply);
         let mut events = Vec::new();
@@ -173,6 +175,7 @@
             let spec = config.service(&self.state.service);
             let bounds = self.state.bounds();
             self.inbound.room.configure(spec, &bounds);
+            self.state.wake_waiters();
             let previous = previous.map_or_else(|| "-".to_owned(), |version| version.to_string());
             log::info!(
                 "event=config_in_force version={} previous={previous} routes={} {origin}",
@@ -212,6 +215,11 @@
         self.state.directory.borrow_mut().advance(position);
     }
 
+    /// Records that the endpoints reflect the registry up to a position.
+    pub(crate) fn record_listing(&self, position: HistoryPosition) {
+        self.state.directory.borrow_mut().record_listing(position);
+    }
+
     /// Records that the endpoints were replaced by a full list that reflects a position.
     pub(crate) fn record_full_listing(&self, position: HistoryPosition) {
         let mut directory = self.state.directory.borrow_mut();
@@ -221,15 +229,14 @@
     /// Applies the changes returned by a registry read.
     ///
     /// Another node may have sent a view since the read was requested. If that view is of a later
-    /// position, only the configuration of the read is applied.
+    /// position, only what the operator has changed is applied.
     pub(crate) fn apply(&self, read: RegistryRead) {
         let now = self.state.clock.now();
         let known = self.state.directory.borrow().listed_position();
         if read.position < known {
-            for change in read.changes {
-                if let RegistryChange::Config(config) = change {
-                    self.install(&config, ConfigOrigin::Registry);
-                }
+            let position = self.state.directory.borrow().position();
+            if read.position > position {
+                self.apply_operator_changes(read.changes);
             }
             return;
         }
@@ -238,22 +245,15 @@
         for change in read.changes {
             let mut directory = self.state.directory.borrow_mut();
             match change {
-                RegistryChange::Config(config) => {
+                RegistryChange::Config(_) | RegistryChange::Evacuation(..) => {
                     drop(directory);
-                    self.install(&config, ConfigOrigin::Registry);
+                    self.apply_operator_change(change);
                 }
                 RegistryChange::Endpoint(record) => {
                     listed.insert(record.id.clone());
                     events.extend(directory.upsert(now, record));
                 }
                 RegistryChange::EndpointRemoved(id) => events.extend(directory.remove(now, &id)),
-                RegistryChange::Evacuation(zone, is_evacuated) => {
-                    drop(directory);
-                    let mut evacuations = self.state.evacuations.borrow_mut();
-                    let change = evacuations.set(now, zone, is_evacuated);
-                    drop(evacuations);
-                    self.handle_evacuations(&change);
-                }
             }
         }
         let mut directory = self.state.directory.borrow_mut();
@@ -265,6 +265,27 @@
         self.handle_events(events);
     }
 
+    /// Applies the changes that the operator has made, in the order of the history.
+    pub(crate) fn apply_operator_changes(&self, changes: Vec<RegistryChange>) {
+        for change in changes {
+            self.apply_operator_change(change);
+        }
+    }
+
+    fn apply_operator_change(&self, change: RegistryChange) {
+        match change {
+            RegistryChange::Config(config) => self.install(&config, ConfigOrigin::Registry),
+            RegistryChange::Evacuation(zone, is_evacuated) => {
+                let now = self.state.clock.now();
+                let mut evacuations = self.state.evacuations.borrow_mut();
+                let change = evacuations.set(now, zone, is_evacuated);
+                drop(evacuations);
+                self.handle_evacuations(&change);
+            }
+            RegistryChange::Endpoint(_) | RegistryChange::EndpointRemoved(_) => {}
+        }
+    }
+
     /// Removes endpoints that did not register again after a registry outage.
     pub(crate) fn expire(&self) {
         let now = self.state.clock.now();
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -149,11 +149,15 @@
             log::warn!("event=config_not_received node={address}");
             return;
         }
+        let config_read_at = reply.config_age.map_or(ClockTime(0), |config_age| {
+            view_time::earliest_read_time(sent_at, reply.held, config_age)
+        });
         let pending = self.pending_config_read.get();
         if pending.is_some_and(|pending| reply.position.era < pending.position.era) {
             // The configuration may be older than that of the era of the endpoints.
             return;
         }
+        let era = reply.position.era;
         if let Some(pending) = pending.filter(|pending| reply.position < pending.position) {
             // The local endpoint list is newer; only the configuration was missing. Watching
             // resumes at the older position, which the configuration reflects.
@@ -162,26 +166,39 @@
             self.position.set(Some(reply.position));
             self.pending_config_read.set(None);
             let read_at = pending.started_at.min(read_at);
-            let era = reply.position.era;
+            self.state.confirm_config(era, config_read_at);
             self.state
                 .mark_fresh(era, read_at, ViewOrigin::Node(address));
             return;
         }
         let directory = self.state.directory.borrow();
-        if reply.position < directory.position()
-            || reply.listed_position < directory.seen_position()
-        {
+        let (known, seen) = (directory.position(), directory.seen_position());
+        drop(directory);
+        if era < known.era {
             return;
         }
-        drop(directory);
-        let (cursor, position) = (reply.cursor, reply.position);
-        self.updater.merge_view(reply);
-        self.cursors.borrow_mut().insert(address, cursor);
-        self.position.set(Some(position));
-        self.pending_config_read.set(None);
-        self.first_page.take();
-        self.state
-            .mark_fresh(position.era, read_at, ViewOrigin::Node(address));
+        // Either the endpoints or the configuration of the reply may be older than those of this node.
+        let has_endpoints = reply.listed_position >= seen;
+        let cursor = reply.cursor;
+        if has_endpoints {
+            self.updater.merge_view(reply);
+            self.cursors.borrow_mut().insert(address, cursor);
+            self.pending_config_read.set(None);
+            self.first_page.take();
+        } else if reply.position > known {
+            self.updater.replace_evacuations(reply.evacuated);
+            self.updater.advance(reply.position);
+        }
+        if has_endpoints || self.position.get().is_some() {
+            let position = self.state.directory.borrow().position();
+            self.position.set(Some(position));
+        }
+        self.clear_lagging_config();
+        self.state.confirm_config(era, config_read_at);
+        if has_endpoints {
+            self.state
+                .mark_fresh(era, read_at, ViewOrigin::Node(address));
+        }
     }
 
     /// Returns how long another node may wait for a fresher view than this node's.
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -10,12 +10,24 @@
 use crate::evacuation::EvacuationSet;
 use crate::id::{ServiceName, ZoneName};
 use crate::introduction::ChildTable;
-use crate::mesh::{ConfigHistory, HistoryEra, HistoryPosition, MeshConfig, ServiceDirectory};
+use crate::mesh::{
+    ConfigHistory, ConfigVersion, HistoryEra, HistoryPosition, MeshConfig, ServiceDirectory,
+};
 use crate::metrics::SidecarMetrics;
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_summary::ViewSummary;
 use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings, StopSchedule};
 
+/// How far the view of a node has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ViewProgress {
+    era: HistoryEra,
+    read_at: ClockTime,
+    version: Option<ConfigVersion>,
+    position: HistoryPosition,
+    listed_position: HistoryPosition,
+}
+
 /// The state of the node and its view of the mesh, owned by a single event loop.
 pub(crate) struct NodeState {
     pub(crate) clock: SystemClock,
@@ -32,8 +44,10 @@
     known_since: Cell<ClockTime>,
     /// Times of the planned stop, while the node stops.
     stop: Cell<Option<StopSchedule>>,
-    /// Era of the registry's history and time up to which the view is known to match it.
+    /// Era of the registry's history and time up to which the endpoints are known to match it.
     read_mark: Cell<(HistoryEra, ClockTime)>,
+    /// The same for the configuration, whose transfer may take longer.
+    config_mark: Cell<(HistoryEra, ClockTime)>,
     /// Source from which `read_mark` was learned.
     origin: Cell<Option<ViewOrigin>>,
     /// Availability zone of the instance.
@@ -67,6 +81,7 @@
             known_since: Cell::default(),
             stop: Cell::new(None),
             read_mark: Cell::default(),
+            config_mark: Cell::default(),
             origin: Cell::default(),
             zone: settings.zone.clone(),
             service: settings.service.clone(),
@@ -121,7 +136,13 @@
         true
     }
 
-    /// Records that the view matches the registry as of `read_at`, and wakes the waiting tasks.
+    /// Records that the configuration matches the registry as of `read_at`.
+    pub(crate) fn confirm_config(&self, era: HistoryEra, read_at: ClockTime) {
+        self.config_mark
+            .set(self.config_mark.get().max((era, read_at)));
+    }
+
+    /// Records that the endpoints match the registry as of `read_at`, and wakes the waiting tasks.
     ///
     /// A reading of an earlier era is never fresher than one of a later era. Changes are passed on
     /// also if `read_at`, which is a lower bound, does not rise.
@@ -131,19 +152,38 @@
             self.read_mark.set((era, read_at));
             self.origin.set(Some(origin));
         }
+        self.wake_waiters();
+    }
+
+    /// Wakes the tasks that wait for a refresh.
+    pub(crate) fn wake_waiters(&self) {
         for waiter in self.refresh_waiters.take() {
             // Sending fails if the waiting task was dropped.
             let _ = waiter.send(());
         }
     }
 
-    /// Returns how far the view has come: its last reading of the registry, and its position.
-    pub(crate) fn view_progress(&self) -> (HistoryEra, ClockTime, HistoryPosition) {
+    /// Returns how far the view has come.
+    pub(crate) fn view_progress(&self) -> ViewProgress {
         let (era, read_at) = self.read_mark.get();
-        (era, read_at, self.directory.borrow().position())
+        let config = self.config.borrow();
+        let directory = self.directory.borrow();
+        ViewProgress {
+            era,
+            read_at,
+            version: config.as_ref().map(|config| config.version()),
+            position: directory.position(),
+            listed_position: directory.listed_position(),
+        }
+    }
+
+    /// Returns the age of the configuration, or `None` if the view has never been synchronized.
+    pub(crate) fn config_age(&self) -> Option<ClockTime> {
+        let age = self.clock.now() - self.config_mark.get().1;
+        self.loaded.get().then_some(age)
     }
 
-    /// Returns the age of the view, or `None` if it has never been synchronized.
+    /// Returns the age of the endpoints, or `None` if the view has never been synchronized.
     pub(crate) fn age(&self) -> Option<ClockTime> {
         let age = self.clock.now() - self.read_at();
         self.loaded.get().then_some(age)
@@ -159,12 +199,12 @@
         self.known_since.set(self.known_since.get().max(since));
     }
 
-    /// Returns the time up to which the view is known to match the registry.
+    /// Returns the time up to which the endpoints are known to match the registry.
     pub(crate) fn read_at(&self) -> ClockTime {
         self.read_mark.get().1
     }
 
-    /// Returns the era and the time of the last reading of the registry that the view reflects.
+    /// Returns the era and the time of the last reading of the registry that the endpoints reflect.
     pub(crate) fn read_mark(&self) -> (HistoryEra, ClockTime) {
         self.read_mark.get()
     }
@@ -175,7 +215,7 @@
     /// Only then may the node state that a request is wrong; a newer configuration may allow it.
     pub(crate) fn confirms_config(&self) -> bool {
         let bound = self.bounds().config_apply;
-        self.config.borrow().is_some() && self.age().is_some_and(|age| age < bound)
+        self.config.borrow().is_some() && self.config_age().is_some_and(|age| age < bound)
     }
 
     /// Returns what this node knows, for the log.
@@ -188,6 +228,7 @@
             position: directory.position(),
             listed_position: directory.listed_position(),
             age: self.age(),
+            config_age: self.config_age(),
             origin: self.origin.get(),
         }
     }
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -68,8 +68,10 @@
 /// What a node knows when it plans a refresh.
 #[derive(Debug, Clone, Copy)]
 pub struct RefreshState<'a> {
-    /// Age of the view; `None` if it has never been synchronized.
+    /// Age of the endpoints; `None` if the view has never been synchronized.
     pub age: Option<ClockTime>,
+    /// Age of the configuration.
+    pub config_age: ClockTime,
     /// Usual time between two refreshes.
     pub interval: ClockTime,
     /// Whether the node is to read the registry, and can.
@@ -174,9 +176,14 @@
             add(&mut plan, ViewSource::Node(*parent), second);
         }
     } else {
+        let late_config = state.intervals(SECOND_PARENT_AGE_INTERVALS) - state.config_age;
         for (index, parent) in state.parents.iter().enumerate() {
             let is_first = index == 0 || state.lacks_config;
-            let delay = if is_first { ClockTime(0) } else { second };
+            let delay = if is_first {
+                ClockTime(0)
+            } else {
+                second.min(late_config)
+            };
             add(&mut plan, ViewSource::Node(*parent), delay);
         }
         if state.is_standby {
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -1,13 +1,19 @@
 //! Reading of the registry by the synchronization task.
 
+use crate::clock::ClockTime;
 use crate::error::{Error, Result, ResultCode};
-use crate::mesh::{HistoryEra, HistoryPosition, RegistrySource};
+use crate::mesh::{HistoryEra, HistoryPosition, RegistryRead, RegistrySource};
 use crate::registry_read::{ReadReason, ReadTrace};
 use crate::sidecar::config_origin::ConfigOrigin;
 use crate::sidecar::mesh_sync_task::{MeshSyncTask, PendingConfigRead};
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_time;
+use crate::size::ByteSize;
 
+/// Size of changes, besides those of the endpoints, that are received together with them.
+const WATCH_LIMIT_BYTES: u64 = 64 << 10;
+/// Size of the changes of one endpoint, about half of which report within a refresh interval.
+const ENDPOINT_CHANGE_BYTES: u64 = 256;
 /// Number of full reads that are tried at once if the history was lost.
 const MAX_FULL_READ_COUNT: usize = 2;
 
@@ -39,9 +45,11 @@
             }
             Err(error) => {
                 trace.finish("failed");
-                // After an outage, the changes may no longer fit into one response, so the next
-                // read is a full one.
-                self.forget_position();
+                // The changes that a watch receives are limited, so it can be repeated. Anything else
+                // may no longer arrive in time, so the next read is a full one.
+                if self.position.get().is_none() || self.lagging_config.get().is_some() {
+                    self.forget_position();
+                }
                 let now = self.state.clock.now();
                 self.reader
                     .borrow_mut()
@@ -77,21 +85,7 @@
         }
         let started_at = self.state.clock.now();
         if let Some(position) = self.position.get() {
-            let wait = self.watch_time();
-            let read = source.watch(position, wait).await?;
-            trace.add_response(read.size);
-            let received_at = self.state.clock.now();
-            self.check_era(read.position)?;
-            self.end_registry_outage();
-            let reached = read.position;
-            self.position.set(self.position.get().max(Some(reached)));
-            self.updater.apply(read);
-            self.updater.advance(reached);
-            let is_changed = reached != position;
-            let read_at = view_time::watched_read_time(started_at, wait, received_at, is_changed);
-            self.state
-                .mark_fresh(reached.era, read_at, ViewOrigin::Registry);
-            return Ok(());
+            return self.read_changes(source.as_ref(), position, trace).await;
         }
         let known = self.first_page.take();
         let is_introduced = known.is_some();
@@ -123,6 +117,15 @@
         self.pending_config_read.set(Some(pending));
         self.updater.apply(read);
         self.updater.record_full_listing(pending.position);
+        let installed = self.state.directory.borrow().position();
+        if self.state.config().is_some() && installed.era == pending.position.era {
+            self.pending_config_read.set(None);
+            self.position.set(Some(installed));
+            self.record_lagging_config(pending.position);
+            self.state
+                .mark_fresh(installed.era, started_at, ViewOrigin::Registry);
+            return Ok(());
+        }
         let is_first = self.state.config().is_none() && self.failures.get() == 0;
         let neighbors = self.neighbors();
         if is_first && !neighbors.is_reader && !neighbors.parents.is_empty() {
@@ -131,6 +134,71 @@
         self.read_config(source.as_ref(), pending, trace).await
     }
 
+    /// Reads the changes since `position`, of the endpoints alone while the configuration lags behind.
+    ///
+    /// A response with large configurations is not received: endpoints that leave would wait for it.
+    async fn read_changes(
+        &self,
+        source: &dyn RegistrySource,
+        position: HistoryPosition,
+        trace: &ReadTrace,
+    ) -> Result<()> {
+        let mut wait = self.watch_time();
+        let mut started_at = self.state.clock.now();
+        if self.lagging_config.get().is_none() {
+            let limit = self.watch_limit();
+            if let Some(read) = source.watch(position, wait, limit).await? {
+                trace.add_response(read.size);
+                self.check_era(read.position)?;
+                let reached = read.position;
+                let read_at = self.watched_read_time(started_at, wait, reached != position);
+                self.apply_changes(read);
+                self.updater.advance(reached);
+                self.position.set(self.position.get().max(Some(reached)));
+                self.state.confirm_config(reached.era, read_at);
+                self.state
+                    .mark_fresh(reached.era, read_at, ViewOrigin::Registry);
+                return Ok(());
+            }
+            (wait, started_at) = (ClockTime(0), self.state.clock.now());
+        }
+        let listed = self.state.directory.borrow().listed_position();
+        let read = source.watch_endpoints(listed, wait).await?;
+        trace.add_response(read.size);
+        self.check_era(read.position)?;
+        let reached = read.position;
+        let read_at = self.watched_read_time(started_at, wait, reached != listed);
+        self.apply_changes(read);
+        self.updater.record_listing(reached);
+        if self.lagging_config.get().is_none() {
+            self.record_lagging_config(reached);
+        }
+        self.state
+            .mark_fresh(reached.era, read_at, ViewOrigin::Registry);
+        Ok(())
+    }
+
+    pub(crate) fn apply_changes(&self, read: RegistryRead) {
+        self.end_registry_outage();
+        self.updater.apply(read);
+    }
+
+    fn watched_read_time(
+        &self,
+        started_at: ClockTime,
+        wait: ClockTime,
+        is_changed: bool,
+    ) -> ClockTime {
+        let received_at = self.state.clock.now();
+        view_time::watched_read_time(started_at, wait, received_at, is_changed)
+    }
+
+    /// Returns the size up to which changes are received together with the configuration.
+    fn watch_limit(&self) -> ByteSize {
+        let endpoint_count = self.state.directory.borrow().len() as u64;
+        ByteSize(WATCH_LIMIT_BYTES + ENDPOINT_CHANGE_BYTES * endpoint_count)
+    }
+
     /// Ends a registry outage and starts the window in which endpoints may register again.
     ///
     /// Must be called before the first response after the outage is applied, which may lack entries
@@ -157,12 +225,13 @@
     fn forget_position(&self) {
         self.position.set(None);
         self.pending_config_read.set(None);
+        self.lagging_config.set(None);
         self.first_page.take();
     }
 
     /// Rejects a read of an earlier era than that of the directory. Another node may have sent a view
     /// of the later era since the read was requested.
-    fn check_era(&self, position: HistoryPosition) -> Result<()> {
+    pub(crate) fn check_era(&self, position: HistoryPosition) -> Result<()> {
         let known = self.state.directory.borrow().listed_position();
         if position.era < known.era {
             return Err(registry_restored(position.era, known.era));
@@ -189,11 +258,9 @@
         self.updater.advance(pending.position);
         self.position.set(Some(pending.position));
         self.pending_config_read.set(None);
-        self.state.mark_fresh(
-            pending.position.era,
-            pending.started_at,
-            ViewOrigin::Registry,
-        );
+        let (era, read_at) = (pending.position.era, pending.started_at);
+        self.state.confirm_config(era, read_at);
+        self.state.mark_fresh(era, read_at, ViewOrigin::Registry);
         Ok(())
     }
 }
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -166,6 +166,7 @@
             cursors: RefCell::default(),
             position: Cell::new(None),
             pending_config_read: Cell::new(None),
+            lagging_config: Cell::new(None),
             first_page: RefCell::default(),
             failures: Cell::new(0),
             outage: RefCell::default(),
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -36,7 +36,7 @@
     pub(crate) position: HistoryPosition,
     /// Version of the configuration that the sender has installed.
     pub(crate) version: Option<ConfigVersion>,
-    /// Age of the sender's view.
+    /// Age of the sender's endpoints.
     pub(crate) age: ClockTime,
     /// Longest time to wait for a fresher view.
     pub(crate) wait: ClockTime,
@@ -70,8 +70,10 @@
     pub(crate) seen_position: HistoryPosition,
     /// Time from the arrival of the request to the reply.
     pub(crate) held: ClockTime,
-    /// Age of the view; `None` if it has never been synchronized.
+    /// Age of the endpoints; `None` if the view has never been synchronized.
     pub(crate) age: Option<ClockTime>,
+    /// Age of the configuration, which is higher while a new one is being received.
+    pub(crate) config_age: Option<ClockTime>,
     /// Time for which the node has known the endpoints without a gap. A removal before is not known.
     pub(crate) known_for: ClockTime,
     /// Time for which the node keeps endpoints whose entries are missing.
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -39,7 +39,7 @@
     pub(crate) async fn handle(&self, request: &ViewRequest) -> ViewReply {
         let now = self.state.clock.now();
         let initial = self.state.view_progress();
-        let era = initial.0;
+        let era = self.state.read_mark().0;
         if request.position.era >= era {
             let sender_read_at = now - request.age;
             let mut fresh_peers = self.state.fresh_peers.borrow_mut();
@@ -51,7 +51,8 @@
             Ordering::Less => true,
             Ordering::Equal => {
                 let age = self.state.age();
-                age.is_some_and(|age| age + MIN_GAIN < request.age)
+                let version = self.state.config().map(|config| config.version());
+                age.is_some_and(|age| age + MIN_GAIN < request.age) || version > request.version
             }
             Ordering::Greater => false,
         };
@@ -120,6 +121,7 @@
             seen_position: directory.seen_position(),
             held: self.state.clock.now() - received_at,
             age: self.state.age(),
+            config_age: self.state.config_age(),
             known_for: self.state.known_for(),
             missing_kept_for: directory.missing_kept_until() - self.state.clock.now(),
             version: config.as_ref().map(|config| config.version()),
--- a/src/sidecar/view_summary.rs
+++ b/src/sidecar/view_summary.rs
@@ -13,8 +13,10 @@
     pub(crate) position: HistoryPosition,
     /// Position that the endpoints reflect.
     pub(crate) listed_position: HistoryPosition,
-    /// Age of the view; `None` if it has never been synchronized.
+    /// Age of the endpoints; `None` if the view has never been synchronized.
     pub(crate) age: Option<ClockTime>,
+    /// Age of the configuration.
+    pub(crate) config_age: Option<ClockTime>,
     /// Source of the last refresh.
     pub(crate) origin: Option<ViewOrigin>,
 }
@@ -29,6 +31,8 @@
         )?;
         write_or_dash(formatter, "view_age", self.age)?;
         formatter.write_str(" ")?;
+        write_or_dash(formatter, "config_age", self.config_age)?;
+        formatter.write_str(" ")?;
         write_or_dash(formatter, "source", self.origin)
     }
 }
--- /dev/null
+++ b/tests/config_read_rules.rs
@@ -0,0 +1,110 @@
+//! Tests of when a node reads a configuration that lags behind the endpoints.
+
+use endivelanding::clock::ClockTime;
+use endivelanding::registry_read::{ConfigLag, config_read_delay};
+use proptest::prelude::*;
+
+/// Refresh interval for a propagation bound of 3 s.
+const INTERVAL: ClockTime = ClockTime(750);
+
+const LATE: ConfigLag = ConfigLag {
+    age: ClockTime(300),
+    config_age: ClockTime(1_800),
+    interval: INTERVAL,
+    is_known: false,
+    reads_registry: false,
+    is_standby: false,
+    last_read: None,
+    transfer_time: ClockTime(1_600),
+    region_size: 45,
+    chance: 0.5,
+};
+
+#[test]
+fn nodes_read_a_late_configuration_in_order_of_their_place_and_link() {
+    let reader = ConfigLag {
+        is_known: true,
+        reads_registry: true,
+        ..LATE
+    };
+    let standby = ConfigLag {
+        is_standby: true,
+        ..LATE
+    };
+    let first = ConfigLag {
+        chance: 0.0,
+        ..LATE
+    };
+    let in_step = ConfigLag {
+        config_age: ClockTime(500),
+        ..LATE
+    };
+    let read = |ended, duration| Some((ClockTime(ended), ClockTime(duration)));
+    let table = [
+        ("reader", reader, Some(0)),
+        (
+            "reader whose last read took long",
+            ConfigLag {
+                last_read: read(100, 2_000),
+                ..reader
+            },
+            Some(275),
+        ),
+        (
+            "reader whose last read was short",
+            ConfigLag {
+                last_read: read(100, 120),
+                ..reader
+            },
+            Some(20),
+        ),
+        ("standby", standby, Some(0)),
+        (
+            "standby before its time",
+            ConfigLag {
+                config_age: ClockTime(1_200),
+                ..standby
+            },
+            Some(300),
+        ),
+        ("first of the others, slow link", first, Some(1_200)),
+        (
+            "first of the others, fast link",
+            ConfigLag {
+                transfer_time: ClockTime(80),
+                ..first
+            },
+            Some(530),
+        ),
+        ("configuration as old as the endpoints", in_step, None),
+        (
+            "standby without a lag",
+            ConfigLag {
+                is_standby: true,
+                ..in_step
+            },
+            None,
+        ),
+    ];
+    for (name, lag, expected) in table {
+        let delay = config_read_delay(&lag);
+        assert_eq!(delay, expected.map(ClockTime), "{name}");
+    }
+}
+
+proptest! {
+    /// Guards against a whole region that reads the same large configuration at once.
+    #[test]
+    fn few_nodes_of_a_region_read_a_late_configuration_at_once(
+        region_size in 8_usize..2_000,
+        intervals in 0_u32..4,
+    ) {
+        let chances = (0..region_size).map(|number| (number as f64 + 0.5) / region_size as f64);
+        let due = ClockTime(1_200 + u64::from(intervals) * INTERVAL.0);
+        let reading = chances.filter(|chance| {
+            let lag = ConfigLag { chance: *chance, region_size, ..LATE };
+            config_read_delay(&lag).is_some_and(|delay| delay <= due)
+        });
+        prop_assert!(reading.count() <= 1 + 2_usize.pow(intervals));
+    }
+}
--- a/tests/refresh_rules.rs
+++ b/tests/refresh_rules.rs
@@ -20,6 +20,7 @@
 fn state(parents: &[IpAddr]) -> RefreshState<'_> {
     RefreshState {
         age: Some(ClockTime(100)),
+        config_age: ClockTime(100),
         interval: INTERVAL,
         reads_registry: false,
         is_standby: false,
@@ -121,6 +122,41 @@
             RefreshState { age: None, ..usual },
             vec![(registry, 0), (first, 375), (second, 375), (far, 375)],
         ),
+        (
+            "reader whose configuration is late",
+            RefreshState {
+                reads_registry: true,
+                config_age: ClockTime(1_500),
+                ..usual
+            },
+            vec![
+                (registry, 0),
+                (first, 837),
+                (second, 837),
+                (random, 1_212),
+                (random, 1_399),
+                (far, 1_474),
+                (random, 1_586),
+                (far, 1_661),
+                (random, 1_773),
+            ],
+        ),
+        (
+            "the configuration is late",
+            RefreshState {
+                config_age: ClockTime(1_500),
+                ..usual
+            },
+            vec![
+                (first, 0),
+                (second, 0),
+                (random, 1_212),
+                (random, 1_399),
+                (registry, 1_474),
+                (random, 1_586),
+                (random, 1_773),
+            ],
+        ),
         (
             "start with a part of the list of endpoints",
             RefreshState {
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -193,6 +193,7 @@
         let reads_registry = node.reader.reads_registry(self.now, node.is_reader);
         node.plan = plan_refresh(&RefreshState {
             age: Some(self.now - node.read_mark.1),
+            config_age: self.now - node.read_mark.1,
             interval: INTERVAL,
             reads_registry,
             is_standby: node.is_standby,
