Start a region whose nodes all lack a large configuration

Callers would see a region that does not become ready after the loss of all its nodes: each node that knew the endpoints read the configuration itself 1 to 2 intervals after its start, so all copies shared the link, none arrived within its time limit, and each was asked for again from the beginning.

The reader reads at once, the standby after an interval, one of the others after the time of the transfer and then twice as many with each interval, counted from the list.

While large versions follow each other, a reader asks a node of another region for its delta each half interval.

--- a/src/registry_read.rs
+++ b/src/registry_read.rs
@@ -5,6 +5,6 @@
 mod read_reason;
 mod read_trace;
 
-pub use config_schedule::{ConfigLag, config_read_delay};
+pub use config_schedule::{ConfigLag, config_read_delay, doubling_turn};
 pub use read_reason::ReadReason;
 pub(crate) use read_trace::ReadTrace;
--- a/src/registry_read/config_loop.rs
+++ b/src/registry_read/config_loop.rs
@@ -18,7 +18,7 @@
 /// ones only the latest is read.
 const CHANGES_LIMIT: ByteSize = ByteSize(64 << 10);
 
-/// Time, in refresh intervals, between two requests to random nodes during a read.
+/// Time, in refresh intervals, between two requests to nodes of other regions during a read.
 const QUERY_INTERVALS: f64 = 0.5;
 
 impl MeshSyncTask {
@@ -35,7 +35,7 @@
                 Some(ClockTime(0)) => {
                     let started_at = self.state.clock.now();
                     let reading = pin!(self.read_lagging_config());
-                    let asking = pin!(self.query_random_nodes());
+                    let asking = pin!(self.query_far_nodes());
                     let updated = pin!(self.wait_for_config());
                     let result = future::select(reading, future::select(updated, asking)).await;
                     let ended_at = self.state.clock.now();
@@ -89,15 +89,17 @@
         }
     }
 
-    /// Requests the views of random nodes of all regions. One that has the configuration already sends a
-    /// delta, which is much smaller.
-    async fn query_random_nodes(&self) {
+    /// Requests the views of random nodes of other regions. One that has the configuration already sends
+    /// a delta, which is much smaller.
+    async fn query_far_nodes(&self) {
+        let limit = self.intervals(QUERY_INTERVALS).to_duration();
         loop {
-            time::sleep(self.intervals(QUERY_INTERVALS).to_duration()).await;
-            if let Some(address) = self.random_node(&[], true) {
-                // The result shows in the view.
-                let _ = self.query_node(address).await;
+            let next = pin!(time::sleep(limit));
+            if let Some(address) = self.random_far_node() {
+                // What the reply brings shows in the view.
+                let _ = time::timeout(limit, self.query_node(address)).await;
             }
+            next.await;
         }
     }
 
--- a/src/registry_read/config_schedule.rs
+++ b/src/registry_read/config_schedule.rs
@@ -7,7 +7,9 @@
 const STANDBY_AGE_INTERVALS: f64 = 2.0;
 /// Age of the configuration, in refresh intervals, at which the first of the other nodes read it.
 const OTHERS_AGE_INTERVALS: f64 = 3.0;
-/// Longest pause, in refresh intervals, between two reads of the configuration.
+/// Shortest and longest pause, in refresh intervals, between two reads of the configuration. Between
+/// them, it is as long as the last read.
+const MIN_PAUSE_INTERVALS: f64 = 0.125;
 const MAX_PAUSE_INTERVALS: f64 = 0.5;
 
 /// What a node knows when it decides whether to read a configuration that lags behind.
@@ -51,13 +53,23 @@
     } else if lag.is_standby {
         intervals(STANDBY_AGE_INTERVALS) - lag.config_age
     } else {
-        let doublings = (lag.chance * lag.region_size as f64).max(1.0).log2();
-        let spread = lag.transfer_time.min(lag.interval) + intervals(doublings);
+        let turn = doubling_turn(lag.region_size, lag.chance);
+        let spread = lag.transfer_time.min(lag.interval) + intervals(turn);
         intervals(OTHERS_AGE_INTERVALS) + spread - lag.config_age
     };
     let pause = match lag.last_read {
-        Some((ended, duration)) => duration.min(intervals(MAX_PAUSE_INTERVALS)) - ended,
+        Some((ended, duration)) => {
+            let longest = intervals(MAX_PAUSE_INTERVALS);
+            duration.clamp(intervals(MIN_PAUSE_INTERVALS), longest) - ended
+        }
         None => ClockTime(0),
     };
     Some(due.max(pause))
 }
+
+/// Returns the turn, counted from 0, at which a node is to read if twice as many of the nodes of a region
+/// read with each further turn, and one in the first. `chance` is a random number from 0 to 1.
+#[must_use]
+pub fn doubling_turn(region_size: usize, chance: f64) -> f64 {
+    (chance * region_size as f64).max(1.0).log2()
+}
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -19,8 +19,8 @@
 /// registry responds.
 const MAX_FIRST_AGE_INTERVALS: f64 = 2.0;
 /// Time that a node has to obtain its first configuration, which it may have to read from the
-/// registry.
-const INITIAL_CONFIG_WAIT: ClockTime = ClockTime(1_000);
+/// registry over a slow link.
+const INITIAL_CONFIG_WAIT: ClockTime = ClockTime(3_000);
 /// Age of the view, in refresh intervals, up to which another node may wait before it responds.
 const MAX_WAIT_INTERVALS: f64 = 3.0;
 
@@ -51,6 +51,17 @@
             .choose(&mut rand::rng())
     }
 
+    /// Returns a random node of another region.
+    pub(crate) fn random_far_node(&self) -> Option<IpAddr> {
+        let directory = self.state.directory.borrow();
+        let regions = &self.settings.regions;
+        let region = regions.get(&self.settings.zone);
+        let records = directory.records();
+        let far = records.filter(|record| regions.get(&record.zone) != region);
+        let addresses = far.map(|record| record.address.ip());
+        addresses.choose(&mut rand::rng())
+    }
+
     /// Returns random nodes on the first page of the list of endpoints, those of the same region
     /// first.
     pub(crate) fn introduced_nodes(&self) -> SmallVec<[IpAddr; 2]> {
--- a/tests/config_read_rules.rs
+++ b/tests/config_read_rules.rs
@@ -58,6 +58,14 @@
             },
             Some(20),
         ),
+        (
+            "reader whose last read ended at once",
+            ConfigLag {
+                last_read: read(0, 1),
+                ..reader
+            },
+            Some(93),
+        ),
         ("standby", standby, Some(0)),
         (
             "standby before its time",
