--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -216,7 +216,7 @@
             let elapsed = self.state.clock.now() - started_at;
             while let Some(next) = planned.next_if(|next: &PlannedSource| {
                 let is_early = next.delay > elapsed;
-                !is_early || (running.is_empty() && next.source != ViewSource::RegistryAgain)
+                !is_early || (running.is_empty() && next.source != ViewSource::DelayedRegistry)
             }) {
                 let source = match next.source {
                     ViewSource::FreshestNode => self.freshest_node(&waiting).map(ViewSource::Node),
@@ -239,7 +239,7 @@
             let is_waiting = self.pending_config_read.get().is_some()
                 && planned
                     .clone()
-                    .all(|next| next.source == ViewSource::RegistryAgain);
+                    .all(|next| next.source == ViewSource::DelayedRegistry);
             if running.is_empty() && (is_waiting || planned.peek().is_none()) {
                 return Err(());
             }
@@ -257,7 +257,7 @@
                 }
             });
             match future::select(finished, timer).await {
-                Either::Left((Some((ViewSource::RegistryAgain, Ok(()))), _)) => {
+                Either::Left((Some((ViewSource::DelayedRegistry, Ok(()))), _)) => {
                     return Ok(ViewSource::Registry);
                 }
                 Either::Left((Some((source, Ok(()))), _)) => return Ok(source),
@@ -271,7 +271,7 @@
 
     async fn query(&self, source: ViewSource) -> (ViewSource, std::result::Result<(), ()>) {
         let result = match source {
-            ViewSource::Registry | ViewSource::RegistryAgain => self.read_registry().await,
+            ViewSource::Registry | ViewSource::DelayedRegistry => self.read_registry().await,
             ViewSource::Node(address) => self.query_node(address).await,
             ViewSource::FreshestNode | ViewSource::RandomNode | ViewSource::RandomFarNode => {
                 Err(())
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -58,7 +58,7 @@
     /// A random node of all regions that has not been asked.
     RandomFarNode,
     /// The registry not before its delay, also if all other sources have failed.
-    RegistryAgain,
+    DelayedRegistry,
 }
 
 /// A source with the time after which it is asked, unless an earlier one has succeeded.
@@ -190,7 +190,7 @@
         state.intervals(START_OTHERS_INTERVALS + turn) + transfer_time
     };
     plan.push(PlannedSource {
-        source: ViewSource::RegistryAgain,
+        source: ViewSource::DelayedRegistry,
         delay: delay - state.lacking_for,
     });
     plan
@@ -233,7 +233,7 @@
     let mut delay = from;
     while delay < state.limit {
         plan.push(PlannedSource {
-            source: ViewSource::RegistryAgain,
+            source: ViewSource::DelayedRegistry,
             delay,
         });
         delay = delay + spacing;
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -29,7 +29,7 @@
             if error.code() != ResultCode::HistoryGone {
                 break;
             }
-            trace.finish("history_gone");
+            self.state.metrics.record_registry_read("history_gone");
             let listed = self.state.directory.borrow().listed_position();
             let position = self.position.get().unwrap_or(listed);
             log::info!("event=registry_history_gone position={position} cause=\"{error}\"");
--- a/tests/refresh_rules.rs
+++ b/tests/refresh_rules.rs
@@ -51,7 +51,7 @@
     let parents = [node(1), node(2)];
     let [first, second] = parents.map(ViewSource::Node);
     let registry = ViewSource::Registry;
-    let delayed_registry = ViewSource::RegistryAgain;
+    let delayed_registry = ViewSource::DelayedRegistry;
     let random = ViewSource::RandomNode;
     let far = ViewSource::RandomFarNode;
     let usual = state(&parents);
@@ -339,13 +339,13 @@
     });
     let delays: Vec<u64> = plan
         .iter()
-        .filter(|planned| planned.source == ViewSource::RegistryAgain)
+        .filter(|planned| planned.source == ViewSource::DelayedRegistry)
         .map(|planned| planned.delay.0)
         .collect();
     assert_eq!(delays, [0, 375, 750, 1_125, 1_500, 1_875, 2_250]);
     let calm = plan_refresh(&state(&parents));
     assert!(
         calm.iter()
-            .all(|planned| planned.source != ViewSource::RegistryAgain)
+            .all(|planned| planned.source != ViewSource::DelayedRegistry)
     );
 }
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -279,7 +279,7 @@
         let mut reads = 0;
         for source in due {
             let mark = match source {
-                ViewSource::Registry | ViewSource::RegistryAgain => {
+                ViewSource::Registry | ViewSource::DelayedRegistry => {
                     let is_away = self.now < self.back_at;
                     let is_failing = self.nodes[index].is_turned_away || is_away;
                     reads += match is_failing {
