Take back the new order of reads at the start of a region

The rows of refresh_rules that stated that order go with it; those of before stand again. The deltas of other regions and the shortest pause between two reads stay.

A question of a node without a configuration is now held until there is a whole view. The progress that answers a question includes the list of endpoints and the version since, so it was answered before there was a configuration. Read in the code.

--- a/src/sidecar/mesh_sync_task.rs
+++ b/src/sidecar/mesh_sync_task.rs
@@ -48,9 +48,6 @@
     /// The first page of the list of endpoints and the time when it was requested, while a starting
     /// node asks the nodes on it.
     pub(crate) first_page: RefCell<Option<(ClockTime, RegistryRead)>>,
-    /// Random number from 0 to 1, which decides when the node reads a configuration that it lacks at
-    /// its start.
-    pub(crate) start_spread: f64,
     /// Consecutive failed refreshes.
     pub(crate) failures: Cell<u32>,
     pub(crate) outage: RefCell<RegistryOutage>,
@@ -235,12 +232,7 @@
                 }
                 running.push(self.query(source));
             }
-            // Without a configuration, the other nodes are asked again until the registry is.
-            let is_waiting = self.pending_config_read.get().is_some()
-                && planned
-                    .clone()
-                    .all(|next| next.source == ViewSource::DelayedRegistry);
-            if running.is_empty() && (is_waiting || planned.peek().is_none()) {
+            if running.is_empty() && planned.peek().is_none() {
                 return Err(());
             }
             let next_delay = planned.peek().map(|next| next.delay - elapsed);
@@ -284,8 +276,6 @@
         let mut neighbors = self.neighbors();
         // Before a parent has responded, the random order spreads the nodes over both trees.
         let last_parent = self.last_parent.get();
-        let pending = self.pending_config_read.get();
-        let now = self.state.clock.now();
         neighbors.parents.shuffle(&mut rand::rng());
         neighbors
             .parents
@@ -297,19 +287,14 @@
             reads_registry: self.reads_registry(),
             is_standby: neighbors.is_standby,
             watches_outage: neighbors.is_reader && self.outage.borrow().is_active(),
-            lacks_config: pending.is_some(),
-            lacking_for: pending.map_or(ClockTime(0), |pending| now - pending.started_at),
+            lacks_config: self.pending_config_read.get().is_some(),
             parents: &neighbors.parents,
             introduced: &self.introduced_nodes(),
             limit,
             fleet_size: self.state.directory.borrow().len(),
             registry_rate: self.settings.registry_rate.0,
-            transfer_time: self.settings.registry_transfer_time,
             region_size: neighbors.region_size,
-            spread: match pending {
-                Some(_) => self.start_spread,
-                None => rand::random_range(0.0..1.0),
-            },
+            spread: rand::random_range(0.0..1.0),
             chance: rand::random_range(0.0..1.0),
         })
     }
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -19,8 +19,8 @@
 /// registry responds.
 const MAX_FIRST_AGE_INTERVALS: f64 = 2.0;
 /// Time that a node has to obtain its first configuration, which it may have to read from the
-/// registry over a slow link.
-const INITIAL_CONFIG_WAIT: ClockTime = ClockTime(3_000);
+/// registry.
+const INITIAL_CONFIG_WAIT: ClockTime = ClockTime(1_000);
 /// Age of the view, in refresh intervals, up to which another node may wait before it responds.
 const MAX_WAIT_INTERVALS: f64 = 3.0;
 
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -255,8 +255,13 @@
         self.stop.get().is_some()
     }
 
+    /// Returns true if the node has a configuration and the endpoints that go with it.
+    pub(crate) fn has_view(&self) -> bool {
+        self.loaded.get() && self.config.borrow().is_some()
+    }
+
     /// Returns true if the node accepts new clients.
     pub(crate) fn is_ready(&self) -> bool {
-        self.loaded.get() && !self.is_shutting_down() && self.config.borrow().is_some()
+        self.has_view() && !self.is_shutting_down()
     }
 }
--- a/src/sidecar/refresh_plan.rs
+++ b/src/sidecar/refresh_plan.rs
@@ -3,7 +3,6 @@
 use smallvec::SmallVec;
 
 use crate::clock::ClockTime;
-use crate::registry_read;
 
 /// Age, in refresh intervals, at which a node also asks its other parent. The views of a parent that
 /// works are younger.
@@ -23,13 +22,6 @@
 const START_REPLY_INTERVALS: f64 = 0.25;
 /// Number of times at which a node without a view asks the node with the freshest view that it knows.
 const START_QUERY_COUNT: usize = 4;
-/// Time, in refresh intervals, after which the standby of a region reads the configuration that a
-/// starting node lacks, and after which the first of the other nodes does so, beyond the time that the
-/// reader needs for it.
-const START_STANDBY_INTERVALS: f64 = 1.0;
-const START_OTHERS_INTERVALS: f64 = 1.5;
-/// Longest time, in refresh intervals, for which the other nodes wait for that transfer.
-const START_TRANSFER_INTERVALS: f64 = 2.0;
 /// Number of random nodes of all regions that are asked.
 const FAR_NODE_COUNT: usize = 2;
 /// Mean number of nodes of a region that ask nodes of other regions, besides its readers.
@@ -90,8 +82,6 @@
     pub watches_outage: bool,
     /// Whether only the configuration is missing after a full read of the endpoints.
     pub lacks_config: bool,
-    /// Time for which it has been missing.
-    pub lacking_for: ClockTime,
     /// Parents in the distribution trees; the first one is asked before the other.
     pub parents: &'a [IpAddr],
     /// Nodes on the first page of the list of endpoints, for a node that starts. They send the whole
@@ -105,8 +95,6 @@
     pub fleet_size: usize,
     /// Reads per second that the registry allows to all nodes.
     pub registry_rate: f64,
-    /// Time that the largest configuration takes to arrive over the link of the instance.
-    pub transfer_time: ClockTime,
     /// Random number from 0 to 1, which spreads the reads of the nodes.
     pub spread: f64,
     /// Random number from 0 to 1, which decides whether the node asks nodes of other regions.
@@ -172,27 +160,9 @@
             delay: state.intervals(count as f64),
         });
     }
-    if !state.lacks_config {
-        return plan;
-    }
-    if state.reads_registry {
-        add(&mut plan, ViewSource::Registry, ClockTime(0));
-        return plan;
-    }
-    // Copies of the configuration for all nodes of a restarted region would fill its link.
-    let delay = if state.is_standby {
-        state.intervals(START_STANDBY_INTERVALS)
-    } else {
-        let turn = registry_read::doubling_turn(state.region_size, state.spread);
-        let transfer_time = state
-            .transfer_time
-            .min(state.intervals(START_TRANSFER_INTERVALS));
-        state.intervals(START_OTHERS_INTERVALS + turn) + transfer_time
-    };
-    plan.push(PlannedSource {
-        source: ViewSource::DelayedRegistry,
-        delay: delay - state.lacking_for,
-    });
+    // A restarted fleet would otherwise read the configuration at the same moment.
+    let delay = state.intervals(1.0 + state.spread) + state.registry_delay();
+    add(&mut plan, ViewSource::Registry, delay);
     plan
 }
 
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -167,7 +167,6 @@
             position: Cell::new(None),
             pending_config_read: Cell::new(None),
             lagging_config: Cell::new(None),
-            start_spread: rand::random_range(0.0..1.0),
             first_page: RefCell::default(),
             failures: Cell::new(0),
             outage: RefCell::default(),
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -57,9 +57,9 @@
             Ordering::Greater => false,
         };
         if !is_fresher {
-            // A node without a configuration waits for one, whatever else is learned before.
-            let lacks_config = || request.version.is_none() && self.state.config().is_none();
-            while self.state.view_progress() == initial || lacks_config() {
+            // A node without a configuration waits for a whole view, whatever else is learned before.
+            let lacks_view = || request.version.is_none() && !self.state.has_view();
+            while self.state.view_progress() == initial || lacks_view() {
                 let remaining = until - self.state.clock.now();
                 let timer = pin!(time::sleep(remaining.to_duration()));
                 let refreshed = pin!(self.state.wait_for_refresh());
--- a/tests/refresh_rules.rs
+++ b/tests/refresh_rules.rs
@@ -26,13 +26,11 @@
         is_standby: false,
         watches_outage: false,
         lacks_config: false,
-        lacking_for: ClockTime(0),
         parents,
         introduced: &[],
         limit: ClockTime(2_500),
         fleet_size: 200,
         registry_rate: 16_000.0,
-        transfer_time: ClockTime(1_600),
         region_size: 100,
         spread: 0.0,
         chance: 0.5,
@@ -51,7 +49,6 @@
     let parents = [node(1), node(2)];
     let [first, second] = parents.map(ViewSource::Node);
     let registry = ViewSource::Registry;
-    let delayed_registry = ViewSource::DelayedRegistry;
     let random = ViewSource::RandomNode;
     let far = ViewSource::RandomFarNode;
     let usual = state(&parents);
@@ -178,36 +175,7 @@
                 spread: 1.0,
                 ..usual
             },
-            vec![(first, 0), (second, 0), (far, 0), (delayed_registry, 7_607)],
-        ),
-        (
-            "first of the others to start without a configuration",
-            RefreshState {
-                age: None,
-                lacks_config: true,
-                ..usual
-            },
-            vec![(first, 0), (second, 0), (far, 0), (delayed_registry, 2_625)],
-        ),
-        (
-            "the same after some time",
-            RefreshState {
-                age: None,
-                lacks_config: true,
-                lacking_for: ClockTime(2_000),
-                ..usual
-            },
-            vec![(first, 0), (second, 0), (far, 0), (delayed_registry, 625)],
-        ),
-        (
-            "standby that starts without a configuration",
-            RefreshState {
-                age: None,
-                lacks_config: true,
-                is_standby: true,
-                ..usual
-            },
-            vec![(first, 0), (second, 0), (far, 0), (delayed_registry, 750)],
+            vec![(first, 0), (second, 0), (far, 0), (registry, 1_525)],
         ),
     ];
     for (name, state, expected) in table {
