Show that legal requests take a node beyond the memory of its machine

Two chunked uploads of 64,000 KiB and sixty clients that pipeline requests with 15,000 bytes of headers, all within the limits of the configuration, take a node of 260 MB to 291 MiB if it is not killed.

--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,31 @@
+//! Stand-ins and cases of the second review. `review-standins-2 CASE FOLDER` plays a case.
+
+mod endpoint;
+mod http;
+mod memory;
+mod node;
+mod record;
+mod scene;
+mod store;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let folder = PathBuf::from(arguments.next().unwrap_or_default());
+    let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let played = match case.as_str() {
+        "memory" => memory::play(&folder, is_troubled),
+        _ => Err(std::io::Error::other(format!("unknown case `{case}`"))),
+    };
+    match played {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
