Show that clients that read steadily lose their answers to uploads

The progress of a write is not recorded, so a connection whose answer takes over a second counts as stalled and is closed when the memory account is full.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod record;
 mod scene;
 mod silence;
+mod slow;
 mod store;
 
 use std::path::PathBuf;
@@ -21,6 +22,7 @@
     let played = match case.as_str() {
         "memory" => memory::play(&folder, is_troubled),
         "silence" => silence::play(&folder, is_troubled),
+        "slow" => slow::play(&folder, is_troubled),
         _ => Err(std::io::Error::other(format!("unknown case `{case}`"))),
     };
     match played {
