--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -3,7 +3,6 @@
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Barrier, Mutex, PoisonError};
 use std::thread;
@@ -11,7 +10,7 @@
 
 use crate::http::Connection;
 use crate::record::Record;
-use crate::scene::{self, Place, Scene};
+use crate::scene::{self, CaseFolders, Place, Scene};
 
 /// Memory of a machine of the small deployments.
 const MEMORY_MB: u64 = 260;
@@ -70,9 +69,9 @@
     is_over: AtomicBool,
 }
 
-pub fn play(folder: &Path, is_troubled: bool) -> io::Result<bool> {
+pub fn play(folders: &CaseFolders, is_troubled: bool) -> io::Result<bool> {
     let config = scene::config(1, ROUTES);
-    let mut scene = Scene::start(folder, &config, PLACES, MEMORY_MB, None)?;
+    let mut scene = Scene::start(folders, &config, PLACES, MEMORY_MB, None)?;
     scene.wait_served(0, "POST", &["/order/0", "/print/0", "/sheet/0"])?;
     let record = Arc::clone(&scene.record);
     let to = scene.nodes[0].client_address();
--- a/review/standins-2/src/scene.rs
+++ b/review/standins-2/src/scene.rs
@@ -1,7 +1,7 @@
 //! A small deployment: a store, nodes and an endpoint beside each of them.
 
 use std::io;
-use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +18,12 @@
 /// Interval at which an endpoint writes its entry, as in the settings.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
+/// Where a case writes its record, and the settings and logs of the nodes.
+pub struct CaseFolders {
+    pub record: PathBuf,
+    pub work: PathBuf,
+}
+
 pub struct Scene {
     pub record: Arc<Record>,
     pub store: Store,
@@ -83,15 +89,13 @@
     /// write their entries at each heartbeat. The port at which the node `proxied` serves other nodes
     /// lies behind a proxy.
     pub fn start(
-        folder: &Path,
+        folders: &CaseFolders,
         config: &str,
         places: &'static [Place],
         memory_mb: u64,
         proxied: Option<usize>,
     ) -> io::Result<Self> {
-        let record = Arc::new(Record::create(&folder.join("record.txt"))?);
-        let work = std::env::temp_dir().join(format!("review-{}", std::process::id()));
-        std::fs::create_dir_all(&work)?;
+        let record = Arc::new(Record::create(&folders.record.join("record.txt"))?);
         let store = Store::default();
         let store_address = store.listen(node::socket(node::loopback(250), node::STORE_PORT))?;
         store.put("op/config", config);
@@ -104,7 +108,13 @@
         };
         for (index, place) in places.iter().enumerate() {
             let number = index as u8 + 1;
-            let mut node = Node::new(number, place.zone, place.service, store_address, &work);
+            let mut node = Node::new(
+                number,
+                place.zone,
+                place.service,
+                store_address,
+                &folders.work,
+            );
             node.memory_mb = memory_mb;
             if proxied == Some(index) {
                 node.outer_ip = node::loopback(number + 100);
@@ -179,17 +189,6 @@
     }
 }
 
-impl Drop for Scene {
-    fn drop(&mut self) {
-        for node in &mut self.nodes {
-            node.kill();
-        }
-        if let Some(node) = self.nodes.first() {
-            let _ = std::fs::remove_dir_all(&node.folder);
-        }
-    }
-}
-
 /// Encodes a request without a body; `headers` are further lines.
 pub fn request(method: &str, path: &str, id: &str, headers: &str) -> String {
     let length = if method == "GET" {
--- a/review/standins-2/src/silence.rs
+++ b/review/standins-2/src/silence.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -10,12 +9,12 @@
 
 use crate::http::Connection;
 use crate::record::Record;
-use crate::scene::{self, Place, Scene};
+use crate::scene::{self, CaseFolders, Place, Scene};
 
 /// The node behind the proxy.
 const NODE: usize = 1;
-/// Clients at each node that keep their connections.
-const KEPT_COUNT: usize = 8;
+/// Clients at each node that keep their connections. Those of the first node need the other endpoints too.
+const KEPT_COUNTS: [usize; 3] = [20, 4, 6];
 /// Clients that come to the node at a time after the start; the rule asks for seven that try.
 const NEW_COUNT: usize = 16;
 const TRYING_COUNT: usize = 7;
@@ -61,9 +60,9 @@
         .push(item);
 }
 
-pub fn play(folder: &Path, is_troubled: bool) -> io::Result<bool> {
+pub fn play(folders: &CaseFolders, is_troubled: bool) -> io::Result<bool> {
     let config = scene::config(1, ROUTES);
-    let scene = Scene::start(folder, &config, PLACES, 260, Some(NODE))?;
+    let scene = Scene::start(folders, &config, PLACES, 260, Some(NODE))?;
     for index in 0..PLACES.len() {
         scene.wait_served(index, "POST", &["/print/0"])?;
     }
@@ -71,8 +70,12 @@
     let seen = Arc::new(Seen::default());
     let start = Instant::now();
     let mut clients = Vec::new();
-    for client in 0..KEPT_COUNT * PLACES.len() {
-        let to = scene.nodes[client % PLACES.len()].client_address();
+    let places = KEPT_COUNTS
+        .iter()
+        .enumerate()
+        .flat_map(|(index, count)| std::iter::repeat_n(index, *count));
+    for (client, index) in places.enumerate() {
+        let to = scene.nodes[index].client_address();
         let (seen, record) = (Arc::clone(&seen), Arc::clone(&record));
         clients.push(thread::spawn(move || {
             while !seen.is_over.load(Ordering::SeqCst) {
--- a/review/standins-2/src/slow.rs
+++ b/review/standins-2/src/slow.rs
@@ -2,7 +2,6 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
@@ -10,10 +9,10 @@
 
 use crate::http::Connection;
 use crate::record::Record;
-use crate::scene::{self, Place, Scene};
+use crate::scene::{self, CaseFolders, Place, Scene};
 
 /// Clients that read an answer of this size, and how fast they read: a piece after each pause.
-const READER_COUNT: usize = 8;
+const READER_COUNT: usize = 10;
 const ANSWER_BYTES: usize = 12_000_000;
 const READ_BYTES: usize = 64 * 1024;
 const READ_PAUSE: Duration = Duration::from_millis(30);
@@ -48,9 +47,9 @@
     ("order", "non_idempotent", "salesdesk", 2_500),
 ];
 
-pub fn play(folder: &Path, is_troubled: bool) -> io::Result<bool> {
+pub fn play(folders: &CaseFolders, is_troubled: bool) -> io::Result<bool> {
     let config = scene::config(1, ROUTES);
-    let scene = Scene::start(folder, &config, PLACES, 260, None)?;
+    let scene = Scene::start(folders, &config, PLACES, 260, None)?;
     scene.wait_served(0, "POST", &["/order/0"])?;
     let record = Arc::clone(&scene.record);
     let to = scene.nodes[0].client_address();
