--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -1,4 +1,4 @@
-//! Case 6: legal requests that take a node beyond the memory of its machine.
+//! Case 7: legal requests that take a node beyond the memory of its machine.
 
 use std::fs;
 use std::io;
--- a/review/standins-2/src/silence.rs
+++ b/review/standins-2/src/silence.rs
@@ -1,4 +1,4 @@
-//! Case 7: connections between nodes go silent once, and a node takes no new clients half a minute later.
+//! Case 6: connections between nodes go silent once, and a node takes no new clients half a minute later.
 
 use std::io;
 use std::net::SocketAddr;
