--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and cases of the second review. `review-standins-2 CASE FOLDER WORK`
-//! plays a case: its record goes to FOLDER, settings and logs of the nodes to WORK.
+//! Stand-ins and cases of the second review. `review-standins-2 CASE RECORD WORK`
+//! plays a case: its record goes to the file RECORD, settings and logs of the nodes to WORK.
 
 mod endpoint;
 mod http;
@@ -15,21 +15,21 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use scene::CaseFolders;
+use scene::CasePaths;
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
-    let mut folder = || PathBuf::from(arguments.next().unwrap_or_default());
-    let folders = CaseFolders {
-        record: folder(),
-        work: folder(),
+    let mut path = || PathBuf::from(arguments.next().unwrap_or_default());
+    let paths = CasePaths {
+        record: path(),
+        work: path(),
     };
     let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = match case.as_str() {
-        "memory" => memory::play(&folders, is_troubled),
-        "silence" => silence::play(&folders, is_troubled),
-        "slow" => slow::play(&folders, is_troubled),
+        "memory" => memory::play(&paths, is_troubled),
+        "silence" => silence::play(&paths, is_troubled),
+        "slow" => slow::play(&paths, is_troubled),
         _ => Err(std::io::Error::other(format!("unknown case `{case}`"))),
     };
     match played {
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -10,7 +10,7 @@
 
 use crate::http::Connection;
 use crate::record::Record;
-use crate::scene::{self, CaseFolders, Place, Scene};
+use crate::scene::{self, CasePaths, Place, Scene};
 
 /// Memory of a machine of the small deployments.
 const MEMORY_MB: u64 = 260;
@@ -69,9 +69,9 @@
     is_over: AtomicBool,
 }
 
-pub fn play(folders: &CaseFolders, is_troubled: bool) -> io::Result<bool> {
+pub fn play(paths: &CasePaths, is_troubled: bool) -> io::Result<bool> {
     let config = scene::config(1, ROUTES);
-    let mut scene = Scene::start(folders, &config, PLACES, MEMORY_MB, None)?;
+    let mut scene = Scene::start(paths, &config, PLACES, MEMORY_MB, None)?;
     scene.wait_served(0, "POST", &["/order/0", "/print/0", "/sheet/0"])?;
     let record = Arc::clone(&scene.record);
     let to = scene.nodes[0].client_address();
@@ -91,14 +91,14 @@
         for client in 0..UPLOAD_COUNT {
             let (uploaded, record) = (Arc::clone(&uploaded), Arc::clone(&record));
             crowd.push(thread::spawn(move || {
-                let result = upload(client, to, &uploaded);
+                let result = upload(client, to, &uploaded, &record);
                 record.line(&format!("upload {client}: {result:?}"));
             }));
         }
         for client in 0..PIPELINE_COUNT {
             let (uploaded, record) = (Arc::clone(&uploaded), Arc::clone(&record));
             crowd.push(thread::spawn(move || {
-                let result = pipeline(client, to, &uploaded);
+                let result = pipeline(client, to, &uploaded, &record);
                 record.line(&format!("pipeline {client}: {result:?}"));
             }));
         }
@@ -161,6 +161,7 @@
         }
         let id = format!("ordinary-{client}-{number}");
         let path = format!("/print/{client}-{number}");
+        record.line(&format!("client {client}: sends {id} POST {path}"));
         let sent = connection.write(scene::request("POST", &path, &id, "").as_bytes());
         let answer = sent.and_then(|()| connection.read());
         match answer {
@@ -193,7 +194,7 @@
 }
 
 /// Uploads a body in chunks, whose last chunk is sent when all bodies are there.
-fn upload(client: usize, to: SocketAddr, uploaded: &Barrier) -> io::Result<u16> {
+fn upload(client: usize, to: SocketAddr, uploaded: &Barrier, record: &Record) -> io::Result<u16> {
     let connected = Connection::connect(to, Duration::from_secs(6));
     let sent = connected.and_then(|mut connection| {
         let head = format!(
@@ -217,12 +218,20 @@
     // The others have sent their requests by then.
     thread::sleep(Duration::from_millis(150));
     connection.write(b"0\r\n\r\n")?;
+    record.line(&format!(
+        "upload {client}: upload-{client} is sent, {UPLOAD_BYTES} bytes in chunks"
+    ));
     let answer = connection.read()?;
     Ok(answer.map_or(0, |answer| answer.status()))
 }
 
 /// Sends an order and further idempotent requests behind it.
-fn pipeline(client: usize, to: SocketAddr, uploaded: &Barrier) -> io::Result<Vec<u16>> {
+fn pipeline(
+    client: usize,
+    to: SocketAddr,
+    uploaded: &Barrier,
+    record: &Record,
+) -> io::Result<Vec<u16>> {
     let connected = Connection::connect(to, Duration::from_secs(6));
     uploaded.wait();
     let mut connection = connected?;
@@ -235,6 +244,9 @@
         let id = format!("pipeline-{client}-{number}");
         connection.write(scene::request("GET", &path, &id, &filler).as_bytes())?;
     }
+    record.line(&format!(
+        "pipeline {client}: pipeline-{client} and {PIPELINED_REQUESTS} requests behind it are sent"
+    ));
     let mut statuses = Vec::new();
     for _ in 0..=PIPELINED_REQUESTS {
         match connection.read()? {
--- a/review/standins-2/src/scene.rs
+++ b/review/standins-2/src/scene.rs
@@ -18,8 +18,8 @@
 /// Interval at which an endpoint writes its entry, as in the settings.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
-/// Where a case writes its record, and the settings and logs of the nodes.
-pub struct CaseFolders {
+/// The file of the record of a case, and the folder of the settings and logs of the nodes.
+pub struct CasePaths {
     pub record: PathBuf,
     pub work: PathBuf,
 }
@@ -89,13 +89,13 @@
     /// write their entries at each heartbeat. The port at which the node `proxied` serves other nodes
     /// lies behind a proxy.
     pub fn start(
-        folders: &CaseFolders,
+        paths: &CasePaths,
         config: &str,
         places: &'static [Place],
         memory_mb: u64,
         proxied: Option<usize>,
     ) -> io::Result<Self> {
-        let record = Arc::new(Record::create(&folders.record.join("record.txt"))?);
+        let record = Arc::new(Record::create(&paths.record)?);
         let store = Store::default();
         let store_address = store.listen(node::socket(node::loopback(250), node::STORE_PORT))?;
         store.put("op/config", config);
@@ -113,7 +113,7 @@
                 place.zone,
                 place.service,
                 store_address,
-                &folders.work,
+                &paths.work,
             );
             node.memory_mb = memory_mb;
             if proxied == Some(index) {
--- a/review/standins-2/src/silence.rs
+++ b/review/standins-2/src/silence.rs
@@ -9,7 +9,7 @@
 
 use crate::http::Connection;
 use crate::record::Record;
-use crate::scene::{self, CaseFolders, Place, Scene};
+use crate::scene::{self, CasePaths, Place, Scene};
 
 /// The node behind the proxy.
 const NODE: usize = 1;
@@ -60,9 +60,9 @@
         .push(item);
 }
 
-pub fn play(folders: &CaseFolders, is_troubled: bool) -> io::Result<bool> {
+pub fn play(paths: &CasePaths, is_troubled: bool) -> io::Result<bool> {
     let config = scene::config(1, ROUTES);
-    let scene = Scene::start(folders, &config, PLACES, 260, Some(NODE))?;
+    let scene = Scene::start(paths, &config, PLACES, 260, Some(NODE))?;
     for index in 0..PLACES.len() {
         scene.wait_served(index, "POST", &["/print/0"])?;
     }
@@ -127,11 +127,10 @@
             return;
         }
         let id = format!("{name}-{}-{number}", record.elapsed_ms());
+        record.line(&format!("client: sends {id} POST /print/{id}"));
         let status = ask(&mut connection, &id);
         add(&seen.answers, (record.elapsed_ms(), id.clone(), status));
-        if status != 200 {
-            record.line(&format!("client: {id} is answered {status}"));
-        }
+        record.line(&format!("client: {id} is answered {status}"));
         if status == 0 {
             return;
         }
@@ -156,6 +155,9 @@
         }
         let begun_ms = record.elapsed_ms();
         let id = format!("new-{client}-{number}");
+        record.line(&format!(
+            "new client {client}: connects and sends {id} POST /print/{id}"
+        ));
         let connected = Connection::connect(to, Duration::from_secs(4));
         let answered = connected.map(|mut connection| (ask(&mut connection, &id), connection));
         let ended_ms = record.elapsed_ms();
--- a/review/standins-2/src/slow.rs
+++ b/review/standins-2/src/slow.rs
@@ -9,7 +9,7 @@
 
 use crate::http::Connection;
 use crate::record::Record;
-use crate::scene::{self, CaseFolders, Place, Scene};
+use crate::scene::{self, CasePaths, Place, Scene};
 
 /// Clients that read an answer of this size, and how fast they read: a piece after each pause.
 const READER_COUNT: usize = 10;
@@ -47,9 +47,9 @@
     ("order", "non_idempotent", "salesdesk", 2_500),
 ];
 
-pub fn play(folders: &CaseFolders, is_troubled: bool) -> io::Result<bool> {
+pub fn play(paths: &CasePaths, is_troubled: bool) -> io::Result<bool> {
     let config = scene::config(1, ROUTES);
-    let scene = Scene::start(folders, &config, PLACES, 260, None)?;
+    let scene = Scene::start(paths, &config, PLACES, 260, None)?;
     scene.wait_served(0, "POST", &["/order/0"])?;
     let record = Arc::clone(&scene.record);
     let to = scene.nodes[0].client_address();
@@ -59,7 +59,7 @@
         let (record, is_over) = (Arc::clone(&record), Arc::clone(&is_over));
         clients.push(thread::spawn(move || {
             thread::sleep(Duration::from_millis(10 * client as u64));
-            let result = ask_now_and_then(client, to, &is_over);
+            let result = ask_now_and_then(client, to, &is_over, &record);
             record.line(&format!("kept client {client}: {result:?}"));
         }));
     }
@@ -82,6 +82,9 @@
         for client in 0..UPLOAD_COUNT {
             let record = Arc::clone(&record);
             readers.push(thread::spawn(move || {
+                record.line(&format!(
+                    "upload {client}: sends upload-{client}, {UPLOAD_BYTES} bytes"
+                ));
                 let result = upload(client, to);
                 record.line(&format!("upload {client}: {result:?}"));
             }));
@@ -108,15 +111,27 @@
 }
 
 /// Asks on one connection, with long pauses; returns the number of answers before it was closed.
-fn ask_now_and_then(client: usize, to: SocketAddr, is_over: &AtomicBool) -> io::Result<u32> {
+fn ask_now_and_then(
+    client: usize,
+    to: SocketAddr,
+    is_over: &AtomicBool,
+    record: &Record,
+) -> io::Result<u32> {
     let mut connection = Connection::connect(to, Duration::from_secs(4))?;
     for number in 0.. {
         let id = format!("kept-{client}-{number}");
         let request = scene::request("POST", &format!("/order/{id}"), &id, "");
         connection.write(request.as_bytes())?;
-        if connection.read()?.is_none() {
+        record.line(&format!(
+            "kept client {client}: sends {id} POST /order/{id}"
+        ));
+        let Some(answer) = connection.read()? else {
             return Ok(number);
-        }
+        };
+        record.line(&format!(
+            "kept client {client}: {id} is answered {}",
+            answer.status()
+        ));
         let until = Instant::now() + KEPT_PAUSE;
         while Instant::now() < until {
             if is_over.load(Ordering::SeqCst) {
@@ -141,6 +156,7 @@
         "GET /pack/{id} HTTP/1.1\r\nHost: mesh.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 8000\r\n\r\n"
     );
     connection.write(request.as_bytes())?;
+    record.line(&format!("reader {client}: sends {id} GET /pack/{id}"));
     let mut stream: TcpStream = connection.stream;
     let mut received = Vec::new();
     let mut piece = vec![0; READ_BYTES];
