Log and measure the rate limits that endpoints advertise

The node beside an endpoint now reads the limit of each response, writes endpoint_limited, endpoint_unlimited and invalid_limit, and exposes endive_endpoint_limit, endive_limited_requests and endive_invalid_limits_total. It does not act on the limit yet.

A response loosens a limit only if its request was sent after the response that set the limit was read, since responses overlap. Cost at 5,500 nodes: no message; one header look-up for each response. Ruled out: reading the limit at the entry node, which sees a part of the responses only.

--- a/src/cold/cold_task.rs
+++ b/src/cold/cold_task.rs
@@ -9,6 +9,7 @@
 use crate::caller::StopSignal;
 use crate::clock::ClockTime;
 use crate::cold::ColdRoom;
+use crate::rate_limit::ArrivalPacer;
 use crate::sidecar::HeaderNames;
 use crate::sidecar::slot_semaphore::SlotSemaphore;
 
@@ -20,6 +21,7 @@
 /// Task that settles whether the local endpoint is cold, and starts requests that wait for its room.
 pub(crate) struct ColdTask {
     pub(crate) room: Rc<ColdRoom>,
+    pub(crate) pacer: Rc<ArrivalPacer>,
     pub(crate) slots: Rc<SlotSemaphore>,
     pub(crate) client: HttpClient,
     pub(crate) headers: HeaderNames,
@@ -71,7 +73,7 @@
 
     /// Sends a health check and records the remaining cold time.
     async fn probe(&self, path: &str) {
-        self.room.record_send();
+        self.pacer.record_send();
         let response = match self.client.get_from_platform(path, PROBE_TIMEOUT).await {
             Ok(response) => response,
             Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod once;
 pub mod peer;
 pub mod platform;
+pub mod rate_limit;
 pub mod registry_read;
 pub mod retry;
 pub mod routing;
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -6,6 +6,7 @@
 use crate::clock::ClockTime;
 use crate::error::{Result, ResultCode};
 use crate::metrics::instruments;
+use crate::rate_limit::RequestRate;
 use crate::size::ByteSize;
 
 /// Upper bounds of the histograms in seconds, dense around latency objectives of 0.1 to 1 s.
@@ -23,6 +24,7 @@
     attempts: Counter<u64>,
     rejections: Counter<u64>,
     endpoint_statuses: Counter<u64>,
+    invalid_limits: Counter<u64>,
     resends: Counter<u64>,
     held_bodies: Counter<u64>,
     requests_ahead: Counter<u64>,
@@ -41,6 +43,8 @@
     evacuated_zones: Gauge<u64>,
     cold: Gauge<u64>,
     cold_requests: Gauge<u64>,
+    endpoint_limit: Gauge<f64>,
+    limited_requests: Gauge<u64>,
     memory_used: Gauge<u64>,
     memory_refused: Gauge<u64>,
     memory_evicted: Gauge<u64>,
@@ -67,6 +71,10 @@
     pub is_cold: bool,
     /// Requests that were sent to the own endpoint while it was cold or suspected to be.
     pub cold_requests: u64,
+    /// Rate limit that the own endpoint advertises.
+    pub endpoint_limit: Option<RequestRate>,
+    /// Requests that were sent to the own endpoint while it advertised a limit.
+    pub limited_requests: u64,
     /// Bytes that messages claim in the account of memory.
     pub memory_used: u64,
     /// Messages that were refused for lack of memory.
@@ -107,6 +115,10 @@
                 "endive_endpoint_statuses",
                 "Responses of the endpoint with status 3xx or 4xx by status and proof",
             ),
+            invalid_limits: counter(
+                "endive_invalid_limits",
+                "Responses of the endpoint with a rate limit that is not a rate",
+            ),
             resends: counter("endive_repeats", "Requests sent to a further endpoint"),
             held_bodies: counter(
                 "endive_held_bodies",
@@ -162,6 +174,14 @@
                 "endive_cold_requests",
                 "Requests sent to the endpoint beside the node while it was cold",
             ),
+            endpoint_limit: meter
+                .f64_gauge("endive_endpoint_limit")
+                .with_description("Requests per second that the endpoint accepts; -1 if unlimited")
+                .build(),
+            limited_requests: gauge(
+                "endive_limited_requests",
+                "Requests sent to the endpoint beside the node while it advertised a limit",
+            ),
             memory_used: gauge("endive_memory_used", "Bytes that messages claim"),
             memory_refused: gauge(
                 "endive_memory_refused",
@@ -210,6 +230,11 @@
         self.endpoint_statuses.add(1, &labels);
     }
 
+    /// Counts a response of the own endpoint whose rate limit cannot be used.
+    pub fn record_invalid_limit(&self) {
+        self.invalid_limits.add(1, &[]);
+    }
+
     /// Counts a retry or a hedge by its reason.
     pub fn record_resend(&self, reason: &'static str) {
         self.resends.add(1, &[KeyValue::new("reason", reason)]);
@@ -281,6 +306,9 @@
             .record(values.evacuated_zones as u64, &[]);
         self.cold.record(u64::from(values.is_cold), &[]);
         self.cold_requests.record(values.cold_requests, &[]);
+        let limit = values.endpoint_limit.map_or(-1.0, RequestRate::per_second);
+        self.endpoint_limit.record(limit, &[]);
+        self.limited_requests.record(values.limited_requests, &[]);
         self.memory_used.record(values.memory_used, &[]);
         self.memory_refused.record(values.memory_refused, &[]);
         self.memory_evicted.record(values.memory_evicted, &[]);
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -12,7 +12,9 @@
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
 use crate::id::EndpointId;
+use crate::logging::LogRateLimiter;
 use crate::memory::{MemoryAccount, MemoryClaim};
+use crate::rate_limit::ArrivalPacer;
 use crate::sidecar::HeaderNames;
 use crate::sidecar::endpoint_answer::{AnswerVerdict, EndpointAnswer};
 use crate::sidecar::endpoint_connection::EndpointConnection;
@@ -32,6 +34,9 @@
 /// Maximum number of interim and unrelated responses skipped before the expected one.
 const MAX_SKIPPED_RESPONSE_COUNT: usize = 8;
 
+/// Interval at which the same change of an endpoint is logged again.
+const LOG_INTERVAL: ClockTime = ClockTime(1_000);
+
 /// HTTP client for the local endpoint.
 pub(crate) struct EndpointClient {
     address: SocketAddr,
@@ -41,6 +46,8 @@
     max_response_bytes: usize,
     memory: Rc<MemoryAccount>,
     room: Rc<ColdRoom>,
+    pacer: Rc<ArrivalPacer>,
+    log_limiter: RefCell<LogRateLimiter>,
     idle: RefCell<IdleConnections>,
     /// Endpoint that responded to a request addressed to another one.
     responding_endpoint: RefCell<Option<String>>,
@@ -91,6 +98,7 @@
         max_response_bytes: usize,
         memory: Rc<MemoryAccount>,
         room: Rc<ColdRoom>,
+        pacer: Rc<ArrivalPacer>,
     ) -> Self {
         Self {
             address,
@@ -100,6 +108,8 @@
             max_response_bytes,
             memory,
             room,
+            pacer,
+            log_limiter: RefCell::new(LogRateLimiter::new(LOG_INTERVAL)),
             idle: RefCell::default(),
             responding_endpoint: RefCell::default(),
         }
@@ -244,6 +254,7 @@
         header: &ForwardRequestHeader,
     ) -> Result<EndpointResponse, WireError> {
         let mut has_earlier = connection.is_reused;
+        let sent_at = self.clock.now();
         let stream = &mut connection.stream;
         let written = stream.write_until_response(head, body).await?;
         for _ in 0..MAX_SKIPPED_RESPONSE_COUNT {
@@ -252,6 +263,9 @@
             if parts.status.is_informational() {
                 continue;
             }
+            if self.identity(&parts.headers, header) == ResponseIdentity::Own {
+                self.record_advice(&parts, header, sent_at);
+            }
             let (body, framed, claim) = self.read_body(stream, &parts, header).await?;
             match self.identity(&parts.headers, header) {
                 ResponseIdentity::Own => {}
@@ -291,6 +305,52 @@
         ))
     }
 
+    /// Records what a response of the endpoint to this request says of the endpoint itself.
+    fn record_advice(
+        &self,
+        parts: &http::response::Parts,
+        header: &ForwardRequestHeader,
+        sent_at: ClockTime,
+    ) {
+        let names = &self.names;
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let headers = &parts.headers;
+        let is_proven =
+            headers.contains_key(&names.endpoint_proof) || headers.contains_key(&names.not_run);
+        let change = self
+            .pacer
+            .record_response(sent_at, headers, &names.rate_limit, is_proven);
+        let now = self.clock.now();
+        let endpoint = &header.endpoint;
+        match change {
+            Ok(None) => {}
+            Ok(Some(change)) => {
+                let event = match change.current {
+                    Some(_) => "endpoint_limited",
+                    None => "endpoint_unlimited",
+                };
+                if let Some(suppressed) = self.log_limiter.borrow_mut().admit(event, now) {
+                    log::info!(
+                        "event={event} endpoint={endpoint} request={} {change} suppressed={suppressed}",
+                        header.request_id
+                    );
+                }
+            }
+            Err(error) => {
+                self.state.metrics.record_invalid_limit();
+                let mut limiter = self.log_limiter.borrow_mut();
+                if let Some(suppressed) = limiter.admit("invalid_limit", now) {
+                    log::warn!(
+                        "event=invalid_limit endpoint={endpoint} cause=\"{}\" suppressed={suppressed}",
+                        error.message()
+                    );
+                }
+            }
+        }
+    }
+
     /// Reads the body; returns it with its memory, and whether its end was delimited by the message
     /// framing.
     async fn read_body(
--- a/src/sidecar/header_names.rs
+++ b/src/sidecar/header_names.rs
@@ -17,6 +17,10 @@
     pub not_run: HeaderName,
     /// Remaining time in milliseconds for which the endpoint is cold.
     pub cold_remaining: HeaderName,
+    /// Requests per second that the endpoint accepts from all nodes together, while it says so.
+    pub rate_limit: HeaderName,
+    /// Indicates that the endpoint is shutting down.
+    pub leaving: HeaderName,
     /// Service from whose sidecar the request originates.
     pub caller_service: HeaderName,
 }
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -12,6 +12,7 @@
 use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
+use crate::rate_limit::ArrivalPacer;
 use crate::shedding::{ParentId, ParentTable};
 use crate::sidecar::call_table::{CallRecord, CallTable};
 use crate::sidecar::endpoint_client::EndpointClient;
@@ -49,6 +50,7 @@
     pub(crate) slots: Rc<SlotSemaphore>,
     /// Room for requests while the endpoint is cold.
     pub(crate) room: Rc<ColdRoom>,
+    pub(crate) pacer: Rc<ArrivalPacer>,
     pub(crate) client: EndpointClient,
     pub(crate) calls: CallTable,
     pub(crate) tasks: Rc<TaskGroup>,
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -18,6 +18,7 @@
 use crate::memory::MemoryAccount;
 use crate::node::TaskGroup;
 use crate::peer::{KeepaliveConfig, PeerPool, PeerServer};
+use crate::rate_limit::ArrivalPacer;
 use crate::sidecar::ahead_budget::AheadBudget;
 use crate::sidecar::attempt_sender::AttemptSender;
 use crate::sidecar::call_table::CallTable;
@@ -177,6 +178,7 @@
         background_tasks.push(monoio::spawn(mesh_sync.run(background_stopped.clone())));
         let cold = ColdTask {
             room: Rc::clone(&inbound.room),
+            pacer: Rc::clone(&inbound.pacer),
             slots: Rc::clone(&inbound.slots),
             client: HttpClient {
                 address: settings.endpoint,
@@ -283,11 +285,18 @@
     let names = Rc::new(settings.headers.clone());
     let response_limit = memory_share(settings, RESPONSE_MEMORY_DIVISOR);
     let room = Rc::new(ColdRoom::new(clock));
+    let pacer = Rc::new(ArrivalPacer::new(clock, Rc::clone(&room)));
     Rc::new(InboundService {
         process,
         state: Rc::clone(state),
-        slots: SlotSemaphore::new(clock, INITIAL_SLOT_COUNT, Rc::clone(&room)),
+        slots: SlotSemaphore::new(
+            clock,
+            INITIAL_SLOT_COUNT,
+            Rc::clone(&room),
+            Rc::clone(&pacer),
+        ),
         room: Rc::clone(&room),
+        pacer: Rc::clone(&pacer),
         client: EndpointClient::new(
             settings.endpoint,
             Rc::clone(state),
@@ -295,6 +304,7 @@
             response_limit,
             Rc::clone(memory),
             room,
+            pacer,
         ),
         calls: CallTable::default(),
         tasks: Rc::clone(tasks),
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -8,6 +8,7 @@
 use crate::clock::{ClockTime, SystemClock};
 use crate::cold::ColdRoom;
 use crate::homes::ScarcityMeter;
+use crate::rate_limit::ArrivalPacer;
 use crate::routing::EndpointSpeed;
 use crate::sidecar::forward_message::LoadReport;
 use crate::sidecar::{SlotDecision, SlotPace, SlotQueue, SlotTicket, SlotUrgency};
@@ -16,6 +17,7 @@
 pub(crate) struct SlotSemaphore {
     clock: SystemClock,
     room: Rc<ColdRoom>,
+    pacer: Rc<ArrivalPacer>,
     pub(crate) speed: RefCell<EndpointSpeed>,
     pub(crate) scarcity: RefCell<ScarcityMeter>,
     displaced_count: Cell<u64>,
@@ -46,10 +48,16 @@
 }
 
 impl SlotSemaphore {
-    pub(crate) fn new(clock: SystemClock, capacity: usize, room: Rc<ColdRoom>) -> Rc<Self> {
+    pub(crate) fn new(
+        clock: SystemClock,
+        capacity: usize,
+        room: Rc<ColdRoom>,
+        pacer: Rc<ArrivalPacer>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             clock,
             room,
+            pacer,
             speed: RefCell::default(),
             scarcity: RefCell::default(),
             displaced_count: Cell::new(0),
@@ -109,7 +117,7 @@
         self.refuse_displaced();
         let ticket = match decision {
             SlotDecision::Run => {
-                self.room.record_send();
+                self.pacer.record_send();
                 return Ok(SlotPermit::new(self));
             }
             SlotDecision::Refuse(wait) => return Err(AcquireError::Busy(wait)),
@@ -186,7 +194,7 @@
             let sender = self.waiters.borrow_mut().remove(&ticket);
             let taken = sender.is_some_and(|sender| sender.send(SlotGrant::Granted).is_ok());
             if taken {
-                self.room.record_send();
+                self.pacer.record_send();
             } else {
                 self.queue.borrow_mut().release();
             }
