Keep each endpoint within the rate limit that it names

Callers saw endpoints in trouble get worse: one that asked for 8 requests a second from all nodes together got 70 in 4 s where 53 are allowed.

Cause: the limit was passed on to the client like any header and nobody kept to it. Class of fault: a promise asked for by the other side, without an owner in the system.

The node beside an endpoint sees all that reaches it, so it alone paces requests to the limit, with the pacing of cold endpoints. A node that restarts learns the limit from those that were told, with their first request. Entry nodes learn rate and wait with each response and choose other endpoints; the queue sheds by the rate where that allows less than the slots. Cost at 5,500 nodes: no message, 20 bytes a request.

Ruled out: a share for each entry node, since demand is uneven. Messages between nodes change, so their paths have new numbers.

--- a/src/cold/cold_task.rs
+++ b/src/cold/cold_task.rs
@@ -18,7 +18,8 @@
 /// Time until a failed probe is repeated.
 const PROBE_INTERVAL: ClockTime = ClockTime(250);
 
-/// Task that settles whether the local endpoint is cold, and starts requests that wait for its room.
+/// Task that settles whether the local endpoint is cold, and starts requests that wait for room at a cold or
+/// limited endpoint.
 pub(crate) struct ColdTask {
     pub(crate) room: Rc<ColdRoom>,
     pub(crate) pacer: Rc<ArrivalPacer>,
--- a/src/rate_limit/advertised_limit.rs
+++ b/src/rate_limit/advertised_limit.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
 use crate::clock::ClockTime;
-use crate::rate_limit::RequestRate;
+use crate::rate_limit::{LimitReport, RequestRate};
 
 /// A change of an advertised limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -34,6 +34,8 @@
 pub struct AdvertisedLimit {
     rate: Option<RequestRate>,
     set_at: ClockTime,
+    /// Whether a response has been recorded.
+    is_known: bool,
 }
 
 impl AdvertisedLimit {
@@ -43,6 +45,28 @@
         self.rate
     }
 
+    /// Returns what is known of the limit.
+    #[must_use]
+    pub fn report(&self) -> LimitReport {
+        match self.rate {
+            Some(rate) => LimitReport::Limited(rate),
+            None if self.is_known => LimitReport::Unlimited,
+            None => LimitReport::Unknown,
+        }
+    }
+
+    /// Applies a limit that another node has learned, unless the endpoint itself has responded. Any response
+    /// may loosen it. Returns the change, if any.
+    pub fn adopt(&mut self, rate: RequestRate) -> Option<LimitChange> {
+        if self.is_known || self.rate.is_some_and(|current| current <= rate) {
+            return None;
+        }
+        Some(LimitChange {
+            previous: self.rate.replace(rate),
+            current: Some(rate),
+        })
+    }
+
     /// Records the limit in a response that was read now, to a request that was sent at `sent_at`. Returns
     /// the change, if any.
     pub fn record(
@@ -59,6 +83,7 @@
         if is_looser && sent_at <= self.set_at {
             return None;
         }
+        self.is_known = true;
         self.set_at = now;
         let previous = std::mem::replace(&mut self.rate, rate);
         (previous != rate).then_some(LimitChange {
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -82,6 +82,7 @@
             idempotent: request.rule.idempotent,
             repeated: is_retry,
             holds_work: request.parent_priority.is_some(),
+            known_limit: self.balancer.endpoints.borrow().known_limit(&record.id),
             has_homes: !request.rule.homes.is_unrestricted(),
         };
         let slow = self.balancer.slow_threshold(request);
--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::ClockTime;
 use crate::id::EndpointId;
+use crate::rate_limit::{LimitReport, RequestRate};
 use crate::sidecar::forward_message::LoadReport;
 
 /// Weight of the newest sample in the moving averages.
@@ -27,6 +28,8 @@
 struct StatsEntry {
     in_flight: u32,
     slowness: Option<f64>,
+    /// Limit that the endpoint advertises, also if its node has since restarted.
+    limit: Option<RequestRate>,
     failure_rate: f64,
     failed_at: ClockTime,
     latency_ms: Option<f64>,
@@ -43,6 +46,19 @@
     refused_at: ClockTime,
 }
 
+impl StatsEntry {
+    /// Returns the wait of a further request for the rate of a cold or limited endpoint, whose last report
+    /// is `age` ms old.
+    fn pace_wait_ms(&self, age: f64) -> f64 {
+        let pace = f64::from(self.report.pace);
+        if pace <= 0.0 {
+            return 0.0;
+        }
+        let sent_ms = f64::from(self.sent_since) * 1_000.0 / pace;
+        (f64::from(self.report.pace_wait_ms) + sent_ms - age).max(0.0)
+    }
+}
+
 /// Predicted result of sending a request to an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EndpointForecast {
@@ -84,6 +100,11 @@
     ) {
         let entry = self.entry(id);
         entry.report = load;
+        match load.limit {
+            LimitReport::Unknown => {}
+            LimitReport::Unlimited => entry.limit = None,
+            LimitReport::Limited(rate) => entry.limit = Some(rate),
+        }
         entry.slowness = Some(f64::from(load.slowness)).filter(|slowness| *slowness > 0.0);
         entry.mean_outstanding +=
             SAMPLE_WEIGHT * (f64::from(load.outstanding) - entry.mean_outstanding);
@@ -145,6 +166,11 @@
         self.entries.get(id).map_or(0, |entry| entry.in_flight)
     }
 
+    /// Returns the limit that the endpoint advertises, if known.
+    pub(crate) fn known_limit(&self, id: &EndpointId) -> Option<RequestRate> {
+        self.entries.get(id).and_then(|entry| entry.limit)
+    }
+
     /// Returns the mean time in ms for which requests hold a slot of the endpoint, if known.
     pub(crate) fn mean_hold_ms(&self, id: &EndpointId) -> Option<f64> {
         let hold_ms = self
@@ -191,7 +217,8 @@
         let reported = mean + reported * (-age / REPORT_DECAY_MS).exp();
         let outstanding = (reported + f64::from(entry.sent_since)).max(f64::from(entry.in_flight));
         let hold_ms = f64::from(entry.report.mean_hold_ms).max(1.0);
-        let wait_ms = (outstanding - capacity + 1.0).max(0.0) * hold_ms / capacity;
+        let slot_wait_ms = (outstanding - capacity + 1.0).max(0.0) * hold_ms / capacity;
+        let wait_ms = slot_wait_ms.max(entry.pace_wait_ms(age));
         let slowness = 1.0 + (entry.slowness.unwrap_or(1.0) - 1.0) * confidence;
         let latency_ms = entry.latency_ms.unwrap_or(default_latency_ms);
         let latency_ms = default_latency_ms + (latency_ms - default_latency_ms) * confidence;
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -26,11 +26,11 @@
 use crate::sidecar::view_service::ViewService;
 
 /// Path for forwarded requests.
-pub(crate) const FORWARD_PATH: &str = "/forward/3";
+pub(crate) const FORWARD_PATH: &str = "/forward/4";
 /// Path for forwarded requests whose body is sent when the node asks for it.
-pub(crate) const HELD_FORWARD_PATH: &str = "/forward-held/1";
+pub(crate) const HELD_FORWARD_PATH: &str = "/forward-held/2";
 /// Path for resuming requests whose connection was lost.
-pub(crate) const RESUME_PATH: &str = "/resume/3";
+pub(crate) const RESUME_PATH: &str = "/resume/4";
 /// Path for reading a node's view of the mesh.
 pub(crate) const VIEW_PATH: &str = "/view/6";
 /// Timeout for receiving a complete request.
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -8,6 +8,7 @@
 use crate::id::{EndpointId, ServiceName};
 use crate::memory::MemoryClaim;
 use crate::peer::FrameCodec;
+use crate::rate_limit::{LimitReport, RequestRate};
 use crate::sidecar::RemoteTime;
 use crate::sidecar::call_id::CallId;
 
@@ -51,6 +52,8 @@
     pub(crate) repeated: bool,
     /// Whether the request is a call of one that already runs.
     pub(crate) holds_work: bool,
+    /// Limit that the endpoint has advertised to the sender.
+    pub(crate) known_limit: Option<RequestRate>,
     /// Whether the request may be served in few regions.
     pub(crate) has_homes: bool,
 }
@@ -91,6 +94,12 @@
     pub(crate) mean_hold_ms: f32,
     /// Ratio of the time that the endpoint takes to that of the mean endpoint; 0 if it is not known.
     pub(crate) slowness: f32,
+    /// Requests per second that may start; 0 if their rate is not limited.
+    pub(crate) pace: f32,
+    /// Time in ms until the rate lets a further request start.
+    pub(crate) pace_wait_ms: f32,
+    /// Limit that the endpoint advertises.
+    pub(crate) limit: LimitReport,
     /// Recent share of refused requests among those that may be served in few regions only.
     pub(crate) scarcity: f32,
 }
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -147,6 +147,12 @@
         if let Some(code) = self.refusal_code(&header.endpoint) {
             return self.response(arrived, not_run(code, ClockTime(0)));
         }
+        if let Some(change) = header.known_limit.and_then(|rate| self.pacer.adopt(rate)) {
+            log::info!(
+                "event=endpoint_limit_adopted endpoint={} {change}",
+                header.endpoint
+            );
+        }
         let urgency = SlotUrgency {
             priority: header.priority,
             objective: header.objective,
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -319,6 +319,7 @@
         };
         if record.address == self.inbound.client.address() {
             self.inbound.client.reset();
+            self.inbound.pacer.begin_incarnation(id, record.born);
             self.inbound.slots.set_capacity(record.capacity as usize);
             self.inbound.room.suspect("registered");
         }
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -289,12 +289,7 @@
     Rc::new(InboundService {
         process,
         state: Rc::clone(state),
-        slots: SlotSemaphore::new(
-            clock,
-            INITIAL_SLOT_COUNT,
-            Rc::clone(&room),
-            Rc::clone(&pacer),
-        ),
+        slots: SlotSemaphore::new(clock, INITIAL_SLOT_COUNT, Rc::clone(&pacer)),
         room: Rc::clone(&room),
         pacer: Rc::clone(&pacer),
         client: EndpointClient::new(
--- a/src/sidecar/slot_queue.rs
+++ b/src/sidecar/slot_queue.rs
@@ -89,6 +89,24 @@
     pub opens_at: ClockTime,
 }
 
+/// What limits the rate at which requests are served.
+#[derive(Debug, Clone, Copy)]
+enum ServiceTimes {
+    /// One request starts in each interval, given in ms.
+    Paced(f64),
+    /// So many requests run at the same time.
+    Slots(usize),
+}
+
+impl ServiceTimes {
+    fn slots(self) -> usize {
+        match self {
+            Self::Paced(_) => 1,
+            Self::Slots(count) => count,
+        }
+    }
+}
+
 impl SlotQueue {
     /// Creates a queue in front of `capacity` slots.
     #[must_use]
@@ -181,6 +199,27 @@
         ClockTime(slot_wait.max(pace_wait) as u64)
     }
 
+    /// Returns the time in ms until the rate lets a further request start behind all that wait; 0 if the rate
+    /// is not limited.
+    #[must_use]
+    pub fn pace_wait_ms(&self, now: ClockTime) -> f64 {
+        let opens_in = (self.pace.opens_at - now).as_f64();
+        self.pace.rate.map_or(0.0, |rate| {
+            opens_in + self.waiting.len() as f64 * 1_000.0 / rate
+        })
+    }
+
+    /// Returns whether the slots or the rate allow less.
+    fn service_times(&self) -> ServiceTimes {
+        let capacity = self.capacity();
+        let interval_ms = self.pace.rate.map_or(0.0, |rate| 1_000.0 / rate);
+        if interval_ms * capacity as f64 > self.mean_hold_ms() {
+            ServiceTimes::Paced(interval_ms)
+        } else {
+            ServiceTimes::Slots(capacity)
+        }
+    }
+
     /// Requests a slot, accepting an expected wait of up to `max_wait` before `deadline`.
     pub fn request(
         &mut self,
@@ -226,6 +265,7 @@
         latest_start: ClockTime,
         is_late: bool,
     ) -> bool {
+        let times = self.service_times();
         let tickets: Vec<SlotTicket> = self.waiting.keys().copied().collect();
         let queued: Vec<QueuedWork> = self
             .waiting
@@ -235,7 +275,10 @@
                     true => latest_start,
                     false => now + ClockTime(((entry.deadline - now).as_f64() / SURE_RATIO) as u64),
                 },
-                hold_ms: self.hold_ms(entry.urgency),
+                hold_ms: match times {
+                    ServiceTimes::Paced(interval_ms) => interval_ms,
+                    ServiceTimes::Slots(_) => self.hold_ms(entry.urgency),
+                },
                 cost: entry.cost,
             })
             .collect();
@@ -243,7 +286,7 @@
         let hold_ms = self.mean_hold_ms();
         let opens_in = (self.pace.opens_at - now).as_f64();
         let first_wait_ms = (hold_ms * (1.0 - free) / self.capacity() as f64).max(opens_in);
-        let shed = shedding::plan_shedding(now, first_wait_ms, self.capacity(), &queued);
+        let shed = shedding::plan_shedding(now, first_wait_ms, times.slots(), &queued);
         let is_refused = shed.iter().any(|index| tickets[*index] == new);
         // If it makes room for itself, the others make way; otherwise only those that are late anyway.
         if is_late && (is_refused || shed.is_empty()) {
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -6,7 +6,6 @@
 use monoio::time;
 
 use crate::clock::{ClockTime, SystemClock};
-use crate::cold::ColdRoom;
 use crate::homes::ScarcityMeter;
 use crate::rate_limit::ArrivalPacer;
 use crate::routing::EndpointSpeed;
@@ -16,7 +15,6 @@
 /// Asynchronous semaphore over the slots of the endpoint.
 pub(crate) struct SlotSemaphore {
     clock: SystemClock,
-    room: Rc<ColdRoom>,
     pacer: Rc<ArrivalPacer>,
     pub(crate) speed: RefCell<EndpointSpeed>,
     pub(crate) scarcity: RefCell<ScarcityMeter>,
@@ -48,15 +46,9 @@
 }
 
 impl SlotSemaphore {
-    pub(crate) fn new(
-        clock: SystemClock,
-        capacity: usize,
-        room: Rc<ColdRoom>,
-        pacer: Rc<ArrivalPacer>,
-    ) -> Rc<Self> {
+    pub(crate) fn new(clock: SystemClock, capacity: usize, pacer: Rc<ArrivalPacer>) -> Rc<Self> {
         Rc::new(Self {
             clock,
-            room,
             pacer,
             speed: RefCell::default(),
             scarcity: RefCell::default(),
@@ -78,12 +70,16 @@
         self.record_running_age();
         self.update_pace();
         let queue = self.queue.borrow();
+        let now = self.clock.now();
         LoadReport {
+            pace: self.pacer.pace().unwrap_or(0.0) as f32,
+            pace_wait_ms: queue.pace_wait_ms(now) as f32,
+            limit: self.pacer.report(),
             outstanding: queue.outstanding() as u32,
             capacity: queue.sustained_capacity() as u32,
             mean_hold_ms: queue.mean_hold_ms() as f32,
-            slowness: self.speed.borrow().slowness(self.clock.now()) as f32,
-            scarcity: self.scarcity.borrow().scarcity(self.clock.now()) as f32,
+            slowness: self.speed.borrow().slowness(now) as f32,
+            scarcity: self.scarcity.borrow().scarcity(now) as f32,
         }
     }
 
@@ -125,8 +121,8 @@
         };
         let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
-        if self.room.pace().is_some() {
-            self.room.wake();
+        if self.pacer.pace().is_some() {
+            self.pacer.wake();
         }
         let mut waiter = QueuedWaiter {
             semaphore: self,
@@ -166,20 +162,20 @@
         self.displaced_count.get()
     }
 
-    /// Starts the queued requests for which a cold endpoint has room; returns the time until there is room
+    /// Starts the queued requests for which a cold or limited endpoint has room; returns the time until there is room
     /// for the next one, if any waits for it.
     pub(crate) fn release_due(&self) -> Option<ClockTime> {
         self.admit_waiting();
         let has_waiting = self.queue.borrow().has_waiting();
-        let pause = self.room.opens_at() - self.clock.now();
+        let pause = self.pacer.opens_at() - self.clock.now();
         (has_waiting && pause > ClockTime(0)).then_some(pause)
     }
 
-    /// Applies the rate to which a cold endpoint limits its requests.
+    /// Applies the rate to which a cold or limited endpoint limits its requests.
     fn update_pace(&self) {
         let pace = SlotPace {
-            rate: self.room.pace(),
-            opens_at: self.room.opens_at(),
+            rate: self.pacer.pace(),
+            opens_at: self.pacer.opens_at(),
         };
         self.queue.borrow_mut().set_pace(pace);
     }
