Let entry nodes forecast a paced endpoint by its rate, not by fewer slots

An endpoint whose limit has ended was hardly asked for some seconds: entry nodes counted its limit as fewer slots, so that it looked nearly full and slow while its last reports faded.

The concurrency that the rate sustains now bounds what a node has in flight. Ruled out: a limit that is not lifted (the node's log shows endpoint_unlimited).

--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -161,6 +161,16 @@
         entry.ejected_until = now + ClockTime(backoff).min(MAX_EJECTION_TIME);
     }
 
+    /// Returns the number of requests that the endpoint, which has `capacity` slots, can run at the same time.
+    /// A cold or limited one sustains fewer than it has slots.
+    pub(crate) fn sustained_capacity(&self, id: &EndpointId, capacity: u32) -> u32 {
+        let entry = self.entries.get(id);
+        match entry.map_or(0, |entry| entry.report.capacity) {
+            0 => capacity,
+            sustained => capacity.min(sustained),
+        }
+    }
+
     /// Returns the number of requests in flight to the endpoint.
     pub(crate) fn in_flight(&self, id: &EndpointId) -> u32 {
         self.entries.get(id).map_or(0, |entry| entry.in_flight)
@@ -204,12 +214,7 @@
                 scarcity: 0.0,
             };
         };
-        // A cold endpoint sustains fewer requests than it has slots.
-        let sustained = match entry.report.capacity {
-            0 => capacity,
-            sustained => capacity.min(sustained),
-        };
-        let capacity = f64::from(sustained.max(1));
+        let capacity = f64::from(capacity.max(1));
         let age = (now - entry.reported_at).as_f64();
         let confidence = (-age / STATS_DECAY_MS).exp();
         let mean = entry.mean_outstanding * confidence;
