Send nothing to endpoints that say in their responses that they leave

Callers saw requests reach endpoints that had announced their leaving in every response (DRAIN): nodes went by the store alone, which may be late, down or restored.

This outweighs every view: the balancer excludes it for first attempts, hedges and repeats, and the node beside it refuses what others still send, as not run, and says why, so that they learn it too. Only a later incarnation is used.

Ruled out: passing the news on with views, which would be late by a refresh and is not needed, since the endpoint's own node refuses.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod homes;
 pub mod id;
 pub mod introduction;
+pub mod leaving;
 pub mod logging;
 pub mod manifest;
 pub mod membership;
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -64,6 +64,7 @@
         let header = ForwardRequestHeader {
             call,
             endpoint: record.id.clone(),
+            endpoint_born: record.born,
             request_id: request.id.clone(),
             caller: self.settings.service.clone(),
             method: request.method.clone(),
@@ -264,6 +265,10 @@
         let clock = PeerClock::new(header.responded_at, now);
         let node = self.balancer.node_address(record);
         self.clocks.borrow_mut().insert(node, clock);
+        if header.is_leaving {
+            let mut leaving = self.state.leaving.borrow_mut();
+            leaving.record(now, &record.id, record.born);
+        }
         if let Some(age) = header.view_age {
             let mut fresh_peers = self.state.fresh_peers.borrow_mut();
             fresh_peers.record(node.0.ip(), now - age);
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -317,12 +317,22 @@
             return;
         }
         let headers = &parts.headers;
+        let now = self.clock.now();
+        if headers
+            .get(&names.leaving)
+            .is_some_and(|value| value == "1")
+        {
+            let mut leaving = self.state.leaving.borrow_mut();
+            if leaving.record(now, &header.endpoint, header.endpoint_born) {
+                self.state.metrics.record_endpoint_event("leaving");
+                log::info!("event=endpoint_leaving endpoint={}", header.endpoint);
+            }
+        }
         let is_proven =
             headers.contains_key(&names.endpoint_proof) || headers.contains_key(&names.not_run);
         let change = self
             .pacer
             .record_response(sent_at, headers, &names.rate_limit, is_proven);
-        let now = self.clock.now();
         let endpoint = &header.endpoint;
         match change {
             Ok(None) => {}
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -27,6 +27,8 @@
     pub(crate) call: CallId,
     /// The only endpoint that may run the request.
     pub(crate) endpoint: EndpointId,
+    /// Start of its incarnation in milliseconds since the Unix epoch.
+    pub(crate) endpoint_born: u64,
     /// Request identifier set by the client.
     pub(crate) request_id: String,
     /// Service that the request comes from.
@@ -109,6 +111,8 @@
 pub(crate) struct ForwardResponseHeader {
     pub(crate) outcome: ForwardOutcome,
     pub(crate) load: LoadReport,
+    /// Whether the endpoint has said that it shuts down.
+    pub(crate) is_leaving: bool,
     /// Time from the arrival of the request at the node to the response.
     pub(crate) elapsed: ClockTime,
     /// Time of the response on the clock of the responding node.
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -8,7 +8,6 @@
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
 use crate::held_body::RequestBody;
-use crate::id::EndpointId;
 use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
@@ -142,10 +141,14 @@
         let arrived = self.state.clock.now();
         let deadline = arrived + header.remaining;
         if header.remaining == ClockTime(0) {
-            return self.response(arrived, not_run(ResultCode::DeadlineTooShort, ClockTime(0)));
+            return self.endpoint_response(
+                arrived,
+                header,
+                not_run(ResultCode::DeadlineTooShort, ClockTime(0)),
+            );
         }
-        if let Some(code) = self.refusal_code(&header.endpoint) {
-            return self.response(arrived, not_run(code, ClockTime(0)));
+        if let Some(code) = self.refusal_code(header) {
+            return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
         }
         if let Some(change) = header.known_limit.and_then(|rate| self.pacer.adopt(rate)) {
             log::info!(
@@ -176,7 +179,9 @@
         }
         let mut slot = match slot {
             Ok(slot) => slot,
-            Err(error) => return self.response(arrived, acquire_error_outcome(error)),
+            Err(error) => {
+                return self.endpoint_response(arrived, header, acquire_error_outcome(error));
+            }
         };
         let body = match body {
             RequestBody::Ready(body) => body,
@@ -184,13 +189,13 @@
                 Some(body) => body,
                 None => {
                     let code = ResultCode::PeerUnreachable;
-                    return self.response(arrived, not_run(code, ClockTime(0)));
+                    return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
                 }
             },
         };
         // The endpoint may have started draining while the request was queued.
-        if let Some(code) = self.refusal_code(&header.endpoint) {
-            return self.response(arrived, not_run(code, ClockTime(0)));
+        if let Some(code) = self.refusal_code(header) {
+            return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
         }
         on_start();
         let waited = self.state.clock.now() - arrived;
@@ -206,6 +211,9 @@
         };
         let started = self.state.clock.now();
         let result = self.client.run(header, &body, deadline).await;
+        if self.is_leaving(header) {
+            self.slots.reject_waiting();
+        }
         let outcome = result.outcome;
         let worked = self.state.clock.now() - started;
         log_failure(header, &outcome, waited, worked);
@@ -215,7 +223,7 @@
             speed.record(self.state.clock.now(), header.work, worked);
         }
         drop(slot);
-        let mut response = self.response(arrived, outcome);
+        let mut response = self.endpoint_response(arrived, header, outcome);
         response.header.worked = Some(worked);
         response.header.body_length = result.body.len() as u64;
         response.body = result.body;
@@ -226,7 +234,11 @@
     /// Returns the reason why the endpoint must not receive new requests, if any.
     ///
     /// Also applies the capacity that a ready endpoint publishes.
-    fn refusal_code(&self, endpoint: &EndpointId) -> Option<ResultCode> {
+    fn refusal_code(&self, header: &ForwardRequestHeader) -> Option<ResultCode> {
+        let endpoint = &header.endpoint;
+        if self.is_leaving(header) {
+            return Some(ResultCode::NodeLeaving);
+        }
         let directory = self.state.directory.borrow();
         if self.client.serves_other_endpoint(endpoint) {
             return Some(ResultCode::NoEndpoint);
@@ -248,6 +260,24 @@
         }
     }
 
+    /// Returns whether the endpoint of a request has said that it shuts down.
+    fn is_leaving(&self, header: &ForwardRequestHeader) -> bool {
+        let leaving = self.state.leaving.borrow();
+        leaving.contains(&header.endpoint, header.endpoint_born)
+    }
+
+    /// Returns a response that also tells whether the endpoint has said that it shuts down.
+    fn endpoint_response(
+        &self,
+        arrived: ClockTime,
+        header: &ForwardRequestHeader,
+        outcome: ForwardOutcome,
+    ) -> ForwardResponse {
+        let mut response = self.response(arrived, outcome);
+        response.header.is_leaving = self.is_leaving(header);
+        response
+    }
+
     fn response(&self, arrived: ClockTime, outcome: ForwardOutcome) -> ForwardResponse {
         let code = match &outcome {
             ForwardOutcome::Completed { .. } => ResultCode::Ok,
@@ -258,6 +288,7 @@
             header: ForwardResponseHeader {
                 outcome,
                 load: self.slots.load(),
+                is_leaving: false,
                 responded_at: RemoteTime {
                     process: self.process,
                     time: self.state.clock.now(),
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -126,7 +126,9 @@
             }
             progress.excluded.push(id.clone());
             let directory = self.state.directory.borrow();
-            if let Some(record) = directory.record(&id) {
+            let record = directory.record(&id);
+            if let Some(record) = record.filter(|record| self.exclusion(request, record).is_none())
+            {
                 return Some((Rc::clone(record), max_wait));
             }
         }
@@ -225,6 +227,10 @@
         if !homes.is_unrestricted() && !homes.admits(self.settings.regions.get(&record.zone)) {
             return Some(ResultCode::NoHome);
         }
+        let leaving = self.state.leaving.borrow();
+        if leaving.contains(&record.id, record.born) {
+            return Some(ResultCode::NodeLeaving);
+        }
         let evacuations = self.state.evacuations.borrow();
         let is_evacuated = evacuations.contains(&record.zone);
         is_evacuated.then_some(ResultCode::ZoneEvacuated)
@@ -240,10 +246,11 @@
             .collect();
         let is_excluded = !causes.is_empty() && causes.iter().all(Option::is_some);
         let evacuated = causes.contains(&Some(ResultCode::ZoneEvacuated));
+        let is_away = causes.contains(&Some(ResultCode::NoHome));
         match (is_excluded, evacuated) {
             (true, true) => ResultCode::ZoneEvacuated,
-            (true, false) => ResultCode::NoHome,
-            (false, _) => ResultCode::NoEndpoint,
+            (true, false) if is_away => ResultCode::NoHome,
+            _ => ResultCode::NoEndpoint,
         }
     }
 
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -10,6 +10,7 @@
 use crate::evacuation::EvacuationSet;
 use crate::id::{ServiceName, ZoneName};
 use crate::introduction::ChildTable;
+use crate::leaving::LeavingSet;
 use crate::mesh::{
     ConfigHistory, ConfigVersion, HistoryEra, HistoryPosition, MeshConfig, ServiceDirectory,
 };
@@ -36,6 +37,8 @@
     config: RefCell<Option<Arc<MeshConfig>>>,
     /// Availability zones to whose endpoints nothing is sent.
     pub(crate) evacuations: RefCell<EvacuationSet>,
+    /// Endpoints that have told this node that they shut down.
+    pub(crate) leaving: RefCell<LeavingSet>,
     /// Changes between the configurations that were installed.
     pub(crate) history: RefCell<ConfigHistory>,
     /// Whether the view has been synchronized at least once.
@@ -76,6 +79,7 @@
             directory: RefCell::default(),
             config: RefCell::default(),
             evacuations: RefCell::default(),
+            leaving: RefCell::default(),
             history: RefCell::default(),
             loaded: Cell::new(false),
             known_since: Cell::default(),
