--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -149,8 +149,8 @@
         let overdue = self.pool.is_ping_overdue(self.node_address(record));
         let ejected = self.endpoints.borrow().is_ejected(&record.id, now);
         let in_flight = self.endpoints.borrow().in_flight(&record.id);
-        let sustained = self.endpoints.borrow();
-        let sustained = sustained.sustained_capacity(&record.id, record.capacity);
+        let endpoints = self.endpoints.borrow();
+        let sustained = endpoints.sustained_capacity(&record.id, record.capacity);
         if in_flight >= sustained * MAX_IN_FLIGHT_FACTOR {
             return false;
         }
