Log which requests were at work when an endpoint crashed

A request whose connection is lost writes request_lost with a fingerprint of method, target, caller and body; if the endpoint then refuses connections although it was to go on running, endpoint_crashed lists what it worked on. A reset, a planned stop or a node that ends is none. The fingerprint is computed at a loss only, so calm costs nothing at any size.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod once;
 pub mod peer;
 pub mod platform;
+pub mod quarantine;
 pub mod rate_limit;
 pub mod registry_read;
 pub mod retry;
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -133,6 +133,14 @@
             .is_some_and(|responding_endpoint| responding_endpoint != expected.as_str())
     }
 
+    /// Returns whether no process listens at the address.
+    pub(crate) async fn refuses_connections(&self) -> bool {
+        let connect = TcpStream::connect_addr(self.address);
+        let result = time::timeout(CONNECT_TIMEOUT.to_duration(), connect).await;
+        let refused = std::io::ErrorKind::ConnectionRefused;
+        matches!(result, Ok(Err(error)) if error.kind() == refused)
+    }
+
     /// Runs a request. Dropping the future closes the connection, which aborts the request.
     pub(crate) async fn run(
         &self,
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use futures_util::future::{self, Either};
+use monoio::time;
 
 use crate::clock::ClockTime;
 use crate::cold::ColdRoom;
@@ -11,6 +12,7 @@
 use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
+use crate::quarantine::{CrashWatch, Fingerprint};
 use crate::rate_limit::ArrivalPacer;
 use crate::shedding::{ParentId, ParentTable};
 use crate::sidecar::call_table::{CallRecord, CallTable};
@@ -36,6 +38,8 @@
 const MAX_TAIL_SLOWNESS: f64 = 1.25;
 /// Expected time until there is memory for a body.
 const MEMORY_RETRY_TIME: ClockTime = ClockTime(300);
+/// Time after a lost connection in which the others of a crash are lost as well.
+const CRASH_CONFIRM_DELAY: ClockTime = ClockTime(20);
 /// Weight of the newest request in the moving average of the retry share.
 const RETRY_SAMPLE_WEIGHT: f64 = 0.02;
 /// Tolerance between the age of a call measured by its sender and by this process.
@@ -51,6 +55,7 @@
     pub(crate) room: Rc<ColdRoom>,
     pub(crate) pacer: Rc<ArrivalPacer>,
     pub(crate) client: EndpointClient,
+    pub(crate) crashes: RefCell<CrashWatch>,
     pub(crate) calls: CallTable,
     pub(crate) tasks: Rc<TaskGroup>,
     /// Moving average of the share of retries among the requests sent to the endpoint.
@@ -67,7 +72,7 @@
 impl InboundService {
     /// Runs an idempotent request. Dropping the future aborts it.
     pub(crate) async fn run(
-        &self,
+        self: &Rc<Self>,
         header: &ForwardRequestHeader,
         body: RequestBody,
     ) -> ForwardResponse {
@@ -133,7 +138,7 @@
     }
 
     async fn run_with_hook(
-        &self,
+        self: &Rc<Self>,
         header: &ForwardRequestHeader,
         body: RequestBody,
         on_start: StartHook<'_>,
@@ -216,6 +221,12 @@
         }
         let outcome = result.outcome;
         let worked = self.state.clock.now() - started;
+        if let ForwardOutcome::Unknown {
+            code: ResultCode::ConnectionLost,
+        } = outcome
+        {
+            self.record_loss(header, &body);
+        }
         log_failure(header, &outcome, waited, worked);
         if matches!(outcome, ForwardOutcome::Completed { .. }) {
             slot.mark_used();
@@ -260,6 +271,44 @@
         }
     }
 
+    /// Records that the endpoint closed the connection of a request that it worked on, and has it found out
+    /// whether the endpoint has crashed.
+    fn record_loss(self: &Rc<Self>, header: &ForwardRequestHeader, body: &Bytes) {
+        let fingerprint = Fingerprint::of(&header.method, &header.target, &header.caller, body);
+        log::info!(
+            "event=request_lost request={} endpoint={} fingerprint={fingerprint}",
+            header.request_id,
+            header.endpoint
+        );
+        let now = self.state.clock.now();
+        if !self.crashes.borrow_mut().record_loss(now, fingerprint) {
+            return;
+        }
+        let service = Rc::clone(self);
+        let header = header.clone();
+        self.tasks
+            .spawn(async move { service.confirm_crash(&header).await });
+    }
+
+    /// Reports a crash if the endpoint, which was to go on running, refuses connections.
+    async fn confirm_crash(&self, header: &ForwardRequestHeader) {
+        time::sleep(CRASH_CONFIRM_DELAY.to_duration()).await;
+        let is_running = !self.client.refuses_connections().await;
+        let suspects = self.crashes.borrow_mut().take_suspects();
+        if is_running || self.refusal_code(header).is_some() {
+            return;
+        }
+        self.state.metrics.record_endpoint_event("crashed");
+        let names: Vec<String> = suspects.iter().map(ToString::to_string).collect();
+        log::warn!(
+            "event=endpoint_crashed endpoint={} born={} requests={} fingerprints={}",
+            header.endpoint,
+            header.endpoint_born,
+            names.len(),
+            names.join(",")
+        );
+    }
+
     /// Returns whether the endpoint of a request has said that it shuts down.
     fn is_leaving(&self, header: &ForwardRequestHeader) -> bool {
         let leaving = self.state.leaving.borrow();
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -301,6 +301,7 @@
             room,
             pacer,
         ),
+        crashes: RefCell::default(),
         calls: CallTable::default(),
         tasks: Rc::clone(tasks),
         retry_share: Cell::new(0.0),
