Bound requests in flight by a reported rate only where there is one

The bound on requests in flight that came with the forecast of paced endpoints took the slots of the last response, 4, for the present ones. It now applies to cold and limited endpoints only, whose responses carry a rate.

--- a/src/sidecar/endpoint_stats.rs
+++ b/src/sidecar/endpoint_stats.rs
@@ -162,13 +162,12 @@
     }
 
     /// Returns the number of requests that the endpoint, which has `capacity` slots, can run at the same time.
-    /// A cold or limited one sustains fewer than it has slots.
+    /// A cold or limited one sustains fewer than it has slots. For others the last report may be older than
+    /// the number of slots.
     pub(crate) fn sustained_capacity(&self, id: &EndpointId, capacity: u32) -> u32 {
         let entry = self.entries.get(id);
-        match entry.map_or(0, |entry| entry.report.capacity) {
-            0 => capacity,
-            sustained => capacity.min(sustained),
-        }
+        let paced = entry.filter(|entry| entry.report.pace > 0.0);
+        paced.map_or(capacity, |entry| capacity.min(entry.report.capacity.max(1)))
     }
 
     /// Returns the number of requests in flight to the endpoint.
