Keep requests that crash endpoints from the other endpoints

Cause: each attempt was judged alone; nothing remembered what a request had done to the endpoint before. Class: query of death.

The node beside an endpoint reports a crash and what was at work; nodes spread the reports as rumours and refuse, with 503 and code 319, what was at work at three crashes, or two if alone at one, and never ran to its end.

Cost at 5,500 nodes (worked out): in calm one question a start and one digest a request; 300 bytes in four messages a node for a crash with six suspects. Ruled out: refusing after one crash (blames innocents), counting at nodes chosen by the fingerprint (every refusal needs the same spread).

--- a/src/error/result_code.rs
+++ b/src/error/result_code.rs
@@ -86,6 +86,8 @@
     ZoneEvacuated = 317,
     /// No endpoint in a region that the route allows is ready.
     NoHome = 318,
+    /// The request has crashed endpoints and is kept from the others.
+    RequestQuarantined = 319,
     /// The answer exceeds its size limit.
     AnswerTooLarge = 401,
     /// The answer is malformed or incomplete.
@@ -160,6 +162,7 @@
         Self::QueueTimeout,
         Self::ZoneEvacuated,
         Self::NoHome,
+        Self::RequestQuarantined,
         Self::AnswerTooLarge,
         Self::AnswerMalformed,
         Self::EndpointFailed,
@@ -226,6 +229,7 @@
             Self::QueueTimeout => "the call waited too long for a slot",
             Self::ZoneEvacuated => "nothing is sent to endpoints of the zone",
             Self::NoHome => "no endpoint in an allowed region is ready",
+            Self::RequestQuarantined => "the request has crashed endpoints",
             Self::RequestHeadTooLarge => "the head of the request exceeds its limit",
             Self::AnswerTooLarge => "the answer exceeds its size limit",
             Self::AnswerMalformed => "the answer is malformed or incomplete",
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -43,6 +43,7 @@
     evacuated_zones: Gauge<u64>,
     cold: Gauge<u64>,
     cold_requests: Gauge<u64>,
+    quarantined: Gauge<u64>,
     endpoint_limit: Gauge<f64>,
     limited_requests: Gauge<u64>,
     memory_used: Gauge<u64>,
@@ -71,6 +72,8 @@
     pub is_cold: bool,
     /// Requests that were sent to the own endpoint while it was cold or suspected to be.
     pub cold_requests: u64,
+    /// Requests that are kept from endpoints since they have crashed some.
+    pub quarantined: usize,
     /// Rate limit that the own endpoint advertises.
     pub endpoint_limit: Option<RequestRate>,
     /// Requests that were sent to the own endpoint while it advertised a limit.
@@ -174,6 +177,10 @@
                 "endive_cold_requests",
                 "Requests sent to the endpoint beside the node while it was cold",
             ),
+            quarantined: gauge(
+                "endive_quarantined",
+                "Requests that are kept from endpoints since they have crashed some",
+            ),
             endpoint_limit: meter
                 .f64_gauge("endive_endpoint_limit")
                 .with_description("Requests per second that the endpoint accepts; -1 if unlimited")
@@ -306,6 +313,7 @@
             .record(values.evacuated_zones as u64, &[]);
         self.cold.record(u64::from(values.is_cold), &[]);
         self.cold_requests.record(values.cold_requests, &[]);
+        self.quarantined.record(values.quarantined as u64, &[]);
         let limit = values.endpoint_limit.map_or(-1.0, RequestRate::per_second);
         self.endpoint_limit.record(limit, &[]);
         self.limited_requests.record(values.limited_requests, &[]);
--- /dev/null
+++ b/src/quarantine/quarantine_task.rs
@@ -0,0 +1,153 @@
+use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::future::{self, Either};
+use futures_util::stream::StreamExt;
+use monoio::time;
+use rand::seq::IteratorRandom;
+use smallvec::SmallVec;
+
+use crate::caller::StopSignal;
+use crate::clock::ClockTime;
+use crate::error::{Error, Result, ResultCode};
+use crate::id::NodeAddress;
+use crate::peer::PeerPool;
+use crate::quarantine::quarantine_message::{
+    MAX_ENTRY_COUNT, MAX_QUARANTINE_BYTES, QUARANTINE_PATH, QuarantineCodec, QuarantineMessage,
+    QuarantineReply,
+};
+use crate::sidecar::SidecarSettings;
+use crate::sidecar::node_state::NodeState;
+
+/// Nodes of the own region, and of all others, that are told of news.
+const NEAR_COUNT: usize = 3;
+const FAR_COUNT: usize = 1;
+/// Shortest time between two rounds of news.
+const NEWS_INTERVAL: ClockTime = ClockTime(100);
+/// Interval at which one node is told all that is suspected, in case it has missed news.
+const REPAIR_INTERVAL: ClockTime = ClockTime(1_000);
+/// Time after its start in which a node asks others until one has answered.
+const START_TIME: ClockTime = ClockTime(30_000);
+const REPLY_TIMEOUT: ClockTime = ClockTime(250);
+
+/// Task that tells other nodes which requests are suspected of crashing endpoints.
+///
+/// News spreads by rumour: each node to which it is new passes it on to a few others at random.
+pub(crate) struct QuarantineTask {
+    pub(crate) settings: Rc<SidecarSettings>,
+    pub(crate) state: Rc<NodeState>,
+    pub(crate) pool: Rc<PeerPool>,
+}
+
+impl QuarantineTask {
+    /// Runs until the stop signal is given.
+    pub(crate) async fn run(self, stop: StopSignal) {
+        let running = pin!(self.run_loop());
+        let stopped = pin!(stop.wait());
+        match future::select(running, stopped).await {
+            Either::Left(_) | Either::Right(_) => {}
+        }
+    }
+
+    async fn run_loop(&self) {
+        let quarantine = &self.state.quarantine;
+        let Some(mut waiter) = quarantine.take_waiter() else {
+            return;
+        };
+        let spreading = async {
+            while waiter.next().await.is_some() {
+                loop {
+                    let entries = quarantine.take_news(MAX_ENTRY_COUNT);
+                    if entries.is_empty() {
+                        break;
+                    }
+                    let message = QuarantineMessage {
+                        entries,
+                        is_question: false,
+                    };
+                    let sends = self.random_nodes(NEAR_COUNT, FAR_COUNT);
+                    let sends = sends.into_iter().map(|node| self.send(node, &message));
+                    future::join_all(sends).await;
+                    time::sleep(NEWS_INTERVAL.to_duration()).await;
+                }
+            }
+        };
+        let repairing = async {
+            loop {
+                time::sleep(REPAIR_INTERVAL.to_duration()).await;
+                self.repair().await;
+            }
+        };
+        match future::select(pin!(spreading), pin!(repairing)).await {
+            Either::Left(_) | Either::Right(_) => {}
+        }
+    }
+
+    async fn repair(&self) {
+        let quarantine = &self.state.quarantine;
+        quarantine.expire();
+        let is_question = !quarantine.is_informed() && quarantine.uptime() < START_TIME;
+        if quarantine.is_empty() && !is_question {
+            return;
+        }
+        let message = QuarantineMessage {
+            entries: quarantine.entries(MAX_ENTRY_COUNT),
+            is_question,
+        };
+        for node in self.random_nodes(1, 0) {
+            self.send(node, &message).await;
+        }
+    }
+
+    /// Returns random nodes of the own region and of others.
+    fn random_nodes(&self, near_count: usize, far_count: usize) -> SmallVec<[IpAddr; 4]> {
+        let regions = &self.settings.regions;
+        let own = regions.get(&self.settings.zone);
+        let own_ip = self.settings.endpoint.ip();
+        let directory = self.state.directory.borrow();
+        let mut random = rand::rng();
+        let mut choose = |is_near: bool, count: usize| {
+            let records = directory.records();
+            let records = records.filter(|record| {
+                record.address.ip() != own_ip && (regions.get(&record.zone) == own) == is_near
+            });
+            let ips = records.map(|record| record.address.ip());
+            ips.choose_multiple(&mut random, count)
+        };
+        let mut nodes: SmallVec<[IpAddr; 4]> = choose(true, near_count).into();
+        nodes.extend(choose(false, far_count));
+        nodes
+    }
+
+    async fn send(&self, node: IpAddr, message: &QuarantineMessage) {
+        match self.exchange(node, message).await {
+            Ok(reply) => {
+                self.state.quarantine.record_informed();
+                self.state.quarantine.merge(reply.entries);
+            }
+            Err(error) => {
+                log::info!("event=quarantine_not_sent node={node} cause=\"{error}\"");
+            }
+        }
+    }
+
+    async fn exchange(&self, node: IpAddr, message: &QuarantineMessage) -> Result<QuarantineReply> {
+        let port = self.settings.peer_listen.port();
+        let to = NodeAddress(SocketAddr::new(node, port));
+        let head = QuarantineCodec::encode(message)?;
+        let exchange = self.pool.request::<QuarantineReply, MAX_QUARANTINE_BYTES>(
+            to,
+            QUARANTINE_PATH,
+            head,
+            Bytes::new(),
+        );
+        let timeout = REPLY_TIMEOUT.to_duration();
+        let (reply, _) = time::timeout(timeout, exchange).await.map_err(|_| {
+            let message = format!("no reply within {REPLY_TIMEOUT}");
+            Error::new(ResultCode::PeerUnreachable, message)
+        })??;
+        Ok(reply)
+    }
+}
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -33,6 +33,18 @@
 /// longer runs.
 const CONNECTION_REFUSED_TIME: ClockTime = ClockTime(60);
 
+/// Why an attempt is made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum AttemptCause {
+    /// No endpoint has received the request.
+    #[default]
+    First,
+    /// An endpoint has refused or failed it, or is slow.
+    Repeat,
+    /// An endpoint has closed its connection while it worked on the request.
+    Loss,
+}
+
 /// Sender of single attempts of a request to endpoints, which records their outcomes.
 pub(crate) struct AttemptSender {
     pub(crate) settings: Rc<SidecarSettings>,
@@ -54,7 +66,7 @@
         request: &OutboundRequest,
         record: &EndpointRecord,
         max_queue_wait: ClockTime,
-        is_retry: bool,
+        cause: AttemptCause,
     ) -> AttemptOutcome {
         let started = self.state.clock.now();
         let call = CallId {
@@ -81,7 +93,8 @@
             },
             objective: request.rule.objective,
             idempotent: request.rule.idempotent,
-            repeated: is_retry,
+            repeated: cause != AttemptCause::First,
+            follows_loss: cause == AttemptCause::Loss,
             holds_work: request.parent_priority.is_some(),
             known_limit: self.balancer.endpoints.borrow().known_limit(&record.id),
             has_homes: !request.rule.homes.is_unrestricted(),
--- a/src/sidecar/dispatch_state.rs
+++ b/src/sidecar/dispatch_state.rs
@@ -5,6 +5,8 @@
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::id::EndpointId;
+use crate::quarantine::Fingerprint;
+use crate::sidecar::attempt_sender::AttemptCause;
 use crate::sidecar::client_response::ClientResponse;
 
 /// Identifiers of a few endpoints.
@@ -26,10 +28,12 @@
     /// Failure of an attempt that may have run the request. It is returned if no endpoint is left,
     /// because a refusal would state that the request has not run.
     pub(crate) failure: Option<ClientResponse>,
+    /// Fingerprint of the request, once it was needed.
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// Result of each attempt, for the log.
     pub(crate) attempt_log: String,
-    /// Whether the request has been sent to an endpoint before.
-    pub(crate) is_retry: bool,
+    /// Why the next attempt is made.
+    pub(crate) cause: AttemptCause,
     /// Whether the last refusal came from the endpoint itself rather than from its queue.
     pub(crate) refused_by_endpoint: bool,
 }
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -9,8 +9,9 @@
 use crate::clock::ClockTime;
 use crate::error::ResultCode;
 use crate::mesh::EndpointRecord;
+use crate::quarantine::Fingerprint;
 use crate::sidecar::attempt_outcome::AttemptOutcome;
-use crate::sidecar::attempt_sender::AttemptSender;
+use crate::sidecar::attempt_sender::{AttemptCause, AttemptSender};
 use crate::sidecar::client_response::ClientResponse;
 use crate::sidecar::dispatch_state::DispatchState;
 use crate::sidecar::load_balancer::LoadBalancer;
@@ -74,6 +75,9 @@
             if progress.is_unsent() && !self.ends_before_stop(request, now) {
                 return progress.abandoned(ResultCode::NodeLeaving);
             }
+            if self.is_quarantined(request, progress) {
+                return self.quarantine_response(request, progress);
+            }
             if now >= request.deadline {
                 progress.last_refusal = Some(ResultCode::DeadlineTooShort);
                 return self.refusal(request, progress);
@@ -87,9 +91,9 @@
                     .await
             } else {
                 progress.attempts += 1;
-                let is_retry = progress.is_retry;
+                let cause = progress.cause;
                 self.attempts
-                    .attempt(request, &record, max_queue_wait, is_retry)
+                    .attempt(request, &record, max_queue_wait, cause)
                     .await
             };
             match result {
@@ -101,8 +105,13 @@
                 } => {
                     progress.attempts = progress.attempts.saturating_sub(1);
                     progress.record_refusal(&record.id, code, wait, reached_endpoint);
-                    progress.is_retry |= reached_endpoint;
+                    if reached_endpoint && progress.cause == AttemptCause::First {
+                        progress.cause = AttemptCause::Repeat;
+                    }
                     progress.refused_by_endpoint = reached_endpoint;
+                    if code == ResultCode::RequestQuarantined {
+                        return self.quarantine_response(request, progress);
+                    }
                     if code == ResultCode::MalformedRequest {
                         return self.refusal(request, progress);
                     }
@@ -116,7 +125,10 @@
                 AttemptOutcome::Failed(response) => {
                     progress.excluded.push(record.id.clone());
                     progress.log_attempt(&record.id, response.code, ClockTime(0));
-                    progress.is_retry = true;
+                    progress.cause = match response.code {
+                        ResultCode::ConnectionLost => AttemptCause::Loss,
+                        _ => progress.cause.max(AttemptCause::Repeat),
+                    };
                     if !self.take_retry(request, progress, 1.0) {
                         return response;
                     }
@@ -148,13 +160,16 @@
         let delay = self.balancer.slow_threshold(request);
         let first = pin!(
             self.attempts
-                .attempt(request, record, max_queue_wait, progress.is_retry)
+                .attempt(request, record, max_queue_wait, progress.cause)
         );
         let timer = pin!(time::sleep(delay.to_duration()));
         let first = match future::select(first, timer).await {
             Either::Left((result, _)) => return result,
             Either::Right((_, first)) => first,
         };
+        if self.is_quarantined(request, progress) {
+            return first.await;
+        }
         progress.excluded.push(record.id.clone());
         let now = self.state.clock.now();
         let second = self
@@ -176,7 +191,12 @@
         );
         progress.excluded.push(second.id.clone());
         progress.attempts += 1;
-        let other = pin!(self.attempts.attempt(request, &second, ClockTime(0), true));
+        let other = pin!(self.attempts.attempt(
+            request,
+            &second,
+            ClockTime(0),
+            progress.cause.max(AttemptCause::Repeat)
+        ));
         match future::select(first, other).await {
             Either::Left((result @ AttemptOutcome::Response(_), _)) => result,
             Either::Right((result @ AttemptOutcome::Response(_), _)) => result,
@@ -185,6 +205,36 @@
         }
     }
 
+    /// Returns whether a request has crashed endpoints and is kept from the others.
+    fn is_quarantined(&self, request: &OutboundRequest, progress: &mut DispatchState) -> bool {
+        let quarantine = &self.state.quarantine;
+        if quarantine.is_empty() {
+            return false;
+        }
+        let caller = &self.attempts.settings.service;
+        let fingerprint = progress.fingerprint.get_or_insert_with(|| {
+            Fingerprint::of(&request.method, &request.target, caller, &request.body)
+        });
+        quarantine.contains(fingerprint)
+    }
+
+    /// Returns the response to a request that is kept from endpoints. A further attempt would be refused as
+    /// well, so there is no `Retry-After`.
+    fn quarantine_response(
+        &self,
+        request: &OutboundRequest,
+        progress: &mut DispatchState,
+    ) -> ClientResponse {
+        let fingerprint = progress.fingerprint.map(|digest| digest.to_string());
+        log::info!(
+            "event=request_quarantined request={} fingerprint={}",
+            request.id,
+            fingerprint.as_deref().unwrap_or("-")
+        );
+        let failure = progress.failure.take();
+        failure.unwrap_or_else(|| ClientResponse::local(ResultCode::RequestQuarantined, None))
+    }
+
     /// Takes a retry from the budget; returns false if the request must not be retried.
     ///
     /// Each retry or hedge uses `share` of the budget's limits.
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -17,6 +17,9 @@
 use crate::memory::MemoryAccount;
 use crate::peer::stream_io;
 use crate::peer::{ByteCounter, HeldReply, ShutdownSignal, StreamHandler};
+use crate::quarantine::{
+    MAX_ENTRY_COUNT, QUARANTINE_PATH, QuarantineCodec, QuarantineMessage, QuarantineReply,
+};
 use crate::sidecar::forward_message::{
     ForwardCodec, ForwardRequestHeader, ForwardResponse, ForwardResponseHeader,
     MAX_FORWARD_HEADER_BYTES, ResumeHeader,
@@ -85,6 +88,7 @@
             RESUME_PATH if post => self.resume(stream).await,
             VIEW_PATH if post => self.view(stream).await,
             INTRODUCTION_PATH if post => self.introduction(stream).await,
+            QUARANTINE_PATH if post => self.quarantine(stream).await,
             _ => Err(Error::new(
                 ResultCode::PeerProtocol,
                 format!("unknown path {path}"),
@@ -325,6 +329,20 @@
         self.send(ViewCodec::encode(&reply)?, Bytes::new()).await
     }
 
+    async fn quarantine(&mut self, stream: RecvStream) -> Result<()> {
+        let (message, _): (QuarantineMessage, _) = read_message(stream, 0, |_| true).await?;
+        let quarantine = &self.inbound.state.quarantine;
+        let limit = if message.is_question {
+            MAX_ENTRY_COUNT
+        } else {
+            0
+        };
+        let entries = quarantine.entries(limit);
+        quarantine.merge(message.entries);
+        let head = QuarantineCodec::encode(&QuarantineReply { entries })?;
+        self.send(head, Bytes::new()).await
+    }
+
     /// Runs a future until the peer resets the stream, in which case it returns `None`.
     ///
     /// A lost connection is not a reset: the future then stays pending until it is dropped with the
--- a/src/sidecar/forward_message.rs
+++ b/src/sidecar/forward_message.rs
@@ -52,6 +52,8 @@
     pub(crate) idempotent: bool,
     /// Whether the request has been sent to an endpoint before.
     pub(crate) repeated: bool,
+    /// Whether an endpoint has closed its connection while it worked on the request.
+    pub(crate) follows_loss: bool,
     /// Whether the request is a call of one that already runs.
     pub(crate) holds_work: bool,
     /// Limit that the endpoint has advertised to the sender.
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -12,7 +12,7 @@
 use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
-use crate::quarantine::{CrashWatch, Fingerprint};
+use crate::quarantine::{CrashId, CrashWatch, Fingerprint, RecentRuns, SoloSlot};
 use crate::rate_limit::ArrivalPacer;
 use crate::shedding::{ParentId, ParentTable};
 use crate::sidecar::call_table::{CallRecord, CallTable};
@@ -40,6 +40,8 @@
 const MEMORY_RETRY_TIME: ClockTime = ClockTime(300);
 /// Time after a lost connection in which the others of a crash are lost as well.
 const CRASH_CONFIRM_DELAY: ClockTime = ClockTime(20);
+/// Maximum size of the body of a request that is remembered after it has run to its end.
+const MAX_REMEMBERED_BYTES: usize = 64 * 1024;
 /// Weight of the newest request in the moving average of the retry share.
 const RETRY_SAMPLE_WEIGHT: f64 = 0.02;
 /// Tolerance between the age of a call measured by its sender and by this process.
@@ -56,6 +58,9 @@
     pub(crate) pacer: Rc<ArrivalPacer>,
     pub(crate) client: EndpointClient,
     pub(crate) crashes: RefCell<CrashWatch>,
+    pub(crate) recent_runs: RefCell<RecentRuns>,
+    /// Slot for requests that are suspected of a crash or have lost a connection.
+    pub(crate) solo: Rc<SoloSlot>,
     pub(crate) calls: CallTable,
     pub(crate) tasks: Rc<TaskGroup>,
     /// Moving average of the share of retries among the requests sent to the endpoint.
@@ -174,6 +179,18 @@
         let needed = header.work.as_f64() * slowness.clamp(1.0, MAX_TAIL_SLOWNESS) * TAIL_FACTOR;
         let last_start = arrived + (header.remaining - ClockTime(needed as u64));
         let until = last_start.min(arrived + limit + WAIT_MARGIN);
+        let mut solo = None;
+        let is_suspected = match &body {
+            RequestBody::Ready(body) => self.is_suspected(header, body),
+            RequestBody::Held(_) => false,
+        };
+        if header.follows_loss || is_suspected {
+            solo = self.solo.acquire(until - arrived).await;
+            if solo.is_none() {
+                let outcome = acquire_error_outcome(AcquireError::Busy(until - arrived));
+                return self.endpoint_response(arrived, header, outcome);
+            }
+        }
         let slot = self
             .slots
             .acquire(urgency, header.max_queue_wait, until)
@@ -202,6 +219,18 @@
         if let Some(code) = self.refusal_code(header) {
             return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
         }
+        if solo.is_none() && self.is_suspected(header, &body) {
+            let left = until - self.state.clock.now();
+            solo = self.solo.acquire(left).await;
+            if solo.is_none() {
+                let outcome = acquire_error_outcome(AcquireError::Expired);
+                return self.endpoint_response(arrived, header, outcome);
+            }
+        }
+        if self.is_quarantined(header, &body) {
+            let outcome = not_run(ResultCode::RequestQuarantined, ClockTime(0));
+            return self.endpoint_response(arrived, header, outcome);
+        }
         on_start();
         let waited = self.state.clock.now() - arrived;
         self.state.metrics.record_slot_wait(waited);
@@ -221,11 +250,12 @@
         }
         let outcome = result.outcome;
         let worked = self.state.clock.now() - started;
-        if let ForwardOutcome::Unknown {
-            code: ResultCode::ConnectionLost,
-        } = outcome
-        {
-            self.record_loss(header, &body);
+        match outcome {
+            ForwardOutcome::Unknown {
+                code: ResultCode::ConnectionLost,
+            } => self.record_loss(header, &body),
+            ForwardOutcome::Completed { .. } => self.record_completion(header, &body),
+            _ => {}
         }
         log_failure(header, &outcome, waited, worked);
         if matches!(outcome, ForwardOutcome::Completed { .. }) {
@@ -234,6 +264,7 @@
             speed.record(self.state.clock.now(), header.work, worked);
         }
         drop(slot);
+        drop(solo);
         let mut response = self.endpoint_response(arrived, header, outcome);
         response.header.worked = Some(worked);
         response.header.body_length = result.body.len() as u64;
@@ -271,10 +302,36 @@
         }
     }
 
+    /// Records that a request has run to its end, so that it is not suspected of crashes.
+    fn record_completion(&self, header: &ForwardRequestHeader, body: &Bytes) {
+        let is_short = body.len() <= MAX_REMEMBERED_BYTES;
+        if !is_short && self.state.quarantine.is_empty() {
+            return;
+        }
+        let fingerprint = fingerprint(header, body);
+        self.state.quarantine.record_completion(&fingerprint);
+        if is_short {
+            let now = self.state.clock.now();
+            self.recent_runs.borrow_mut().record(now, fingerprint);
+        }
+    }
+
+    /// Returns whether a request is suspected of a crash.
+    fn is_suspected(&self, header: &ForwardRequestHeader, body: &Bytes) -> bool {
+        let quarantine = &self.state.quarantine;
+        !quarantine.is_empty() && quarantine.is_suspected(&fingerprint(header, body))
+    }
+
+    /// Returns whether a request is kept from endpoints.
+    fn is_quarantined(&self, header: &ForwardRequestHeader, body: &Bytes) -> bool {
+        let quarantine = &self.state.quarantine;
+        !quarantine.is_empty() && quarantine.contains(&fingerprint(header, body))
+    }
+
     /// Records that the endpoint closed the connection of a request that it worked on, and has it found out
     /// whether the endpoint has crashed.
     fn record_loss(self: &Rc<Self>, header: &ForwardRequestHeader, body: &Bytes) {
-        let fingerprint = Fingerprint::of(&header.method, &header.target, &header.caller, body);
+        let fingerprint = fingerprint(header, body);
         log::info!(
             "event=request_lost request={} endpoint={} fingerprint={fingerprint}",
             header.request_id,
@@ -294,19 +351,25 @@
     async fn confirm_crash(&self, header: &ForwardRequestHeader) {
         time::sleep(CRASH_CONFIRM_DELAY.to_duration()).await;
         let is_running = !self.client.refuses_connections().await;
-        let suspects = self.crashes.borrow_mut().take_suspects();
+        let mut suspects = self.crashes.borrow_mut().take_suspects();
         if is_running || self.refusal_code(header).is_some() {
             return;
         }
         self.state.metrics.record_endpoint_event("crashed");
+        let at_work = suspects.len();
+        let mut recent_runs = self.recent_runs.borrow_mut();
+        suspects.retain(|request| !recent_runs.contains(request));
+        recent_runs.clear();
+        drop(recent_runs);
         let names: Vec<String> = suspects.iter().map(ToString::to_string).collect();
         log::warn!(
-            "event=endpoint_crashed endpoint={} born={} requests={} fingerprints={}",
+            "event=endpoint_crashed endpoint={} born={} requests={at_work} suspects={}",
             header.endpoint,
             header.endpoint_born,
-            names.len(),
             names.join(",")
         );
+        let crash = CrashId::of(&header.endpoint, header.endpoint_born);
+        self.state.quarantine.record_crash(crash, &suspects);
     }
 
     /// Returns whether the endpoint of a request has said that it shuts down.
@@ -421,6 +484,10 @@
     );
 }
 
+fn fingerprint(header: &ForwardRequestHeader, body: &Bytes) -> Fingerprint {
+    Fingerprint::of(&header.method, &header.target, &header.caller, body)
+}
+
 fn not_run(code: ResultCode, wait: ClockTime) -> ForwardOutcome {
     ForwardOutcome::NotRun {
         code,
--- a/src/sidecar/monitoring_service.rs
+++ b/src/sidecar/monitoring_service.rs
@@ -54,6 +54,7 @@
             evacuated_zones: self.state.evacuations.borrow().zones().count(),
             is_cold: self.inbound.room.phase() != ColdPhase::Warm,
             cold_requests: self.inbound.room.limited_count(),
+            quarantined: self.state.quarantine.count(),
             endpoint_limit: self.inbound.pacer.advertised(),
             limited_requests: self.inbound.pacer.limited_count(),
             memory_used: self.memory.used(),
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -15,6 +15,7 @@
     ConfigHistory, ConfigVersion, HistoryEra, HistoryPosition, MeshConfig, ServiceDirectory,
 };
 use crate::metrics::SidecarMetrics;
+use crate::quarantine::QuarantineState;
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_summary::ViewSummary;
 use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings, StopSchedule};
@@ -39,6 +40,8 @@
     pub(crate) evacuations: RefCell<EvacuationSet>,
     /// Endpoints that have told this node that they shut down.
     pub(crate) leaving: RefCell<LeavingSet>,
+    /// Requests that are suspected of crashing endpoints.
+    pub(crate) quarantine: QuarantineState,
     /// Changes between the configurations that were installed.
     pub(crate) history: RefCell<ConfigHistory>,
     /// Whether the view has been synchronized at least once.
@@ -80,6 +83,7 @@
             config: RefCell::default(),
             evacuations: RefCell::default(),
             leaving: RefCell::default(),
+            quarantine: QuarantineState::new(clock),
             history: RefCell::default(),
             loaded: Cell::new(false),
             known_since: Cell::default(),
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -18,6 +18,7 @@
 use crate::memory::MemoryAccount;
 use crate::node::TaskGroup;
 use crate::peer::{KeepaliveConfig, PeerPool, PeerServer};
+use crate::quarantine::QuarantineTask;
 use crate::rate_limit::ArrivalPacer;
 use crate::sidecar::ahead_budget::AheadBudget;
 use crate::sidecar::attempt_sender::AttemptSender;
@@ -195,6 +196,12 @@
             trees: RefCell::default(),
         };
         background_tasks.push(monoio::spawn(introductions.run(background_stopped.clone())));
+        let quarantine = QuarantineTask {
+            settings: Rc::clone(&settings),
+            state: Rc::clone(&state),
+            pool: Rc::clone(&pool),
+        };
+        background_tasks.push(monoio::spawn(quarantine.run(background_stopped.clone())));
         let reload = ReloadTask {
             adapter,
             state: Rc::clone(&state),
@@ -302,6 +309,8 @@
             pacer,
         ),
         crashes: RefCell::default(),
+        recent_runs: RefCell::default(),
+        solo: Rc::default(),
         calls: CallTable::default(),
         tasks: Rc::clone(tasks),
         retry_share: Cell::new(0.0),
