Treat responses with a status outside the protocol as malformed

The head is refused where it is parsed, so the outcome is unknown (502, or a repeat where the request allows it), and an entry node no longer passes on such a status from another node. Ruled out: a check at the client's side only, which other clients of the parser would miss.

--- a/src/caller/message_head.rs
+++ b/src/caller/message_head.rs
@@ -125,11 +125,17 @@
 ///
 /// # Errors
 ///
-/// `Malformed` if the head is invalid.
+/// `Malformed` if the head is invalid or its status is not one of the protocol.
 pub(crate) async fn parse_response(head: &[u8]) -> Result<http::response::Parts, WireError> {
     check_line_ends(head)?;
-    match ResponseDecoder::new(head).next().await {
-        Some(Ok(response)) => Ok(response.into_parts().0),
-        _ => Err(WireError::Malformed("malformed response head")),
+    let parts = match ResponseDecoder::new(head).next().await {
+        Some(Ok(response)) => response.into_parts().0,
+        _ => return Err(WireError::Malformed("malformed response head")),
+    };
+    // The decoder accepts any number of three digits from 100 on.
+    match parts.status.as_u16() {
+        101 => Err(WireError::Malformed("unrequested switch of protocols")),
+        100..=599 => Ok(parts),
+        _ => Err(WireError::Malformed("status outside 100 to 599")),
     }
 }
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -289,6 +289,16 @@
         let mut endpoints = self.balancer.endpoints.borrow_mut();
         endpoints.record_response(&record.id, now, header.load, latency.max(0.0));
         match header.outcome {
+            ForwardOutcome::Completed { status, .. } if !(200..=599).contains(&status) => {
+                log::warn!(
+                    "event=invalid_status request={} endpoint={} status={status}",
+                    request.id,
+                    record.id
+                );
+                endpoints.record_failure(&record.id, now);
+                let code = ResultCode::AnswerMalformed;
+                AttemptOutcome::Failed(ClientResponse::local(code, None))
+            }
             ForwardOutcome::Completed { status, headers } => {
                 let processing_ms = header.worked.unwrap_or_default().as_f64();
                 let route = &request.rule.name;
