Move the handling of crashes and of advice out of the sidecar's files

What a response says of its endpoint is recorded by advice::AdviceRecorder, what requests do to the endpoint by quarantine::CrashGuard; the sidecar calls them. A quarantined request whose body is there is refused before it waits for a slot, and the check for a leaving endpoint follows all waits.

Ruled out as needed elsewhere: the limits and the table, which were apart already.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 
 pub mod admin;
 pub mod admission;
+mod advice;
 pub mod backend;
 pub mod burn;
 pub mod call;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,5 +1,6 @@
 //! Requests that crash the endpoints that run them, and how all nodes come to refuse them.
 
+mod crash_guard;
 mod crash_id;
 mod crash_watch;
 mod fingerprint;
@@ -11,6 +12,7 @@
 mod suspect_entry;
 mod suspect_table;
 
+pub(crate) use crash_guard::CrashGuard;
 pub use crash_id::CrashId;
 pub use crash_watch::CrashWatch;
 pub use fingerprint::Fingerprint;
--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -7,14 +7,13 @@
 use monoio::net::TcpStream;
 use monoio::time;
 
+use crate::advice::AdviceRecorder;
 use crate::caller::{self, BodyLength, WireError, WireStream};
 use crate::clock::{ClockTime, SystemClock};
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
 use crate::id::EndpointId;
-use crate::logging::LogRateLimiter;
 use crate::memory::{MemoryAccount, MemoryClaim};
-use crate::rate_limit::ArrivalPacer;
 use crate::sidecar::HeaderNames;
 use crate::sidecar::endpoint_answer::{AnswerVerdict, EndpointAnswer};
 use crate::sidecar::endpoint_connection::EndpointConnection;
@@ -34,9 +33,6 @@
 /// Maximum number of interim and unrelated responses skipped before the expected one.
 const MAX_SKIPPED_RESPONSE_COUNT: usize = 8;
 
-/// Interval at which the same change of an endpoint is logged again.
-const LOG_INTERVAL: ClockTime = ClockTime(1_000);
-
 /// HTTP client for the local endpoint.
 pub(crate) struct EndpointClient {
     address: SocketAddr,
@@ -46,8 +42,7 @@
     max_response_bytes: usize,
     memory: Rc<MemoryAccount>,
     room: Rc<ColdRoom>,
-    pacer: Rc<ArrivalPacer>,
-    log_limiter: RefCell<LogRateLimiter>,
+    advice: AdviceRecorder,
     idle: RefCell<IdleConnections>,
     /// Endpoint that responded to a request addressed to another one.
     responding_endpoint: RefCell<Option<String>>,
@@ -98,7 +93,7 @@
         max_response_bytes: usize,
         memory: Rc<MemoryAccount>,
         room: Rc<ColdRoom>,
-        pacer: Rc<ArrivalPacer>,
+        advice: AdviceRecorder,
     ) -> Self {
         Self {
             address,
@@ -108,8 +103,7 @@
             max_response_bytes,
             memory,
             room,
-            pacer,
-            log_limiter: RefCell::new(LogRateLimiter::new(LOG_INTERVAL)),
+            advice,
             idle: RefCell::default(),
             responding_endpoint: RefCell::default(),
         }
@@ -272,7 +266,7 @@
                 continue;
             }
             if self.identity(&parts.headers, header) == ResponseIdentity::Own {
-                self.record_advice(&parts, header, sent_at);
+                self.advice.record(&parts, header, sent_at);
             }
             let (body, framed, claim) = self.read_body(stream, &parts, header).await?;
             match self.identity(&parts.headers, header) {
@@ -313,62 +307,6 @@
         ))
     }
 
-    /// Records what a response of the endpoint to this request says of the endpoint itself.
-    fn record_advice(
-        &self,
-        parts: &http::response::Parts,
-        header: &ForwardRequestHeader,
-        sent_at: ClockTime,
-    ) {
-        let names = &self.names;
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
-        let headers = &parts.headers;
-        let now = self.clock.now();
-        if headers
-            .get(&names.leaving)
-            .is_some_and(|value| value == "1")
-        {
-            let mut leaving = self.state.leaving.borrow_mut();
-            if leaving.record(now, &header.endpoint, header.endpoint_born) {
-                self.state.metrics.record_endpoint_event("leaving");
-                log::info!("event=endpoint_leaving endpoint={}", header.endpoint);
-            }
-        }
-        let is_proven =
-            headers.contains_key(&names.endpoint_proof) || headers.contains_key(&names.not_run);
-        let change = self
-            .pacer
-            .record_response(sent_at, headers, &names.rate_limit, is_proven);
-        let endpoint = &header.endpoint;
-        match change {
-            Ok(None) => {}
-            Ok(Some(change)) => {
-                let event = match change.current {
-                    Some(_) => "endpoint_limited",
-                    None => "endpoint_unlimited",
-                };
-                if let Some(suppressed) = self.log_limiter.borrow_mut().admit(event, now) {
-                    log::info!(
-                        "event={event} endpoint={endpoint} request={} {change} suppressed={suppressed}",
-                        header.request_id
-                    );
-                }
-            }
-            Err(error) => {
-                self.state.metrics.record_invalid_limit();
-                let mut limiter = self.log_limiter.borrow_mut();
-                if let Some(suppressed) = limiter.admit("invalid_limit", now) {
-                    log::warn!(
-                        "event=invalid_limit endpoint={endpoint} cause=\"{}\" suppressed={suppressed}",
-                        error.message()
-                    );
-                }
-            }
-        }
-    }
-
     /// Reads the body; returns it with its memory, and whether its end was delimited by the message
     /// framing.
     async fn read_body(
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -12,7 +12,7 @@
 use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
 use crate::node::TaskGroup;
-use crate::quarantine::{CrashId, CrashWatch, Fingerprint, RecentRuns, SoloSlot};
+use crate::quarantine::CrashGuard;
 use crate::rate_limit::ArrivalPacer;
 use crate::shedding::{ParentId, ParentTable};
 use crate::sidecar::call_table::{CallRecord, CallTable};
@@ -40,8 +40,6 @@
 const MEMORY_RETRY_TIME: ClockTime = ClockTime(300);
 /// Time after a lost connection in which the others of a crash are lost as well.
 const CRASH_CONFIRM_DELAY: ClockTime = ClockTime(20);
-/// Maximum size of the body of a request that is remembered after it has run to its end.
-const MAX_REMEMBERED_BYTES: usize = 64 * 1024;
 /// Weight of the newest request in the moving average of the retry share.
 const RETRY_SAMPLE_WEIGHT: f64 = 0.02;
 /// Tolerance between the age of a call measured by its sender and by this process.
@@ -57,10 +55,7 @@
     pub(crate) room: Rc<ColdRoom>,
     pub(crate) pacer: Rc<ArrivalPacer>,
     pub(crate) client: EndpointClient,
-    pub(crate) crashes: RefCell<CrashWatch>,
-    pub(crate) recent_runs: RefCell<RecentRuns>,
-    /// Slot for requests that are suspected of a crash or have lost a connection.
-    pub(crate) solo: Rc<SoloSlot>,
+    pub(crate) crashes: CrashGuard,
     pub(crate) calls: CallTable,
     pub(crate) tasks: Rc<TaskGroup>,
     /// Moving average of the share of retries among the requests sent to the endpoint.
@@ -180,12 +175,16 @@
         let last_start = arrived + (header.remaining - ClockTime(needed as u64));
         let until = last_start.min(arrived + limit + WAIT_MARGIN);
         let mut solo = None;
-        let is_suspected = match &body {
-            RequestBody::Ready(body) => self.is_suspected(header, body),
-            RequestBody::Held(_) => false,
-        };
-        if header.follows_loss || is_suspected {
-            solo = self.solo.acquire(until - arrived).await;
+        let mut is_suspected = header.follows_loss;
+        if let RequestBody::Ready(body) = &body {
+            if self.crashes.is_quarantined(header, body) {
+                let outcome = not_run(ResultCode::RequestQuarantined, ClockTime(0));
+                return self.endpoint_response(arrived, header, outcome);
+            }
+            is_suspected |= self.crashes.is_suspected(header, body);
+        }
+        if is_suspected {
+            solo = self.crashes.run_alone(until - arrived).await;
             if solo.is_none() {
                 let outcome = acquire_error_outcome(AcquireError::Busy(until - arrived));
                 return self.endpoint_response(arrived, header, outcome);
@@ -215,19 +214,19 @@
                 }
             },
         };
-        // The endpoint may have started draining while the request was queued.
-        if let Some(code) = self.refusal_code(header) {
-            return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
-        }
-        if solo.is_none() && self.is_suspected(header, &body) {
+        if solo.is_none() && self.crashes.is_suspected(header, &body) {
             let left = until - self.state.clock.now();
-            solo = self.solo.acquire(left).await;
+            solo = self.crashes.run_alone(left).await;
             if solo.is_none() {
                 let outcome = acquire_error_outcome(AcquireError::Expired);
                 return self.endpoint_response(arrived, header, outcome);
             }
         }
-        if self.is_quarantined(header, &body) {
+        // The endpoint may have started draining while the request was queued.
+        if let Some(code) = self.refusal_code(header) {
+            return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
+        }
+        if self.crashes.is_quarantined(header, &body) {
             let outcome = not_run(ResultCode::RequestQuarantined, ClockTime(0));
             return self.endpoint_response(arrived, header, outcome);
         }
@@ -253,8 +252,13 @@
         match outcome {
             ForwardOutcome::Unknown {
                 code: ResultCode::ConnectionLost,
-            } => self.record_loss(header, &body),
-            ForwardOutcome::Completed { .. } => self.record_completion(header, &body),
+            } if self.crashes.record_loss(header, &body) => {
+                let service = Rc::clone(self);
+                let header = header.clone();
+                self.tasks
+                    .spawn(async move { service.confirm_crash(&header).await });
+            }
+            ForwardOutcome::Completed { .. } => self.crashes.record_completion(header, &body),
             _ => {}
         }
         log_failure(header, &outcome, waited, worked);
@@ -302,74 +306,15 @@
         }
     }
 
-    /// Records that a request has run to its end, so that it is not suspected of crashes.
-    fn record_completion(&self, header: &ForwardRequestHeader, body: &Bytes) {
-        let is_short = body.len() <= MAX_REMEMBERED_BYTES;
-        if !is_short && self.state.quarantine.is_empty() {
-            return;
-        }
-        let fingerprint = fingerprint(header, body);
-        self.state.quarantine.record_completion(&fingerprint);
-        if is_short {
-            let now = self.state.clock.now();
-            self.recent_runs.borrow_mut().record(now, fingerprint);
-        }
-    }
-
-    /// Returns whether a request is suspected of a crash.
-    fn is_suspected(&self, header: &ForwardRequestHeader, body: &Bytes) -> bool {
-        let quarantine = &self.state.quarantine;
-        !quarantine.is_empty() && quarantine.is_suspected(&fingerprint(header, body))
-    }
-
-    /// Returns whether a request is kept from endpoints.
-    fn is_quarantined(&self, header: &ForwardRequestHeader, body: &Bytes) -> bool {
-        let quarantine = &self.state.quarantine;
-        !quarantine.is_empty() && quarantine.contains(&fingerprint(header, body))
-    }
-
-    /// Records that the endpoint closed the connection of a request that it worked on, and has it found out
-    /// whether the endpoint has crashed.
-    fn record_loss(self: &Rc<Self>, header: &ForwardRequestHeader, body: &Bytes) {
-        let fingerprint = fingerprint(header, body);
-        log::info!(
-            "event=request_lost request={} endpoint={} fingerprint={fingerprint}",
-            header.request_id,
-            header.endpoint
-        );
-        let now = self.state.clock.now();
-        if !self.crashes.borrow_mut().record_loss(now, fingerprint) {
-            return;
-        }
-        let service = Rc::clone(self);
-        let header = header.clone();
-        self.tasks
-            .spawn(async move { service.confirm_crash(&header).await });
-    }
-
     /// Reports a crash if the endpoint, which was to go on running, refuses connections.
     async fn confirm_crash(&self, header: &ForwardRequestHeader) {
         time::sleep(CRASH_CONFIRM_DELAY.to_duration()).await;
         let is_running = !self.client.refuses_connections().await;
-        let mut suspects = self.crashes.borrow_mut().take_suspects();
         if is_running || self.refusal_code(header).is_some() {
-            return;
+            self.crashes.dismiss();
+        } else {
+            self.crashes.record_crash(header);
         }
-        self.state.metrics.record_endpoint_event("crashed");
-        let at_work = suspects.len();
-        let mut recent_runs = self.recent_runs.borrow_mut();
-        suspects.retain(|request| !recent_runs.contains(request));
-        recent_runs.clear();
-        drop(recent_runs);
-        let names: Vec<String> = suspects.iter().map(ToString::to_string).collect();
-        log::warn!(
-            "event=endpoint_crashed endpoint={} born={} requests={at_work} suspects={}",
-            header.endpoint,
-            header.endpoint_born,
-            names.join(",")
-        );
-        let crash = CrashId::of(&header.endpoint, header.endpoint_born);
-        self.state.quarantine.record_crash(crash, &suspects);
     }
 
     /// Returns whether the endpoint of a request has said that it shuts down.
@@ -484,10 +429,6 @@
     );
 }
 
-fn fingerprint(header: &ForwardRequestHeader, body: &Bytes) -> Fingerprint {
-    Fingerprint::of(&header.method, &header.target, &header.caller, body)
-}
-
 fn not_run(code: ResultCode, wait: ClockTime) -> ForwardOutcome {
     ForwardOutcome::NotRun {
         code,
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -8,6 +8,7 @@
 use monoio::task::JoinHandle;
 use monoio::time;
 
+use crate::advice::AdviceRecorder;
 use crate::backend::HttpClient;
 use crate::caller::StopSignal;
 use crate::clock::{ClockTime, SystemClock};
@@ -18,7 +19,7 @@
 use crate::memory::MemoryAccount;
 use crate::node::TaskGroup;
 use crate::peer::{KeepaliveConfig, PeerPool, PeerServer};
-use crate::quarantine::QuarantineTask;
+use crate::quarantine::{CrashGuard, QuarantineTask};
 use crate::rate_limit::ArrivalPacer;
 use crate::sidecar::ahead_budget::AheadBudget;
 use crate::sidecar::attempt_sender::AttemptSender;
@@ -293,6 +294,7 @@
     let response_limit = memory_share(settings, RESPONSE_MEMORY_DIVISOR);
     let room = Rc::new(ColdRoom::new(clock));
     let pacer = Rc::new(ArrivalPacer::new(clock, Rc::clone(&room)));
+    let advice = AdviceRecorder::new(Rc::clone(state), Rc::clone(&names), Rc::clone(&pacer));
     Rc::new(InboundService {
         process,
         state: Rc::clone(state),
@@ -306,11 +308,9 @@
             response_limit,
             Rc::clone(memory),
             room,
-            pacer,
+            advice,
         ),
-        crashes: RefCell::default(),
-        recent_runs: RefCell::default(),
-        solo: Rc::default(),
+        crashes: CrashGuard::new(Rc::clone(state)),
         calls: CallTable::default(),
         tasks: Rc::clone(tasks),
         retry_share: Cell::new(0.0),
