--- a/src/quarantine/quarantine_task.rs
+++ b/src/quarantine/quarantine_task.rs
@@ -36,7 +36,7 @@
 
 /// Task that tells other nodes which requests are suspected of crashing endpoints.
 ///
-/// News spreads by rumour: each node to which it is new passes it on to a few others at random.
+/// News spreads by gossip: each node to which it is new passes it on to a few others at random.
 pub(crate) struct QuarantineTask {
     pub(crate) settings: Rc<SidecarSettings>,
     pub(crate) state: Rc<NodeState>,
--- a/src/quarantine/recent_runs.rs
+++ b/src/quarantine/recent_runs.rs
@@ -8,7 +8,7 @@
 /// Maximum number of runs in each half.
 const MAX_RUN_COUNT: usize = 1_024;
 
-/// Requests that have lately run to their end at the local endpoint.
+/// Requests that have recently run to their end at the local endpoint.
 ///
 /// A request that many callers send is at work at most crashes, whatever their cause. It is not suspected of
 /// the crash of an incarnation that it ran on before.
@@ -30,7 +30,7 @@
         self.current.insert(request);
     }
 
-    /// Returns whether a request has lately run to its end.
+    /// Returns whether a request has recently run to its end.
     #[must_use]
     pub fn contains(&self, request: &Fingerprint) -> bool {
         self.current.contains(request) || self.previous.contains(request)
--- a/src/sidecar/attempt_sender.rs
+++ b/src/sidecar/attempt_sender.rs
@@ -12,6 +12,7 @@
 use crate::memory::{MemoryAccount, MemoryClaim};
 use crate::mesh::EndpointRecord;
 use crate::peer::PeerPool;
+use crate::retry::AttemptCause;
 use crate::sidecar::attempt_outcome::AttemptOutcome;
 use crate::sidecar::call_id::CallId;
 use crate::sidecar::call_table::CallRecord;
@@ -33,18 +34,6 @@
 /// longer runs.
 const CONNECTION_REFUSED_TIME: ClockTime = ClockTime(60);
 
-/// Why an attempt is made.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum AttemptCause {
-    /// No endpoint has received the request.
-    #[default]
-    First,
-    /// An endpoint has refused or failed it, or is slow.
-    Repeat,
-    /// An endpoint has closed its connection while it worked on the request.
-    Loss,
-}
-
 /// Sender of single attempts of a request to endpoints, which records their outcomes.
 pub(crate) struct AttemptSender {
     pub(crate) settings: Rc<SidecarSettings>,
--- a/src/sidecar/dispatch_state.rs
+++ b/src/sidecar/dispatch_state.rs
@@ -6,7 +6,7 @@
 use crate::error::ResultCode;
 use crate::id::EndpointId;
 use crate::quarantine::Fingerprint;
-use crate::sidecar::attempt_sender::AttemptCause;
+use crate::retry::AttemptCause;
 use crate::sidecar::client_response::ClientResponse;
 
 /// Identifiers of a few endpoints.
--- a/src/sidecar/dispatcher.rs
+++ b/src/sidecar/dispatcher.rs
@@ -10,8 +10,9 @@
 use crate::error::ResultCode;
 use crate::mesh::EndpointRecord;
 use crate::quarantine::Fingerprint;
+use crate::retry::AttemptCause;
 use crate::sidecar::attempt_outcome::AttemptOutcome;
-use crate::sidecar::attempt_sender::{AttemptCause, AttemptSender};
+use crate::sidecar::attempt_sender::AttemptSender;
 use crate::sidecar::client_response::ClientResponse;
 use crate::sidecar::dispatch_state::DispatchState;
 use crate::sidecar::load_balancer::LoadBalancer;
@@ -208,14 +209,14 @@
     /// Returns whether a request has crashed endpoints and is kept from the others.
     fn is_quarantined(&self, request: &OutboundRequest, progress: &mut DispatchState) -> bool {
         let quarantine = &self.state.quarantine;
-        if quarantine.is_empty() {
-            return false;
-        }
+        !quarantine.is_empty() && quarantine.contains(&self.fingerprint(request, progress))
+    }
+
+    fn fingerprint(&self, request: &OutboundRequest, progress: &mut DispatchState) -> Fingerprint {
         let caller = &self.attempts.settings.service;
-        let fingerprint = progress.fingerprint.get_or_insert_with(|| {
+        *progress.fingerprint.get_or_insert_with(|| {
             Fingerprint::of(&request.method, &request.target, caller, &request.body)
-        });
-        quarantine.contains(fingerprint)
+        })
     }
 
     /// Returns the response to a request that is kept from endpoints. A further attempt would be refused as
@@ -225,11 +226,10 @@
         request: &OutboundRequest,
         progress: &mut DispatchState,
     ) -> ClientResponse {
-        let fingerprint = progress.fingerprint.map(|digest| digest.to_string());
         log::info!(
             "event=request_quarantined request={} fingerprint={}",
             request.id,
-            fingerprint.as_deref().unwrap_or("-")
+            self.fingerprint(request, progress)
         );
         let failure = progress.failure.take();
         failure.unwrap_or_else(|| ClientResponse::local(ResultCode::RequestQuarantined, None))
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -146,14 +146,10 @@
         let arrived = self.state.clock.now();
         let deadline = arrived + header.remaining;
         if header.remaining == ClockTime(0) {
-            return self.endpoint_response(
-                arrived,
-                header,
-                not_run(ResultCode::DeadlineTooShort, ClockTime(0)),
-            );
+            return self.refusal(arrived, header, ResultCode::DeadlineTooShort);
         }
         if let Some(code) = self.refusal_code(header) {
-            return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
+            return self.refusal(arrived, header, code);
         }
         if let Some(change) = header.known_limit.and_then(|rate| self.pacer.adopt(rate)) {
             log::info!(
@@ -178,8 +174,7 @@
         let mut is_suspected = header.follows_loss;
         if let RequestBody::Ready(body) = &body {
             if self.crashes.is_quarantined(header, body) {
-                let outcome = not_run(ResultCode::RequestQuarantined, ClockTime(0));
-                return self.endpoint_response(arrived, header, outcome);
+                return self.refusal(arrived, header, ResultCode::RequestQuarantined);
             }
             is_suspected |= self.crashes.is_suspected(header, body);
         }
@@ -210,7 +205,7 @@
                 Some(body) => body,
                 None => {
                     let code = ResultCode::PeerUnreachable;
-                    return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
+                    return self.refusal(arrived, header, code);
                 }
             },
         };
@@ -218,17 +213,15 @@
             let left = until - self.state.clock.now();
             solo = self.crashes.run_alone(left).await;
             if solo.is_none() {
-                let outcome = acquire_error_outcome(AcquireError::Expired);
-                return self.endpoint_response(arrived, header, outcome);
+                return self.refusal(arrived, header, ResultCode::QueueTimeout);
             }
         }
         // The endpoint may have started draining while the request was queued.
         if let Some(code) = self.refusal_code(header) {
-            return self.endpoint_response(arrived, header, not_run(code, ClockTime(0)));
+            return self.refusal(arrived, header, code);
         }
         if self.crashes.is_quarantined(header, &body) {
-            let outcome = not_run(ResultCode::RequestQuarantined, ClockTime(0));
-            return self.endpoint_response(arrived, header, outcome);
+            return self.refusal(arrived, header, ResultCode::RequestQuarantined);
         }
         on_start();
         let waited = self.state.clock.now() - arrived;
@@ -323,6 +316,16 @@
         leaving.contains(&header.endpoint, header.endpoint_born)
     }
 
+    /// Returns the refusal of a request that has not reached the endpoint.
+    fn refusal(
+        &self,
+        arrived: ClockTime,
+        header: &ForwardRequestHeader,
+        code: ResultCode,
+    ) -> ForwardResponse {
+        self.endpoint_response(arrived, header, not_run(code, ClockTime(0)))
+    }
+
     /// Returns a response that also tells whether the endpoint has said that it shuts down.
     fn endpoint_response(
         &self,
--- a/src/sidecar/slot_semaphore.rs
+++ b/src/sidecar/slot_semaphore.rs
@@ -162,8 +162,8 @@
         self.displaced_count.get()
     }
 
-    /// Starts the queued requests for which a cold or limited endpoint has room; returns the time until there is room
-    /// for the next one, if any waits for it.
+    /// Starts the queued requests for which a cold or limited endpoint has room; returns the time until there
+    /// is room for the next one, if any waits for it.
     pub(crate) fn release_due(&self) -> Option<ClockTime> {
         self.admit_waiting();
         let has_waiting = self.queue.borrow().has_waiting();
