Spread the news of crashes past nodes that do not respond

Cause: the task that tells others of crashes waited for all three replies of a round, 250 ms if one node does not respond, and then 100 ms more before it passed on what it had learned meanwhile. A node that does not respond also used up one of three chances to be told. Even in calm the 100 ms applied between a node's own crash and what it heard right after it.

Now sends run beside the rounds; the pauses between rounds start at 5 ms and double to 100 ms (NewsPace, pure), and each item is told in two rounds, so that the chance to miss a node falls from one in twenty to one in four hundred (worked out).

Ruled out: the delay of 20 ms by which a crash is confirmed; the number of nodes told in one round, which is three because each message is paid for by all nodes.

Cost at 5,500 nodes: six messages a node and crash instead of three, eight that leave a region instead of four; in a mass crash still ten rounds a second after the first five.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -4,6 +4,7 @@
 mod crash_id;
 mod crash_watch;
 mod fingerprint;
+mod news_pace;
 mod quarantine_message;
 mod quarantine_state;
 mod quarantine_task;
@@ -16,6 +17,7 @@
 pub use crash_id::CrashId;
 pub use crash_watch::CrashWatch;
 pub use fingerprint::Fingerprint;
+pub use news_pace::NewsPace;
 pub(crate) use quarantine_message::{
     MAX_ENTRY_COUNT, QUARANTINE_PATH, QuarantineCodec, QuarantineMessage, QuarantineReply,
 };
--- a/src/quarantine/quarantine_state.rs
+++ b/src/quarantine/quarantine_state.rs
@@ -76,7 +76,7 @@
         self.wake();
     }
 
-    /// Returns at most `limit` requests of which something has become known, once.
+    /// Returns at most `limit` requests of which others are to be told.
     pub(crate) fn take_news(&self, limit: usize) -> Vec<SuspectEntry> {
         let now = self.clock.now();
         self.table.borrow_mut().take_news(now, limit)
--- a/src/quarantine/quarantine_task.rs
+++ b/src/quarantine/quarantine_task.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use futures_channel::mpsc;
 use futures_util::future::{self, Either};
-use futures_util::stream::StreamExt;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use monoio::time;
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -15,6 +16,7 @@
 use crate::error::{Error, Result, ResultCode};
 use crate::id::NodeAddress;
 use crate::peer::PeerPool;
+use crate::quarantine::NewsPace;
 use crate::quarantine::quarantine_message::{
     MAX_ENTRY_COUNT, MAX_QUARANTINE_BYTES, QUARANTINE_PATH, QuarantineCodec, QuarantineMessage,
     QuarantineReply,
@@ -28,8 +30,6 @@
 /// one repair interval. The links between regions have little bandwidth.
 const FAR_NEWS_COUNT: f64 = 4.0;
 const FAR_REPAIR_COUNT: f64 = 1.0;
-/// Shortest time between two rounds of news.
-const NEWS_INTERVAL: ClockTime = ClockTime(100);
 /// Interval at which a node tells another one what is quarantined, in case it has missed news.
 const REPAIR_INTERVAL: ClockTime = ClockTime(1_000);
 /// Time after its start in which a node asks others until one has answered.
@@ -57,38 +57,59 @@
 
     async fn run_loop(&self) {
         let quarantine = &self.state.quarantine;
-        let Some(mut waiter) = quarantine.take_waiter() else {
+        let Some(waiter) = quarantine.take_waiter() else {
             return;
         };
-        let spreading = async {
-            while waiter.next().await.is_some() {
-                loop {
-                    let entries = quarantine.take_news(MAX_ENTRY_COUNT);
-                    if entries.is_empty() {
-                        break;
-                    }
-                    let message = QuarantineMessage {
-                        entries,
-                        is_question: false,
-                    };
-                    let sends = self.random_nodes(NEAR_COUNT, FAR_NEWS_COUNT);
-                    let sends = sends.into_iter().map(|node| self.send(node, &message));
-                    future::join_all(sends).await;
-                    time::sleep(NEWS_INTERVAL.to_duration()).await;
-                }
-            }
-        };
         let repairing = async {
             loop {
                 time::sleep(REPAIR_INTERVAL.to_duration()).await;
                 self.repair().await;
             }
         };
-        match future::select(pin!(spreading), pin!(repairing)).await {
+        match future::select(pin!(self.spread(waiter)), pin!(repairing)).await {
             Either::Left(_) | Either::Right(_) => {}
         }
     }
 
+    /// Tells other nodes of news whenever there are any. Nodes that do not respond delay nothing.
+    async fn spread(&self, mut waiter: mpsc::Receiver<()>) {
+        let quarantine = &self.state.quarantine;
+        let mut pace = NewsPace::default();
+        let mut sends = FuturesUnordered::new();
+        loop {
+            let entries = quarantine.take_news(MAX_ENTRY_COUNT);
+            let pause = if entries.is_empty() {
+                None
+            } else {
+                let message = Rc::new(QuarantineMessage {
+                    entries,
+                    is_question: false,
+                });
+                for node in self.random_nodes(NEAR_COUNT, FAR_NEWS_COUNT) {
+                    let message = Rc::clone(&message);
+                    sends.push(async move { self.send(node, &message).await });
+                }
+                Some(pace.pause(self.state.clock.now()))
+            };
+            let due = pin!(async {
+                match pause {
+                    Some(pause) => time::sleep(pause.to_duration()).await,
+                    None => return waiter.next().await.is_some(),
+                }
+                true
+            });
+            let sending = pin!(async {
+                while sends.next().await.is_some() {}
+                future::pending().await
+            });
+            let (Either::Left((is_open, _)) | Either::Right((is_open, _))) =
+                future::select(due, sending).await;
+            if !is_open {
+                return;
+            }
+        }
+    }
+
     async fn repair(&self) {
         let quarantine = &self.state.quarantine;
         quarantine.expire();
--- a/src/quarantine/suspect_table.rs
+++ b/src/quarantine/suspect_table.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use smallvec::SmallVec;
@@ -17,6 +18,9 @@
 const QUARANTINE_TIME: ClockTime = ClockTime(60_000);
 const QUARANTINE_FACTOR: u64 = 4;
 const MAX_QUARANTINE_TIME: ClockTime = ClockTime(600_000);
+/// Rounds in which a node tells others of news. After one round to three nodes each, one node in twenty has not
+/// heard of it, and more if some do not respond; after two it is one in four hundred.
+const NEWS_ROUND_COUNT: u32 = 2;
 /// Maximum number of requests in the table.
 const MAX_REQUEST_COUNT: usize = 1_024;
 
@@ -31,8 +35,8 @@
 #[derive(Debug, Default)]
 pub struct SuspectTable {
     requests: HashMap<Fingerprint, SuspectRecord>,
-    /// Requests of which something has become known since the last call of `take_news`.
-    news: Vec<Fingerprint>,
+    /// Requests of which something has become known, and in how many more rounds others are told.
+    news: Vec<(Fingerprint, u32)>,
 }
 
 #[derive(Debug, Default)]
@@ -271,20 +275,27 @@
     }
 
     fn note(&mut self, request: Fingerprint) {
-        if !self.news.contains(&request) {
-            self.news.push(request);
-        }
+        self.news.retain(|(known, _)| *known != request);
+        self.news.push((request, NEWS_ROUND_COUNT));
     }
 
-    /// Returns at most `limit` requests of which something has become known, once.
+    /// Returns at most `limit` requests of which something has become known. Each is returned in
+    /// `NEWS_ROUND_COUNT` rounds, those that are new first.
     pub fn take_news(&mut self, now: ClockTime, limit: usize) -> Vec<SuspectEntry> {
+        self.news.sort_by_key(|(_, rounds)| Reverse(*rounds));
         let rest = self.news.split_off(limit.min(self.news.len()));
-        let news = std::mem::replace(&mut self.news, rest);
-        let records = news.iter().filter_map(|request| {
+        let mut news = std::mem::replace(&mut self.news, rest);
+        let records = news.iter().filter_map(|(request, _)| {
             let record = self.requests.get(request)?;
             Some(record.to_entry(now, *request))
         });
-        records.collect()
+        let entries = records.collect();
+        for (_, rounds) in &mut news {
+            *rounds -= 1;
+        }
+        self.news
+            .extend(news.into_iter().filter(|(_, rounds)| *rounds > 0));
+        entries
     }
 
     /// Returns at most `limit` requests, those that are kept from endpoints first.
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -2,7 +2,9 @@
 
 use endivelanding::clock::ClockTime;
 use endivelanding::id::ServiceName;
-use endivelanding::quarantine::{CrashId, CrashWatch, Fingerprint, RecentRuns, SuspectTable};
+use endivelanding::quarantine::{
+    CrashId, CrashWatch, Fingerprint, NewsPace, RecentRuns, SuspectTable,
+};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -206,3 +208,18 @@
     table.record_completion(&request(1));
     assert!(!table.is_suspected(&request(1)) && table.is_suspected(&request(2)));
 }
+
+#[test]
+fn the_news_of_one_crash_travels_at_once_and_that_of_many_in_few_messages() {
+    let mut pace = NewsPace::default();
+    let mut now = ClockTime(0);
+    let mut pauses = Vec::new();
+    while now < ClockTime(10_000) {
+        let pause = pace.pause(now);
+        now = now + pause;
+        pauses.push(pause.0);
+    }
+    assert_eq!(pauses[..6], [5, 10, 20, 40, 80, 100]);
+    assert!(pauses.len() <= 105, "{}", pauses.len());
+    assert_eq!(pace.pause(now + ClockTime(1_000)), ClockTime(5));
+}
