Suspect nobody else of a crash with a known culprit

What callers saw: beside a request that crashes endpoints, another one was refused for a minute that had crashed nothing.

Cause: each crash counted against all requests at work, also when one of them was already known as a culprit. Copies of a culprit that are on their way when it becomes known still crash endpoints, so whoever was repeated beside them collected three crashes.

Now only the culprits count at such a crash. One that becomes known by this very crash does not clear the others, since a sole suspect by incomplete knowledge would then hide the true one.

Evidence: quarantine_rules::a_crash_with_a_known_culprit_..., failed before ([0, 1] blamed instead of [0]).

Ruled out: to clear a request when another one explains all its crashes (tried, reverted): tables keep eight crashes of a request, so they would no longer merge to the same result in any order.

Open: two requests that are at work at the same three crashes before either is known. Cost at 5,500 nodes: one lookup for each suspect of a crash.

--- a/src/quarantine/suspect_table.rs
+++ b/src/quarantine/suspect_table.rs
@@ -28,8 +28,9 @@
 ///
 /// All requests at work at a crash are suspected of it, and one of them caused it. The culprit is at work at
 /// one crash after the other and never runs to its end. A request that does so anywhere after a crash is no
-/// longer suspected of that crash. After a time a culprit is admitted again, in case something else was the
-/// cause; each crash that follows makes that time longer.
+/// longer suspected of that crash, and a crash with a known culprit is no evidence against others. After a
+/// time a culprit is admitted again, in case something else was the cause; each crash that follows makes that
+/// time longer.
 ///
 /// Tables of different nodes merge in any order to the same result: crashes are only added, and refuted once.
 #[derive(Debug, Default)]
@@ -173,17 +174,22 @@
             _ => None,
         };
         drop(repeated);
+        let sighting = |request: &Fingerprint| CrashSighting {
+            crash,
+            at: now,
+            is_sole: sole == Some(*request),
+            is_refuted: false,
+        };
+        let is_culprit = |request: &Fingerprint| {
+            let record = self.requests.get(request);
+            record.is_some_and(SuspectRecord::is_culprit)
+        };
+        if suspects.iter().any(is_culprit) {
+            suspects.retain(|request| is_culprit(request));
+        }
         let suspects = suspects.into_iter();
         suspects
-            .filter(|request| {
-                let sighting = CrashSighting {
-                    crash,
-                    at: now,
-                    is_sole: sole == Some(*request),
-                    is_refuted: false,
-                };
-                self.add(now, *request, [sighting])
-            })
+            .filter(|request| self.add(now, *request, [sighting(request)]))
             .collect()
     }
 
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -75,6 +75,18 @@
     assert_eq!(quarantined(&table, 9), [0]);
 }
 
+/// Guards against a request that is refused because it ran beside the culprit each time.
+#[test]
+fn a_crash_with_a_known_culprit_is_no_evidence_against_others() {
+    let mut table = SuspectTable::default();
+    table.record_crash(ClockTime(0), CrashId(0), &[request(0)]);
+    for crash in 1..5 {
+        let suspects = [request(0), request(1), request(10 + crash)];
+        table.record_crash(ClockTime(crash), CrashId(crash), &suspects);
+    }
+    assert_eq!(quarantined(&table, 20), [0]);
+}
+
 #[test]
 fn one_crash_is_never_enough_and_two_are_if_one_was_alone() {
     let mut table = SuspectTable::default();
