--- a/src/sidecar/endpoint_client.rs
+++ b/src/sidecar/endpoint_client.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, Version, header};
+use http::{HeaderMap, StatusCode, Version};
 use monoio::net::TcpStream;
 use monoio::time;
 
@@ -12,12 +12,12 @@
 use crate::clock::{ClockTime, SystemClock};
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
+use crate::forwarding::{EndpointResponse, EndpointResult, endpoint_not_run};
 use crate::id::EndpointId;
 use crate::memory::{MemoryAccount, MemoryClaim};
 use crate::sidecar::HeaderNames;
-use crate::sidecar::endpoint_answer::{AnswerVerdict, EndpointAnswer};
 use crate::sidecar::endpoint_connection::EndpointConnection;
-use crate::sidecar::forward_message::{ForwardOutcome, ForwardRequestHeader, HeaderFields};
+use crate::sidecar::forward_message::{ForwardOutcome, ForwardRequestHeader};
 use crate::sidecar::idle_connections::IdleConnections;
 use crate::sidecar::node_state::NodeState;
 
@@ -37,44 +37,15 @@
 pub(crate) struct EndpointClient {
     address: SocketAddr,
     clock: SystemClock,
-    state: Rc<NodeState>,
-    names: Rc<HeaderNames>,
+    pub(crate) state: Rc<NodeState>,
+    pub(crate) names: Rc<HeaderNames>,
     max_response_bytes: usize,
     memory: Rc<MemoryAccount>,
-    room: Rc<ColdRoom>,
+    pub(crate) room: Rc<ColdRoom>,
     advice: AdviceRecorder,
     idle: RefCell<IdleConnections>,
     /// Endpoint that responded to a request addressed to another one.
-    responding_endpoint: RefCell<Option<String>>,
-}
-
-/// Complete response of the endpoint.
-struct EndpointResponse {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-    claim: MemoryClaim,
-    /// Maximum idle time of the connection; `None` if it cannot be reused.
-    idle_limit: Option<ClockTime>,
-}
-
-/// Result of a request at the endpoint.
-pub(crate) struct EndpointResult {
-    pub(crate) outcome: ForwardOutcome,
-    /// Body of the response.
-    pub(crate) body: Bytes,
-    /// Memory of the body.
-    pub(crate) claim: Option<Rc<MemoryClaim>>,
-}
-
-impl EndpointResult {
-    fn empty(outcome: ForwardOutcome) -> Self {
-        Self {
-            outcome,
-            body: Bytes::new(),
-            claim: None,
-        }
-    }
+    pub(crate) responding_endpoint: RefCell<Option<String>>,
 }
 
 /// Request that a response belongs to, according to its identifier.
@@ -150,14 +121,17 @@
                     header.request_id
                 );
                 self.room.suspect("connection refused");
-                return EndpointResult::empty(not_run(ResultCode::BackendUnreachable, false));
+                return EndpointResult::empty(endpoint_not_run(
+                    ResultCode::BackendUnreachable,
+                    false,
+                ));
             }
         };
         // The process may have been paused since the request was admitted, so the deadline is
         // checked again.
         let now = self.clock.now();
         if now >= deadline {
-            return EndpointResult::empty(not_run(ResultCode::DeadlineTooShort, false));
+            return EndpointResult::empty(endpoint_not_run(ResultCode::DeadlineTooShort, false));
         }
         let left = deadline - now;
         let head = self.encode_head(header, body, left);
@@ -177,7 +151,7 @@
                     "request {}: not written to the endpoint: {error}",
                     header.request_id
                 );
-                EndpointResult::empty(not_run(ResultCode::BackendUnreachable, false))
+                EndpointResult::empty(endpoint_not_run(ResultCode::BackendUnreachable, false))
             }
             Ok(Err(error)) => {
                 let code = if error.is_invalid_message() {
@@ -345,83 +319,6 @@
             Some(_) => ResponseIdentity::Other,
         }
     }
-
-    /// Returns whether the endpoint states that it has not run the request.
-    fn is_refusal(&self, response: &EndpointResponse) -> bool {
-        response.headers.contains_key(&self.names.not_run) || response.status.as_u16() == 421
-    }
-
-    fn classify(
-        &self,
-        response: EndpointResponse,
-        header: &ForwardRequestHeader,
-    ) -> EndpointResult {
-        let status = response.status.as_u16();
-        let has = |name| response.headers.contains_key(name);
-        let answer = EndpointAnswer {
-            status,
-            states_not_run: has(&self.names.not_run),
-            has_request_id: has(&self.names.request_id),
-            has_proof: has(&self.names.endpoint_proof),
-            is_encoded: response.headers.contains_key(header::CONTENT_ENCODING),
-        };
-        self.record_status(&answer, header);
-        let is_identified = !header.request_id.is_empty();
-        let verdict = answer.verdict(header.idempotent, is_identified);
-        if verdict == AnswerVerdict::NotRun(ResultCode::NoEndpoint) {
-            let name = response.headers.get(&self.names.responding_endpoint);
-            let name = name.and_then(|value| value.to_str().ok());
-            *self.responding_endpoint.borrow_mut() = name.map(str::to_owned);
-            self.room.suspect("another endpoint responded");
-        }
-        match verdict {
-            AnswerVerdict::NotRun(code) => EndpointResult::empty(not_run(code, status != 421)),
-            AnswerVerdict::Unknown(code) => EndpointResult::empty(ForwardOutcome::Unknown { code }),
-            AnswerVerdict::Final => {
-                let headers = end_to_end_headers(&response.headers);
-                EndpointResult {
-                    outcome: ForwardOutcome::Completed { status, headers },
-                    body: response.body,
-                    claim: Some(Rc::new(response.claim)),
-                }
-            }
-        }
-    }
-
-    /// Logs and counts a response whose status states that the request is wrong.
-    fn record_status(&self, answer: &EndpointAnswer, header: &ForwardRequestHeader) {
-        let status = answer.status;
-        if !matches!(status, 300..=499) || matches!(status, 421 | 429) {
-            return;
-        }
-        let proven = answer.is_proven();
-        self.state.metrics.record_endpoint_status(status, proven);
-        log::info!(
-            "event=endpoint_status request={} endpoint={} status={status} not_run={} id={} proof={} encoded={}",
-            header.request_id,
-            header.endpoint,
-            answer.states_not_run,
-            answer.has_request_id,
-            answer.has_proof,
-            answer.is_encoded
-        );
-    }
-}
-
-fn not_run(code: ResultCode, reached_endpoint: bool) -> ForwardOutcome {
-    ForwardOutcome::NotRun {
-        code,
-        reached_endpoint,
-        wait: ClockTime(0),
-    }
-}
-
-fn end_to_end_headers(headers: &HeaderMap) -> HeaderFields {
-    headers
-        .iter()
-        .filter(|(name, _)| !caller::is_hop_by_hop_header(name.as_str(), headers))
-        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-        .collect()
 }
 
 /// Returns the maximum idle time of the connection according to the `Keep-Alive` header.
--- a/src/sidecar/inbound_service.rs
+++ b/src/sidecar/inbound_service.rs
@@ -1,13 +1,13 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use bytes::Bytes;
 use futures_util::future::{self, Either};
 use monoio::time;
 
 use crate::clock::ClockTime;
 use crate::cold::ColdRoom;
 use crate::error::ResultCode;
+use crate::forwarding::{acquire_error_outcome, log_failure, not_run};
 use crate::held_body::RequestBody;
 use crate::memory::MemoryClaim;
 use crate::mesh::EndpointState;
@@ -18,11 +18,11 @@
 use crate::sidecar::call_table::{CallRecord, CallTable};
 use crate::sidecar::endpoint_client::EndpointClient;
 use crate::sidecar::forward_message::{
-    ForwardOutcome, ForwardRequestHeader, ForwardResponse, ForwardResponseHeader, ResumeHeader,
+    ForwardOutcome, ForwardRequestHeader, ForwardResponse, ResumeHeader,
 };
 use crate::sidecar::node_state::NodeState;
 use crate::sidecar::slot_semaphore::{AcquireError, SlotSemaphore};
-use crate::sidecar::{LateRequest, RemoteTime, SlotUrgency};
+use crate::sidecar::{LateRequest, SlotUrgency};
 
 /// Retention time of a fence. It exceeds the time that any forwarded request has left, so a fenced
 /// request cannot arrive after its fence has expired.
@@ -36,8 +36,6 @@
 /// Largest slowness that counts for that time. After a start of all endpoints, senders and this node learn
 /// the same longer times, and would count them twice.
 const MAX_TAIL_SLOWNESS: f64 = 1.25;
-/// Expected time until there is memory for a body.
-const MEMORY_RETRY_TIME: ClockTime = ClockTime(300);
 /// Time after a lost connection in which the others of a crash are lost as well.
 const CRASH_CONFIRM_DELAY: ClockTime = ClockTime(20);
 /// Weight of the newest request in the moving average of the retry share.
@@ -311,58 +309,11 @@
     }
 
     /// Returns whether the endpoint of a request has said that it shuts down.
-    fn is_leaving(&self, header: &ForwardRequestHeader) -> bool {
+    pub(crate) fn is_leaving(&self, header: &ForwardRequestHeader) -> bool {
         let leaving = self.state.leaving.borrow();
         leaving.contains(&header.endpoint, header.endpoint_born)
     }
 
-    /// Returns the refusal of a request that has not reached the endpoint.
-    fn refusal(
-        &self,
-        arrived: ClockTime,
-        header: &ForwardRequestHeader,
-        code: ResultCode,
-    ) -> ForwardResponse {
-        self.endpoint_response(arrived, header, not_run(code, ClockTime(0)))
-    }
-
-    /// Returns a response that also tells whether the endpoint has said that it shuts down.
-    fn endpoint_response(
-        &self,
-        arrived: ClockTime,
-        header: &ForwardRequestHeader,
-        outcome: ForwardOutcome,
-    ) -> ForwardResponse {
-        let mut response = self.response(arrived, outcome);
-        response.header.is_leaving = self.is_leaving(header);
-        response
-    }
-
-    fn response(&self, arrived: ClockTime, outcome: ForwardOutcome) -> ForwardResponse {
-        let code = match &outcome {
-            ForwardOutcome::Completed { .. } => ResultCode::Ok,
-            ForwardOutcome::NotRun { code, .. } | ForwardOutcome::Unknown { code } => *code,
-        };
-        self.state.metrics.record_attempt(code);
-        ForwardResponse {
-            header: ForwardResponseHeader {
-                outcome,
-                load: self.slots.load(),
-                is_leaving: false,
-                responded_at: RemoteTime {
-                    process: self.process,
-                    time: self.state.clock.now(),
-                },
-                elapsed: self.state.clock.now() - arrived,
-                view_age: self.state.age(),
-                worked: None,
-                body_length: 0,
-            },
-            body: Bytes::new(),
-            claim: None,
-        }
-    }
-
     /// Returns the time left for a request that has just been read.
     ///
     /// The request may have waited in the socket buffer while the process was paused.
@@ -387,18 +338,6 @@
         header.remaining = header.remaining.min(schedule.answers_by - now);
         !self.closed.get() && schedule.admits(now, &late_request)
     }
-
-    /// Returns the refusal of a request for whose body there is no memory.
-    pub(crate) fn no_memory_response(&self) -> ForwardResponse {
-        let now = self.state.clock.now();
-        self.response(now, not_run(ResultCode::Overloaded, MEMORY_RETRY_TIME))
-    }
-
-    /// Returns the refusal sent while the node is shutting down.
-    pub(crate) fn leaving_response(&self) -> ForwardResponse {
-        let now = self.state.clock.now();
-        self.response(now, not_run(ResultCode::NodeLeaving, ClockTime(0)))
-    }
 }
 
 /// Guard that counts a request as running at the endpoint until it is dropped.
@@ -412,38 +351,3 @@
         self.service.parents.borrow_mut().end(self.parent);
     }
 }
-
-/// Logs a request that the endpoint received but did not serve successfully.
-fn log_failure(
-    header: &ForwardRequestHeader,
-    outcome: &ForwardOutcome,
-    waited: ClockTime,
-    worked: ClockTime,
-) {
-    let (request, endpoint) = (&header.request_id, &header.endpoint);
-    let result = match outcome {
-        ForwardOutcome::Completed { status, .. } if *status < 500 => return,
-        ForwardOutcome::Completed { status, .. } => format!("status={status}"),
-        ForwardOutcome::NotRun { code, .. } => format!("not_run={code}"),
-        ForwardOutcome::Unknown { code } => format!("unknown={code}"),
-    };
-    log::info!(
-        "event=endpoint_result request={request} endpoint={endpoint} {result} waited={waited} worked={worked}"
-    );
-}
-
-fn not_run(code: ResultCode, wait: ClockTime) -> ForwardOutcome {
-    ForwardOutcome::NotRun {
-        code,
-        reached_endpoint: false,
-        wait,
-    }
-}
-
-fn acquire_error_outcome(error: AcquireError) -> ForwardOutcome {
-    match error {
-        AcquireError::Busy(wait) => not_run(ResultCode::Overloaded, wait),
-        AcquireError::Expired => not_run(ResultCode::QueueTimeout, ClockTime(0)),
-        AcquireError::Closed => not_run(ResultCode::NodeLeaving, ClockTime(0)),
-    }
-}
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -1,10 +1,8 @@
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_channel::oneshot;
-use monoio::net::{ListenerOpts, TcpListener};
 use monoio::task::JoinHandle;
 use monoio::time;
 
@@ -13,9 +11,10 @@
 use crate::caller::StopSignal;
 use crate::clock::{ClockTime, SystemClock};
 use crate::cold::{ColdRoom, ColdTask};
-use crate::error::{Error, Result, ResultCode};
+use crate::error::Result;
 use crate::id::NodeAddress;
 use crate::introduction::IntroductionTask;
+use crate::listener;
 use crate::memory::MemoryAccount;
 use crate::node::TaskGroup;
 use crate::peer::{KeepaliveConfig, PeerPool, PeerServer};
@@ -66,8 +65,6 @@
     idle_interval_ticks: Some(4),
     timeout_ticks: 3,
 };
-/// Receive buffer of a client connection, which the kernel doubles.
-const CLIENT_BUFFER_BYTES: usize = 32 * 1024;
 /// Time limit for connecting to the local endpoint for a health check.
 const PROBE_CONNECT_TIMEOUT: ClockTime = ClockTime(250);
 /// Maximum size of the body of a health response.
@@ -109,7 +106,10 @@
     ) -> Result<Self> {
         let clock = SystemClock::starting_at(MAX_VIEW_AGE);
         let signal = ReloadSignal::new()?;
-        let listeners = [bind(settings.ready_listen)?, bind(settings.metrics_listen)?];
+        let listeners = [
+            listener::bind(settings.ready_listen)?,
+            listener::bind(settings.metrics_listen)?,
+        ];
         let state = Rc::new(NodeState::new(clock, &settings)?);
         let tasks = Rc::new(TaskGroup::new());
         let process = rand::random();
@@ -133,7 +133,7 @@
                 memory_share(&settings, HELD_MEMORY_DIVISOR),
             ),
         });
-        let clients = bind_clients(settings.client_listen)?;
+        let clients = listener::bind_clients(settings.client_listen)?;
         let clients = monoio::spawn(client_server::serve(clients, context, clients_stopped));
         let monitoring = Rc::new(MonitoringService {
             ready_path: settings.ready_path.clone(),
@@ -384,23 +384,3 @@
 fn memory_share(settings: &SidecarSettings, divisor: u64) -> usize {
     (settings.memory.0 / divisor) as usize
 }
-
-/// Binds the listener for clients, whose connections have small receive buffers: bytes that are not read
-/// count as memory of the instance.
-fn bind_clients(address: SocketAddr) -> Result<TcpListener> {
-    let options = ListenerOpts::new().recv_buf_size(CLIENT_BUFFER_BYTES);
-    bind_with(address, &options)
-}
-
-fn bind(address: SocketAddr) -> Result<TcpListener> {
-    bind_with(address, &ListenerOpts::new())
-}
-
-fn bind_with(address: SocketAddr, options: &ListenerOpts) -> Result<TcpListener> {
-    TcpListener::bind_with_config(address, options).map_err(|error| {
-        Error::new(
-            ResultCode::SettingsOutOfRange,
-            format!("address {address} cannot be bound: {error}"),
-        )
-    })
-}
