--- a/src/quarantine/suspect_table.rs
+++ b/src/quarantine/suspect_table.rs
@@ -18,8 +18,8 @@
 const QUARANTINE_TIME: ClockTime = ClockTime(60_000);
 const QUARANTINE_FACTOR: u64 = 4;
 const MAX_QUARANTINE_TIME: ClockTime = ClockTime(600_000);
-/// Rounds in which a node tells others of news. After one round to three nodes each, one node in twenty has not
-/// heard of it, and more if some do not respond; after two it is one in four hundred.
+/// Rounds in which a node tells others of news. One round to three nodes each misses one node in twenty, and more if
+/// some do not respond; two rounds miss one in four hundred.
 const NEWS_ROUND_COUNT: u32 = 2;
 /// Maximum number of requests in the table.
 const MAX_REQUEST_COUNT: usize = 1_024;
