Log and measure for how long a configuration lags behind

config_in_force gets the lag, registry_read the age of the configuration, start the transfer time of the largest value; reader_paused is new, and endive_config_lag_seconds shows the lag while it lasts. At 5,500 nodes this is one more sample a node.

--- a/src/mesh/service_directory.rs
+++ b/src/mesh/service_directory.rs
@@ -86,6 +86,13 @@
         self.listed_position
     }
 
+    /// Returns whether the configuration may lack changes that the registry made before the latest ones
+    /// of the endpoints.
+    #[must_use]
+    pub fn lacks_config(&self) -> bool {
+        self.position < self.listed_position
+    }
+
     /// Records that the endpoints reflect the registry up to a position, at the end of a read.
     pub fn record_listing(&mut self, position: HistoryPosition) {
         self.listed_position = self.listed_position.max(position);
--- a/src/metrics/sidecar_metrics.rs
+++ b/src/metrics/sidecar_metrics.rs
@@ -37,6 +37,7 @@
     endpoint_events: Counter<u64>,
     config_version: Gauge<u64>,
     view_age: Gauge<f64>,
+    config_lag: Gauge<f64>,
     endpoints: Gauge<u64>,
     outstanding: Gauge<u64>,
     ready: Gauge<u64>,
@@ -60,6 +61,8 @@
     pub config_version: u64,
     /// Time since the registry last confirmed the view.
     pub view_age: ClockTime,
+    /// Time since the node has known of changes that its configuration lacks.
+    pub config_lag: ClockTime,
     /// Number of known endpoints.
     pub endpoints: usize,
     /// Number of requests that run or wait at the sidecar's own endpoint.
@@ -159,6 +162,11 @@
                 .with_description("Time since the registry confirmed the view")
                 .with_unit("s")
                 .build(),
+            config_lag: meter
+                .f64_gauge("endive_config_lag")
+                .with_description("Time since the node has known of a later configuration")
+                .with_unit("s")
+                .build(),
             endpoints: gauge("endive_endpoints", "Endpoints known"),
             outstanding: gauge(
                 "endive_outstanding",
@@ -306,6 +314,8 @@
         self.config_version.record(values.config_version, &[]);
         self.view_age
             .record(values.view_age.as_f64() / 1_000.0, &[]);
+        self.config_lag
+            .record(values.config_lag.as_f64() / 1_000.0, &[]);
         self.endpoints.record(values.endpoints as u64, &[]);
         self.outstanding.record(u64::from(values.outstanding), &[]);
         self.ready.record(u64::from(values.ready), &[]);
--- a/src/registry_read/read_trace.rs
+++ b/src/registry_read/read_trace.rs
@@ -18,6 +18,7 @@
     reason: ReadReason,
     started_at: ClockTime,
     age: Option<ClockTime>,
+    config_age: Option<ClockTime>,
     size: Cell<ByteSize>,
     result: Cell<&'static str>,
 }
@@ -28,6 +29,7 @@
             reason,
             started_at: state.clock.now(),
             age: state.age(),
+            config_age: state.config_age(),
             size: Cell::new(ByteSize(0)),
             result: Cell::new("dropped"),
             state: Rc::clone(state),
@@ -56,12 +58,12 @@
             return;
         }
         let elapsed = self.state.clock.now() - self.started_at;
-        let age = self
-            .age
-            .map_or_else(|| "-".to_owned(), |age| age.to_string());
+        let text =
+            |age: Option<ClockTime>| age.map_or_else(|| "-".to_owned(), |age| age.to_string());
+        let (age, config_age) = (text(self.age), text(self.config_age));
         log::info!(
             "event=registry_read reason={reason} result={result} bytes={size} elapsed={elapsed} \
-             view_age={age}"
+             view_age={age} config_age={config_age}"
         );
     }
 }
--- a/src/sidecar/mesh_updater.rs
+++ b/src/sidecar/mesh_updater.rs
@@ -170,15 +170,18 @@
     /// Installs a configuration unless the installed one is at least as new.
     pub(crate) fn install(&self, config: &Arc<MeshConfig>, origin: ConfigOrigin) {
         let previous = self.state.config().map(|config| config.version());
+        let lag = self.state.config_lag();
         if self.state.install(config) {
             self.dispatcher.picker.borrow_mut().reset();
             let spec = config.service(&self.state.service);
             let bounds = self.state.bounds();
             self.inbound.room.configure(spec, &bounds);
             self.state.wake_waiters();
-            let previous = previous.map_or_else(|| "-".to_owned(), |version| version.to_string());
+            let or_none = |text: Option<String>| text.unwrap_or_else(|| "-".to_owned());
+            let previous = or_none(previous.map(|version| version.to_string()));
+            let lag = or_none(lag.map(|lag| lag.to_string()));
             log::info!(
-                "event=config_in_force version={} previous={previous} routes={} {origin}",
+                "event=config_in_force version={} previous={previous} routes={} lag={lag} {origin}",
                 config.version(),
                 config.route_count()
             );
--- a/src/sidecar/monitoring_service.rs
+++ b/src/sidecar/monitoring_service.rs
@@ -48,6 +48,7 @@
         let state = GaugeValues {
             config_version: config.map_or(0, |config| config.version().0),
             view_age: self.state.age().unwrap_or_default(),
+            config_lag: self.state.config_lag().unwrap_or_default(),
             endpoints: self.state.directory.borrow().len(),
             outstanding: self.inbound.slots.load().outstanding,
             ready: self.state.is_ready(),
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -16,6 +16,7 @@
 };
 use crate::metrics::SidecarMetrics;
 use crate::quarantine::QuarantineState;
+use crate::registry_read::LagTimer;
 use crate::sidecar::view_origin::ViewOrigin;
 use crate::sidecar::view_summary::ViewSummary;
 use crate::sidecar::{FreshPeers, MeshBounds, SidecarSettings, StopSchedule};
@@ -54,6 +55,8 @@
     read_mark: Cell<(HistoryEra, ClockTime)>,
     /// The same for the configuration, whose transfer may take longer.
     config_mark: Cell<(HistoryEra, ClockTime)>,
+    /// For how long the configuration has lagged behind the endpoints.
+    lag_timer: Cell<LagTimer>,
     /// Source from which `read_mark` was learned.
     origin: Cell<Option<ViewOrigin>>,
     /// Availability zone of the instance.
@@ -90,6 +93,7 @@
             stop: Cell::new(None),
             read_mark: Cell::default(),
             config_mark: Cell::default(),
+            lag_timer: Cell::default(),
             origin: Cell::default(),
             zone: settings.zone.clone(),
             service: settings.service.clone(),
@@ -163,8 +167,11 @@
         self.wake_waiters();
     }
 
-    /// Wakes the tasks that wait for a refresh.
+    /// Records whether the configuration lags behind, and wakes the tasks that wait for a refresh.
     pub(crate) fn wake_waiters(&self) {
+        let mut timer = self.lag_timer.get();
+        timer.update(self.clock.now(), self.directory.borrow().lacks_config());
+        self.lag_timer.set(timer);
         for waiter in self.refresh_waiters.take() {
             // Sending fails if the waiting task was dropped.
             let _ = waiter.send(());
@@ -191,6 +198,12 @@
         self.loaded.get().then_some(age)
     }
 
+    /// Returns for how long the node has known of changes that its configuration lacks, or `None` if it
+    /// knows of none.
+    pub(crate) fn config_lag(&self) -> Option<ClockTime> {
+        self.lag_timer.get().lag(self.clock.now())
+    }
+
     /// Returns the age of the endpoints, or `None` if the view has never been synchronized.
     pub(crate) fn age(&self) -> Option<ClockTime> {
         let age = self.clock.now() - self.read_at();
--- a/src/sidecar/reader_state.rs
+++ b/src/sidecar/reader_state.rs
@@ -33,6 +33,12 @@
         (is_reader || now < self.substitute_until) && now >= self.backoff_until
     }
 
+    /// Returns for how long the node still learns from others because its own reads failed.
+    #[must_use]
+    pub fn paused_for(&self, now: ClockTime) -> ClockTime {
+        self.backoff_until - now
+    }
+
     /// Records a successful read.
     pub fn record_success(&mut self) {
         self.failures = 0;
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -51,9 +51,14 @@
                     self.forget_position();
                 }
                 let now = self.state.clock.now();
-                self.reader
-                    .borrow_mut()
-                    .record_failure(now, self.interval());
+                let mut reader = self.reader.borrow_mut();
+                reader.record_failure(now, self.interval());
+                let paused = reader.paused_for(now);
+                drop(reader);
+                let is_full = self.position.get().is_none();
+                log::info!(
+                    "event=reader_paused paused={paused} full_read_next={is_full} cause=\"{error}\""
+                );
                 if self.outage.borrow_mut().record_failure(now) {
                     let age = self.state.age().unwrap_or_default();
                     log::warn!("event=registry_lost view_age={age} cause=\"{error}\"");
--- a/src/sidecar/running_node.rs
+++ b/src/sidecar/running_node.rs
@@ -211,10 +211,11 @@
         };
         background_tasks.push(monoio::spawn(reload.run(background_stopped)));
         log::info!(
-            "event=start node={} zone={} service={} incarnation={}",
+            "event=start node={} zone={} service={} transfer_time={} incarnation={}",
             settings.name,
             settings.zone,
             settings.service,
+            settings.registry_transfer_time,
             clock.incarnation()
         );
         Ok(Self {
