Read only the endpoints when the registry was restored

Cause: since a full read of the registry lists the endpoints and leaves a large configuration to the few nodes that read it, but only if both are of one era. After a restore each node that turned to the store read the configuration at once, and its endpoints counted only with it.

Now the endpoints of a new era count alone and the configuration lags behind, as it does within an era. A reply whose endpoints are of a later era than its configuration is applied.

Ruled out: a reader that follows the lost history (the log shows registry_history_gone 0.7 s after the restore).

--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -136,7 +136,8 @@
         };
         let read_at = view_time::earliest_read_time(sent_at, reply.held, age);
         let mut fresh_peers = self.state.fresh_peers.borrow_mut();
-        if reply.position.era < self.state.read_mark().0 {
+        let listed_era = reply.listed_position.era;
+        if listed_era < self.state.read_mark().0 {
             fresh_peers.remove(address);
         } else {
             fresh_peers.record(address, read_at);
@@ -185,9 +186,6 @@
         let directory = self.state.directory.borrow();
         let (known, seen) = (directory.position(), directory.seen_position());
         drop(directory);
-        if era < known.era {
-            return;
-        }
         // Either the endpoints or the configuration of the reply may be older than those of this node.
         let has_endpoints = reply.listed_position >= seen;
         let cursor = reply.cursor;
@@ -208,7 +206,7 @@
         self.state.confirm_config(era, config_read_at);
         if has_endpoints {
             self.state
-                .mark_fresh(era, read_at, ViewOrigin::Node(address));
+                .mark_fresh(listed_era, read_at, ViewOrigin::Node(address));
         }
     }
 
--- a/src/sidecar/registry_reads.rs
+++ b/src/sidecar/registry_reads.rs
@@ -122,13 +122,13 @@
         self.pending_config_read.set(Some(pending));
         self.updater.apply(read);
         self.updater.record_full_listing(pending.position);
-        let installed = self.state.directory.borrow().position();
-        if self.state.config().is_some() && installed.era == pending.position.era {
+        if self.state.config().is_some() {
+            let installed = self.state.directory.borrow().position();
             self.pending_config_read.set(None);
             self.position.set(Some(installed));
             self.record_lagging_config(pending.position);
             self.state
-                .mark_fresh(installed.era, started_at, ViewOrigin::Registry);
+                .mark_fresh(pending.position.era, started_at, ViewOrigin::Registry);
             return Ok(());
         }
         let is_first = self.state.config().is_none() && self.failures.get() == 0;
@@ -150,6 +150,11 @@
     ) -> Result<()> {
         let mut wait = self.watch_time();
         let mut started_at = self.state.clock.now();
+        let listed = self.state.directory.borrow().listed_position();
+        if position.era < listed.era && self.lagging_config.get().is_none() {
+            // The registry was restored; only the endpoints are known since.
+            self.record_lagging_config(listed);
+        }
         if self.lagging_config.get().is_none() {
             let limit = self.watch_limit();
             if let Some(read) = source.watch(position, wait, limit).await? {
