Space the reads of a late configuration by the time of a transfer

Callers were served by an old version for up to 20 s, while every node of the region read the new one.

Cause: from three refresh intervals on, twice as many nodes read a late configuration with each further interval (0.75 s), however long a read takes. On a link on which one takes 1.4 s or more, each wave slowed the earlier ones until all timed out, and nodes repeated a failed read after 0.4 s.

The standby now waits for the time of a transfer beyond the reader's turn, the others for one more, and their number doubles with each further transfer. A node whose read failed pauses for a step, then two, up to eight, with a random factor.

--- a/src/registry_read/config_loop.rs
+++ b/src/registry_read/config_loop.rs
@@ -27,10 +27,11 @@
     /// The endpoints are refreshed meanwhile, so that those that leave do not wait for a transfer.
     pub(crate) async fn config_loop(&self) {
         let mut last_read: Option<(ClockTime, ClockTime)> = None;
+        let mut failures = 0_u32;
         let mut chance = rand::random_range(0.0..1.0);
         loop {
             let refreshed = pin!(self.state.wait_for_refresh());
-            match self.config_read_delay(last_read, chance) {
+            match self.config_read_delay(last_read, failures, chance) {
                 None => refreshed.await,
                 Some(ClockTime(0)) => {
                     let started_at = self.state.clock.now();
@@ -39,10 +40,12 @@
                     let updated = pin!(self.wait_for_config());
                     let result = future::select(reading, future::select(updated, asking)).await;
                     let ended_at = self.state.clock.now();
+                    let has_failed = matches!(result, Either::Left((false, _)));
+                    failures = if has_failed { failures + 1 } else { 0 };
                     // A registry that refuses at once is not asked again at once.
-                    let duration = match result {
-                        Either::Left((false, _)) => self.interval(),
-                        Either::Left(_) | Either::Right(_) => ended_at - started_at,
+                    let duration = match has_failed {
+                        true => self.interval(),
+                        false => ended_at - started_at,
                     };
                     last_read = Some((ended_at, duration));
                     chance = rand::random_range(0.0..1.0);
@@ -58,6 +61,7 @@
     fn config_read_delay(
         &self,
         last_read: Option<(ClockTime, ClockTime)>,
+        failures: u32,
         chance: f64,
     ) -> Option<ClockTime> {
         let now = self.state.clock.now();
@@ -71,6 +75,7 @@
             reads_registry: self.reads_registry(),
             is_standby: neighbors.is_standby,
             last_read: last_read.map(|(ended_at, duration)| (now - ended_at, duration)),
+            failures,
             transfer_time: self.settings.registry_transfer_time,
             region_size: neighbors.region_size,
             chance,
--- a/src/registry_read/config_schedule.rs
+++ b/src/registry_read/config_schedule.rs
@@ -3,10 +3,12 @@
 /// Time, in refresh intervals, by which the configuration must be older than the endpoints for a node
 /// to regard it as late.
 const MIN_LAG_INTERVALS: f64 = 0.5;
-/// Age of the configuration, in refresh intervals, at which the standby reads it.
-const STANDBY_AGE_INTERVALS: f64 = 2.0;
-/// Age of the configuration, in refresh intervals, at which the first of the other nodes read it.
-const OTHERS_AGE_INTERVALS: f64 = 3.0;
+/// Steps, after one refresh interval, at which the standby and the first of the other nodes read the
+/// configuration. A step lasts as long as a transfer, so an earlier reader has usually finished by then.
+const STANDBY_STEPS: u64 = 1;
+const OTHERS_STEPS: u64 = 2;
+/// Number of doublings of the pause after a failed read.
+const MAX_FAILURE_DOUBLING_COUNT: u32 = 3;
 /// Shortest and longest pause, in refresh intervals, between two reads of the configuration. Between
 /// them, it is as long as the last read.
 const MIN_PAUSE_INTERVALS: f64 = 0.125;
@@ -21,7 +23,7 @@
     pub config_age: ClockTime,
     /// Usual time between two refreshes.
     pub interval: ClockTime,
-    /// Whether a read of this node has shown that the configuration changed.
+    /// Whether the endpoints are known to reflect later changes than the configuration.
     pub is_known: bool,
     /// Whether the node reads the registry for others.
     pub reads_registry: bool,
@@ -29,6 +31,8 @@
     pub is_standby: bool,
     /// Time since the last read of the configuration ended, and the time that it took.
     pub last_read: Option<(ClockTime, ClockTime)>,
+    /// Reads of the configuration that have failed in a row.
+    pub failures: u32,
     /// Time that the largest configuration takes to arrive over the link of the instance.
     pub transfer_time: ClockTime,
     /// Number of nodes of the region.
@@ -42,22 +46,30 @@
 ///
 /// A configuration is much larger than the changes of endpoints, so the link to the registry carries
 /// only a few copies of it at a time. The nodes that read for their region do so at once, the standby
-/// later, and then the others in numbers that double with each interval, those with fast links first.
+/// a transfer later, and then the others in numbers that double with each further transfer, those with
+/// fast links first. Reads that start before the earlier ones could end would delay all of them.
 #[must_use]
 pub fn config_read_delay(lag: &ConfigLag) -> Option<ClockTime> {
     let intervals = |count: f64| ClockTime((lag.interval.as_f64() * count) as u64);
+    let step = lag.interval.max(lag.transfer_time);
+    let steps = |count: u64| lag.interval + ClockTime(step.0 * count);
     let due = if lag.reads_registry && lag.is_known {
         ClockTime(0)
     } else if lag.config_age - lag.age < intervals(MIN_LAG_INTERVALS) {
         return None;
     } else if lag.is_standby {
-        intervals(STANDBY_AGE_INTERVALS) - lag.config_age
+        steps(STANDBY_STEPS) - lag.config_age
     } else {
         let turn = doubling_turn(lag.region_size, lag.chance);
-        let spread = lag.transfer_time.min(lag.interval) + intervals(turn);
-        intervals(OTHERS_AGE_INTERVALS) + spread - lag.config_age
+        let spread = ClockTime((step.as_f64() * turn) as u64);
+        steps(OTHERS_STEPS) + spread - lag.config_age
     };
     let pause = match lag.last_read {
+        Some((ended, _)) if lag.failures > 0 && !lag.reads_registry => {
+            let doublings = (lag.failures - 1).min(MAX_FAILURE_DOUBLING_COUNT);
+            let mean = ClockTime(step.0 << doublings);
+            ClockTime((mean.as_f64() * (0.5 + lag.chance)) as u64) - ended
+        }
         Some((ended, duration)) => {
             let longest = intervals(MAX_PAUSE_INTERVALS);
             duration.clamp(intervals(MIN_PAUSE_INTERVALS), longest) - ended
