Let the reader read a configuration that others noticed first

After a restore or an outage the reader of a region did not read the new configuration for up to 1.8 s, although it had the endpoints of that time.

Cause: it read at once only if its own watch had shown the change, and not while it learned from others after a read of its own had failed. Another node may notice first that the registry is back; its view brings endpoints later than the configuration, and nobody was to read that one until the standby's turn.

The lag is now taken from the view, wherever it came from, and the root of the tree reads it also while it is paused. Its reads of the endpoints stay paused.

--- a/src/registry_read/config_loop.rs
+++ b/src/registry_read/config_loop.rs
@@ -71,8 +71,9 @@
             age,
             config_age: self.state.config_age()?,
             interval: self.interval(),
-            is_known: self.lagging_config.get().is_some(),
-            reads_registry: self.reads_registry(),
+            is_known: self.state.directory.borrow().lacks_config(),
+            // Another node may have noticed first that the registry is back.
+            reads_registry: neighbors.is_reader || self.reads_registry(),
             is_standby: neighbors.is_standby,
             last_read: last_read.map(|(ended_at, duration)| (now - ended_at, duration)),
             failures,
