Let a paused reader wait an interval for those that noticed first

The reader now waits one refresh interval from the moment at which it learned of the change, if it is paused.

--- a/src/registry_read/config_loop.rs
+++ b/src/registry_read/config_loop.rs
@@ -67,13 +67,15 @@
         let now = self.state.clock.now();
         let age = self.state.age()?;
         let neighbors = self.neighbors();
+        let reads_registry = self.reads_registry();
         config_schedule::config_read_delay(&ConfigLag {
             age,
             config_age: self.state.config_age()?,
             interval: self.interval(),
-            is_known: self.state.directory.borrow().lacks_config(),
+            known_for: self.state.config_lag(),
+            reads_registry,
             // Another node may have noticed first that the registry is back.
-            reads_registry: neighbors.is_reader || self.reads_registry(),
+            is_paused: neighbors.is_reader && !reads_registry,
             is_standby: neighbors.is_standby,
             last_read: last_read.map(|(ended_at, duration)| (now - ended_at, duration)),
             failures,
--- a/src/registry_read/config_schedule.rs
+++ b/src/registry_read/config_schedule.rs
@@ -23,10 +23,12 @@
     pub config_age: ClockTime,
     /// Usual time between two refreshes.
     pub interval: ClockTime,
-    /// Whether the endpoints are known to reflect later changes than the configuration.
-    pub is_known: bool,
+    /// Time for which the node has known that the configuration lacks changes, unless it knows of none.
+    pub known_for: Option<ClockTime>,
     /// Whether the node reads the registry for others.
     pub reads_registry: bool,
+    /// Whether the node is the reader of its region, but learns from others since its reads failed.
+    pub is_paused: bool,
     /// Whether the node is the standby of its region.
     pub is_standby: bool,
     /// Time since the last read of the configuration ended, and the time that it took.
@@ -53,8 +55,10 @@
     let intervals = |count: f64| ClockTime((lag.interval.as_f64() * count) as u64);
     let step = lag.interval.max(lag.transfer_time);
     let steps = |count: u64| lag.interval + ClockTime(step.0 * count);
-    let due = if lag.reads_registry && lag.is_known {
+    let due = if lag.reads_registry && lag.known_for.is_some() {
         ClockTime(0)
+    } else if let Some(known_for) = lag.known_for.filter(|_| lag.is_paused) {
+        lag.interval - known_for
     } else if lag.config_age - lag.age < intervals(MIN_LAG_INTERVALS) {
         return None;
     } else if lag.is_standby {
--- a/tests/config_read_rules.rs
+++ b/tests/config_read_rules.rs
@@ -11,7 +11,8 @@
     age: ClockTime(300),
     config_age: ClockTime(1_800),
     interval: INTERVAL,
-    is_known: false,
+    known_for: None,
+    is_paused: false,
     reads_registry: false,
     is_standby: false,
     last_read: None,
@@ -24,7 +25,7 @@
 #[test]
 fn nodes_read_a_late_configuration_in_order_of_their_place_and_link() {
     let reader = ConfigLag {
-        is_known: true,
+        known_for: Some(ClockTime(100)),
         reads_registry: true,
         ..LATE
     };
@@ -67,6 +68,15 @@
             },
             Some(93),
         ),
+        (
+            "reader that learns from others",
+            ConfigLag {
+                reads_registry: false,
+                is_paused: true,
+                ..reader
+            },
+            Some(650),
+        ),
         ("standby", standby, Some(550)),
         (
             "standby, fast link",
