Have a node with a fast link read large configurations for slow readers

A large configuration came into force up to 1.5 s after other nodes could have had it, and while a reader received it, its own views grew old.

Cause: the nodes that read for a region are chosen by a hash of their address, whatever their links. A version that was sent during a read waited for the rest of it and for its own.

Each request for a view now names the fastest links that its sender knows of, so that the roots of the trees learn of them. The standby waits as long as that transfer takes.

Ruled out: replies of other nodes that were cut, of which the logs show none here.

--- /dev/null
+++ b/src/config_relay/link_report.rs
@@ -0,0 +1,16 @@
+use std::net::IpAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::ClockTime;
+
+/// The speed of the link of a node, as told by the node itself or by those that heard of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkReport {
+    /// The node.
+    pub node: IpAddr,
+    /// Time that the largest value of the registry takes to arrive over its link.
+    pub transfer_time: ClockTime,
+    /// Time since the node itself has reported.
+    pub age: ClockTime,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod clock;
 pub mod cold;
 pub mod config_check;
+pub mod config_relay;
 pub mod distribution;
 pub mod error;
 pub mod evacuation;
--- a/src/registry_read/config_loop.rs
+++ b/src/registry_read/config_loop.rs
@@ -6,6 +6,7 @@
 use monoio::time;
 
 use crate::clock::ClockTime;
+use crate::config_relay::LinkReport;
 use crate::error::{Result, ResultCode};
 use crate::mesh::{HistoryPosition, RegistrySource};
 use crate::registry_read::{ConfigLag, ReadReason, ReadTrace, config_schedule};
@@ -35,7 +36,7 @@
                 None => refreshed.await,
                 Some(ClockTime(0)) => {
                     let started_at = self.state.clock.now();
-                    let reading = pin!(self.read_lagging_config());
+                    let reading = pin!(self.obtain_config());
                     let asking = pin!(self.query_far_nodes());
                     let updated = pin!(self.wait_for_config());
                     let result = future::select(reading, future::select(updated, asking)).await;
@@ -67,19 +68,23 @@
         let now = self.state.clock.now();
         let age = self.state.age()?;
         let neighbors = self.neighbors();
+        let transfer_time = self.settings.registry_transfer_time;
         let reads_registry = self.reads_registry();
         config_schedule::config_read_delay(&ConfigLag {
             age,
             config_age: self.state.config_age()?,
             interval: self.interval(),
             known_for: self.state.config_lag(),
+            is_requested: self.state.is_config_requested(),
             reads_registry,
             // Another node may have noticed first that the registry is back.
             is_paused: neighbors.is_reader && !reads_registry,
             is_standby: neighbors.is_standby,
             last_read: last_read.map(|(ended_at, duration)| (now - ended_at, duration)),
             failures,
-            transfer_time: self.settings.registry_transfer_time,
+            transfer_time: self
+                .relay()
+                .map_or(transfer_time, |relay| relay.transfer_time),
             region_size: neighbors.region_size,
             chance,
         })
@@ -111,6 +116,24 @@
         }
     }
 
+    /// Has a node with a faster link read the configuration, or reads it; returns whether that succeeded.
+    async fn obtain_config(&self) -> bool {
+        if let Some(relay) = self.relay().filter(|_| !self.state.is_config_requested())
+            && self.query_relay(&relay).await.is_ok()
+        {
+            return true;
+        }
+        self.read_lagging_config().await
+    }
+
+    /// Returns the node that reads the configuration in place of this one.
+    fn relay(&self) -> Option<LinkReport> {
+        let now = self.state.clock.now();
+        let transfer_time = self.settings.registry_transfer_time;
+        let mut links = self.state.links.borrow_mut();
+        links.relay(now, self.interval(), transfer_time)
+    }
+
     /// Reads the configuration; returns whether that succeeded.
     async fn read_lagging_config(&self) -> bool {
         let trace = ReadTrace::new(&self.state, ReadReason::Config);
--- a/src/registry_read/config_schedule.rs
+++ b/src/registry_read/config_schedule.rs
@@ -25,6 +25,8 @@
     pub interval: ClockTime,
     /// Time for which the node has known that the configuration lacks changes, unless it knows of none.
     pub known_for: Option<ClockTime>,
+    /// Whether another node has asked this one to read the configuration.
+    pub is_requested: bool,
     /// Whether the node reads the registry for others.
     pub reads_registry: bool,
     /// Whether the node is the reader of its region, but learns from others since its reads failed.
@@ -35,7 +37,8 @@
     pub last_read: Option<(ClockTime, ClockTime)>,
     /// Reads of the configuration that have failed in a row.
     pub failures: u32,
-    /// Time that the largest configuration takes to arrive over the link of the instance.
+    /// Time that the largest configuration takes to arrive over the link of the instance, or of the node
+    /// that reads it in place of this one.
     pub transfer_time: ClockTime,
     /// Number of nodes of the region.
     pub region_size: usize,
@@ -55,7 +58,7 @@
     let intervals = |count: f64| ClockTime((lag.interval.as_f64() * count) as u64);
     let step = lag.interval.max(lag.transfer_time);
     let steps = |count: u64| lag.interval + ClockTime(step.0 * count);
-    let due = if lag.reads_registry && lag.known_for.is_some() {
+    let due = if lag.is_requested || (lag.reads_registry && lag.known_for.is_some()) {
         ClockTime(0)
     } else if let Some(known_for) = lag.known_for.filter(|_| lag.is_paused) {
         lag.interval - known_for
--- a/src/sidecar/forward_handler.rs
+++ b/src/sidecar/forward_handler.rs
@@ -34,7 +34,7 @@
 /// Path for resuming requests whose connection was lost.
 pub(crate) const RESUME_PATH: &str = "/resume/4";
 /// Path for reading a node's view of the mesh.
-pub(crate) const VIEW_PATH: &str = "/view/6";
+pub(crate) const VIEW_PATH: &str = "/view/7";
 /// Timeout for receiving a complete request.
 pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for sending a response, so that a peer that does not read cannot hold memory.
--- a/src/sidecar/node_queries.rs
+++ b/src/sidecar/node_queries.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::clock::ClockTime;
+use crate::config_relay::LinkReport;
 use crate::mesh::RegistryChange;
 use crate::sidecar::mesh_sync_task::MeshSyncTask;
 use crate::sidecar::refresh_plan;
@@ -21,6 +22,9 @@
 /// Time that a node has to obtain its first configuration, which it may have to read from the
 /// registry.
 const INITIAL_CONFIG_WAIT: ClockTime = ClockTime(1_000);
+/// Time, in refresh intervals, that a node with a fast link has to read the configuration and to reply,
+/// in addition to the transfer. The reader then still has more than half of the bound left.
+const RELAY_WAIT_INTERVALS: f64 = 0.5;
 /// Age of the view, in refresh intervals, up to which another node may wait before it responds.
 const MAX_WAIT_INTERVALS: f64 = 3.0;
 
@@ -90,19 +94,48 @@
 
     /// Requests the view of a node and applies it.
     pub(crate) async fn query_node(&self, address: IpAddr) -> std::result::Result<(), ()> {
+        let wait = match self.pending_config_read.get() {
+            Some(_) => INITIAL_CONFIG_WAIT,
+            None if self.first_page.borrow().is_some() => {
+                self.intervals(refresh_plan::START_SPREAD_INTERVALS)
+            }
+            None => self.remaining_wait(),
+        };
+        self.request_view(address, wait, false).await
+    }
+
+    /// Has a node with a fast link read the configuration, and applies its view.
+    pub(crate) async fn query_relay(&self, relay: &LinkReport) -> std::result::Result<(), ()> {
+        let wait = relay.transfer_time + self.intervals(RELAY_WAIT_INTERVALS);
+        let wanted = self.state.directory.borrow().listed_position();
+        let result = self.request_view(relay.node, wait, true).await;
+        if self.state.directory.borrow().position() >= wanted {
+            return result;
+        }
+        self.state.links.borrow_mut().remove(relay.node);
+        log::info!(
+            "event=config_relay_failed node={} transfer_time={}",
+            relay.node,
+            relay.transfer_time
+        );
+        Err(())
+    }
+
+    async fn request_view(
+        &self,
+        address: IpAddr,
+        wait: ClockTime,
+        wants_config: bool,
+    ) -> std::result::Result<(), ()> {
         let request = ViewRequest {
             sender: self.settings.endpoint.ip(),
             cursor: self.cursors.borrow().get(&address).copied(),
             position: self.state.directory.borrow().listed_position(),
             version: self.state.config().map(|config| config.version()),
             age: self.state.age().unwrap_or(ClockTime(u64::MAX)),
-            wait: match self.pending_config_read.get() {
-                Some(_) => INITIAL_CONFIG_WAIT,
-                None if self.first_page.borrow().is_some() => {
-                    self.intervals(refresh_plan::START_SPREAD_INTERVALS)
-                }
-                None => self.remaining_wait(),
-            },
+            wait,
+            wants_config,
+            links: self.link_reports(),
         };
         let previous = self.state.view_progress();
         let sent_at = self.state.clock.now();
@@ -129,6 +162,22 @@
         }
     }
 
+    /// Returns the fastest links that this node knows of, its own included.
+    fn link_reports(&self) -> SmallVec<[LinkReport; 3]> {
+        let now = self.state.clock.now();
+        let mut links = self.state.links.borrow_mut();
+        let mut reports: SmallVec<[LinkReport; 3]> =
+            links.reports(now, self.interval()).into_iter().collect();
+        let local_ip = self.settings.endpoint.ip();
+        reports.retain(|report| report.node != local_ip);
+        reports.push(LinkReport {
+            node: local_ip,
+            transfer_time: self.settings.registry_transfer_time,
+            age: ClockTime(0),
+        });
+        reports
+    }
+
     /// Applies the view of another node unless the local view is newer.
     fn apply_reply(&self, address: IpAddr, sent_at: ClockTime, reply: ViewReply) {
         let Some(age) = reply.age else {
--- a/src/sidecar/node_state.rs
+++ b/src/sidecar/node_state.rs
@@ -6,6 +6,7 @@
 use futures_channel::oneshot;
 
 use crate::clock::{ClockTime, SystemClock};
+use crate::config_relay::LinkTable;
 use crate::error::Result;
 use crate::evacuation::EvacuationSet;
 use crate::id::{ServiceName, ZoneName};
@@ -57,6 +58,10 @@
     config_mark: Cell<(HistoryEra, ClockTime)>,
     /// For how long the configuration has lagged behind the endpoints.
     lag_timer: Cell<LagTimer>,
+    /// Position up to which another node has asked this one to read the configuration.
+    requested_config: Cell<HistoryPosition>,
+    /// The fastest links of which this node has heard.
+    pub(crate) links: RefCell<LinkTable>,
     /// Source from which `read_mark` was learned.
     origin: Cell<Option<ViewOrigin>>,
     /// Availability zone of the instance.
@@ -94,6 +99,8 @@
             read_mark: Cell::default(),
             config_mark: Cell::default(),
             lag_timer: Cell::default(),
+            requested_config: Cell::default(),
+            links: RefCell::default(),
             origin: Cell::default(),
             zone: settings.zone.clone(),
             service: settings.service.clone(),
@@ -204,6 +211,22 @@
         self.lag_timer.get().lag(self.clock.now())
     }
 
+    /// Records that another node has asked this one to read the configuration up to `position`.
+    pub(crate) fn request_config(&self, position: HistoryPosition) {
+        let requested = self.requested_config.get().max(position);
+        self.requested_config.set(requested);
+        self.wake_waiters();
+    }
+
+    /// Returns whether another node waits for this one to read the configuration.
+    ///
+    /// After a restore of the registry, this node follows it to the new era first.
+    pub(crate) fn is_config_requested(&self) -> bool {
+        let requested = self.requested_config.get();
+        let directory = self.directory.borrow();
+        directory.position() < requested && directory.listed_position().era >= requested.era
+    }
+
     /// Returns the age of the endpoints, or `None` if the view has never been synchronized.
     pub(crate) fn age(&self) -> Option<ClockTime> {
         let age = self.clock.now() - self.read_at();
--- a/src/sidecar/view_message.rs
+++ b/src/sidecar/view_message.rs
@@ -1,8 +1,10 @@
 use std::net::IpAddr;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::clock::ClockTime;
+use crate::config_relay::LinkReport;
 use crate::id::{EndpointId, ZoneName};
 use crate::mesh::{ConfigDelta, ConfigSnapshot, ConfigVersion, EndpointRecord, HistoryPosition};
 use crate::peer::FrameCodec;
@@ -40,6 +42,10 @@
     pub(crate) age: ClockTime,
     /// Longest time to wait for a fresher view.
     pub(crate) wait: ClockTime,
+    /// Whether the other node is to read the configuration at `position` or later before it replies.
+    pub(crate) wants_config: bool,
+    /// The fastest links that the sender knows of, its own included.
+    pub(crate) links: SmallVec<[LinkReport; 3]>,
 }
 
 /// A newer configuration, in full or as a delta.
--- a/src/sidecar/view_service.rs
+++ b/src/sidecar/view_service.rs
@@ -46,6 +46,12 @@
             fresh_peers.record(request.sender, sender_read_at);
         }
         self.record_child(now, request.sender);
+        for report in &request.links {
+            self.state.links.borrow_mut().record(now, *report);
+        }
+        if request.wants_config {
+            self.state.request_config(request.position);
+        }
         let until = now + request.wait.min(MAX_WAIT);
         let is_fresher = match request.position.era.cmp(&era) {
             Ordering::Less => true,
@@ -56,16 +62,20 @@
             }
             Ordering::Greater => false,
         };
-        if !is_fresher {
+        let awaits_reply = || match request.wants_config {
+            true => self.state.directory.borrow().position() < request.position,
             // A node without a configuration waits for a whole view, whatever else is learned before.
-            let lacks_view = || request.version.is_none() && !self.state.has_view();
-            while self.state.view_progress() == initial || lacks_view() {
-                let remaining = until - self.state.clock.now();
-                let timer = pin!(time::sleep(remaining.to_duration()));
-                let refreshed = pin!(self.state.wait_for_refresh());
-                if let Either::Left(_) = future::select(timer, refreshed).await {
-                    break;
-                }
+            false => {
+                let lacks_view = request.version.is_none() && !self.state.has_view();
+                !is_fresher && (self.state.view_progress() == initial || lacks_view)
+            }
+        };
+        while awaits_reply() {
+            let remaining = until - self.state.clock.now();
+            let timer = pin!(time::sleep(remaining.to_duration()));
+            let refreshed = pin!(self.state.wait_for_refresh());
+            if let Either::Left(_) = future::select(timer, refreshed).await {
+                break;
             }
         }
         self.reply(request, now)
--- a/tests/config_read_rules.rs
+++ b/tests/config_read_rules.rs
@@ -12,6 +12,7 @@
     config_age: ClockTime(1_800),
     interval: INTERVAL,
     known_for: None,
+    is_requested: false,
     is_paused: false,
     reads_registry: false,
     is_standby: false,
@@ -77,6 +78,14 @@
             },
             Some(650),
         ),
+        (
+            "node that another one has asked",
+            ConfigLag {
+                is_requested: true,
+                ..LATE
+            },
+            Some(0),
+        ),
         ("standby", standby, Some(550)),
         (
             "standby, fast link",
